--- /dev/null
+++ b/dispatch/admission.go
@@ -0,0 +1,172 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/refusal"
+)
+
+// Parameters of admission.
+const (
+	maxQueuedTasks = 20_000 // Of one entry.
+	minRetryAfter  = 200 * time.Millisecond
+)
+
+// admit returns an error if a job can't be accepted. A recovered job passes:
+// part of it has run already.
+func (d *Dispatcher) admit(now time.Time, j *job, recovered bool) *refusal.Error {
+	team, ok := d.view.Team(j.Team)
+	if !ok {
+		return refusal.New(refusal.UnknownTeam, "team %q is not configured", j.Team)
+	}
+	if _, ok := d.view.Kind(j.Kind); !ok {
+		return refusal.New(refusal.UnknownKind, "kind %q is not configured", j.Kind)
+	}
+	if recovered {
+		return nil
+	}
+	if len(j.tasks) > team.Quota {
+		return refusal.New(refusal.NeverRuns, "the job has %d tasks, and the quota of team %s is %d", len(j.tasks), j.Team, team.Quota)
+	}
+	if err := d.checkQuota(j, team.Quota); err != nil {
+		return err
+	}
+	return d.checkDeadline(now, j)
+}
+
+// checkQuota returns a refusal.OverQuota error if the team has too many tasks
+// in flight. Each entry grants an equal share of the quota, and at least one
+// job at a time.
+func (d *Dispatcher) checkQuota(j *job, quota int) *refusal.Error {
+	entries := d.activeEntries()
+	share := (quota + entries - 1) / entries
+	inFlight := d.team(j.Team).inFlight
+	if inFlight == 0 || inFlight+len(j.tasks) <= share {
+		return nil
+	}
+	err := refusal.New(refusal.OverQuota, "team %s has %d tasks in flight at this entry, whose share of the quota is %d", j.Team, inFlight, share)
+	return err.After(max(minRetryAfter, d.drainTime(d.workOf(j.Kind, j.queued))))
+}
+
+// checkDeadline returns an error if the job is not expected to finish in time
+// behind the jobs that are served before it.
+func (d *Dispatcher) checkDeadline(now time.Time, j *job) *refusal.Error {
+	if !now.Before(j.Deadline) {
+		return refusal.New(refusal.DeadlinePassed, "the deadline %s has passed", j.Deadline.Format(time.RFC3339Nano))
+	}
+	if d.capacity() == 0 {
+		return refusal.New(refusal.NoServers, "no backend server may run tasks now").After(refusedRetryAfter)
+	}
+	work := d.workOf(j.Kind, j.queued)
+	ahead, tasks := d.backlogBefore(now.Add(d.ideal(j)))
+	if tasks+len(j.queued) > maxQueuedTasks {
+		return refusal.New(refusal.Overloaded, "%d tasks are queued", tasks).After(max(minRetryAfter, d.drainTime(ahead)))
+	}
+	finish := d.drainTime(ahead+work) + d.fastest(j.Kind)
+	if left := j.Deadline.Sub(now); finish > left {
+		err := refusal.New(refusal.CannotFinish, "the job is expected to take %v, and its deadline is in %v", finish.Round(time.Millisecond), left.Round(time.Millisecond))
+		return err.After(max(minRetryAfter, min(finish-left, d.drainTime(ahead))))
+	}
+	return nil
+}
+
+// ideal returns the expected response time of a job on an idle fleet.
+func (d *Dispatcher) ideal(j *job) time.Duration {
+	return d.fastest(j.Kind) + time.Duration(float64(d.workOf(j.Kind, j.queued))/max(1, d.capacity()))
+}
+
+// workOf returns the expected run time of tasks on a server of slowness 1.
+func (d *Dispatcher) workOf(kind string, tasks []*task) time.Duration {
+	if len(tasks) == 0 {
+		return 0
+	}
+	return d.estimator.Base(kind, time.Duration(tasks[0].Declared)) * time.Duration(len(tasks))
+}
+
+// backlogBefore returns the work and the number of the tasks queued in jobs
+// that are served before an instant.
+func (d *Dispatcher) backlogBefore(key time.Time) (time.Duration, int) {
+	var work time.Duration
+	tasks := 0
+	for _, l := range d.lanes {
+		for _, j := range l.jobs {
+			if j.key.After(key) {
+				break
+			}
+			work += d.workOf(j.Kind, j.queued)
+			tasks += len(j.queued)
+		}
+	}
+	return work, tasks
+}
+
+// drainTime returns the time that this entry's share of the servers needs for
+// an amount of work.
+func (d *Dispatcher) drainTime(work time.Duration) time.Duration {
+	capacity := d.capacity()
+	if capacity == 0 {
+		return 0
+	}
+	return time.Duration(float64(work) * float64(d.activeEntries()) / capacity)
+}
+
+// capacity returns the work that the usable servers do in a unit of time, as a
+// multiple of one slot of slowness 1.
+func (d *Dispatcher) capacity() float64 {
+	var sum float64
+	for _, name := range d.order {
+		s := d.servers[name]
+		if !s.gone && !s.ejected() {
+			sum += float64(s.Slots) / d.estimator.Slowness(name)
+		}
+	}
+	return sum
+}
+
+// fastest returns the expected run time of a kind on the fastest server.
+func (d *Dispatcher) fastest(kind string) time.Duration {
+	least := time.Duration(0)
+	for _, name := range d.order {
+		if d.servers[name].gone {
+			continue
+		}
+		if e := d.estimator.Expected(name, kind, 0); least == 0 || e < least {
+			least = e
+		}
+	}
+	return least
+}
+
+// activeEntries returns the number of entries that own jobs.
+func (d *Dispatcher) activeEntries() int {
+	return max(1, len(d.view.Members()))
+}
+
+// Counts are totals since the start of the process.
+type Counts struct {
+	Accepted   int `json:"accepted"`
+	Complete   int `json:"complete"`
+	Ejected    int `json:"ejected"`
+	Failed     int `json:"failed"`
+	NotRun     int `json:"not-run"`
+	NotStarted int `json:"not-started"` // Attempts that an agent refused or gave back.
+	Refused    int `json:"refused"`     // Jobs that were not admitted.
+	Sent       int `json:"sent"`        // Attempts.
+	Unknown    int `json:"unknown"`
+	Withdrawn  int `json:"withdrawn"` // Withdrawals sent.
+}
+
+// answered counts an answer.
+func (c *Counts) answered(status pollenfront.Status) {
+	switch status {
+	case pollenfront.StatusComplete:
+		c.Complete++
+	case pollenfront.StatusFailed:
+		c.Failed++
+	case pollenfront.StatusNotRun:
+		c.NotRun++
+	case pollenfront.StatusUnknown:
+		c.Unknown++
+	}
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,435 @@
+// Package dispatch is the owner's state machine: it admits jobs, decides which
+// backend server runs which task and when, and gives each job one answer.
+//
+// Tasks stay queued at the owner until a server has room for them, so that the
+// decision uses the newest knowledge. A task is sent again only after an agent
+// has promised that the earlier attempt did not start it and never will.
+//
+// # Usage
+//
+// The driver passes every message as an event to Step and carries out the
+// effects that Step returns. It calls Step with a Tick every TickInterval:
+//
+//	effects := d.Step(now, dispatch.Submit{…})
+//	for _, effect := range effects { … }
+//
+// A Dispatcher is not safe for concurrent use.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/estimate"
+	"github.com/pollenfront/pollenfront/ledger"
+	"github.com/pollenfront/pollenfront/policy"
+	"github.com/pollenfront/pollenfront/refusal"
+	"github.com/pollenfront/pollenfront/view"
+)
+
+// Parameters of the dispatcher.
+const (
+	// TickInterval is the time between two Ticks.
+	TickInterval = 20 * time.Millisecond
+
+	attemptBits       = 32 // Attempts of one version of the view.
+	maxBehindTried    = 64 // Queued tasks that are tried when the first one waits.
+	maxTaskRefusals   = 30 // Refused attempts after which a task is given up.
+	patience          = 4  // Times the expected completion after which a task is taken back.
+	patienceFloor     = 100 * time.Millisecond
+	refusedRetryAfter = time.Second
+)
+
+// A Dispatcher owns jobs and places their tasks.
+type Dispatcher struct {
+	attempts  uint64
+	candidate []pollenfront.Candidate // Reused between calls.
+	counts    Counts
+	estimator *estimate.Estimator
+	jobs      map[pollenfront.JobID]*job
+	lanes     map[laneKey]*lane
+	order     []string // Names of the servers, sorted.
+	policy    pollenfront.Policy
+	random    *rand.Rand
+	self      pollenfront.EntryRef
+	servers   map[string]*server
+	teams     map[string]*team
+	view      *view.View
+}
+
+// New returns a Dispatcher for the entry self. All its random choices come
+// from random.
+func New(self pollenfront.EntryRef, random *rand.Rand) *Dispatcher {
+	return &Dispatcher{
+		estimator: estimate.NewEstimator(),
+		jobs:      make(map[pollenfront.JobID]*job),
+		lanes:     make(map[laneKey]*lane),
+		policy:    policy.New(view.DefaultPolicy),
+		random:    random,
+		self:      self,
+		servers:   make(map[string]*server),
+		teams:     make(map[string]*team),
+		view:      &view.View{},
+	}
+}
+
+// Step applies event at the instant now and returns what the driver must do.
+func (d *Dispatcher) Step(now time.Time, event Event) []Effect {
+	var effects []Effect
+	switch e := event.(type) {
+	case Submit:
+		effects = d.submit(now, e)
+	case Cancel:
+		effects = d.cancel(now, e)
+	case TaskEnded:
+		effects = d.taskEnded(now, e)
+	case ServerSeen:
+		d.serverSeen(now, e)
+	case LoadSeen:
+		d.loadSeen(now, e)
+	case ServerGone:
+		d.serverGone(e)
+	case ViewChanged:
+		d.setView(now, e.View)
+	case Fenced:
+		effects = d.fenced(now, e)
+	case Tick:
+		effects = d.tick(now)
+	}
+	return append(effects, d.place(now)...)
+}
+
+// Busy returns the number of jobs without an answer.
+func (d *Dispatcher) Busy() int {
+	busy := 0
+	for _, j := range d.jobs {
+		if !j.answered {
+			busy++
+		}
+	}
+	return busy
+}
+
+// Self returns the entry that the dispatcher works for.
+func (d *Dispatcher) Self() pollenfront.EntryRef {
+	return d.self
+}
+
+// submit admits a job or answers it with a refusal.
+func (d *Dispatcher) submit(now time.Time, e Submit) []Effect {
+	j := newJob(e, now)
+	if _, known := d.jobs[j.ID]; known {
+		err := refusal.New(refusal.OutcomeUnknown, "attempts of an earlier submission of the job are still under way")
+		return []Effect{AnswerJob{Answer: j.givenUp(err)}}
+	}
+	if err := d.admit(now, j, len(e.Recovered) > 0); err != nil {
+		d.counts.Refused++
+		return []Effect{AnswerJob{Answer: j.givenUp(err)}}
+	}
+	d.counts.Accepted++
+	j.work = d.workOf(j.Kind, j.queued)
+	j.key = now.Add(d.ideal(j))
+	d.jobs[j.ID] = j
+	t := d.team(j.Team)
+	t.inFlight += len(j.tasks)
+	t.queued += len(j.queued)
+	d.catchUp(t)
+	l := d.lane(j)
+	l.add(j)
+	l.queued += len(j.queued)
+	return d.recover(now, j, e)
+}
+
+// recover takes over what a former owner of the job had started.
+func (d *Dispatcher) recover(now time.Time, j *job, e Submit) []Effect {
+	var effects []Effect
+	for _, r := range e.Recovered {
+		t, ok := j.tasks[r.Ref.Task]
+		if !ok || t.state != taskQueued {
+			continue
+		}
+		d.dequeue(j, t)
+		d.markSent(now, j, t, r.Server, r.Attempt)
+		if r.Finished {
+			ended := TaskEnded{Attempt: r.Attempt, Outcome: r.Outcome, Ref: r.Ref, Server: r.Server}
+			effects = append(effects, d.taskEnded(now, ended)...)
+			continue
+		}
+		start := ledger.Start{Attempt: r.Attempt, Ref: r.Ref}
+		effects = append(effects, StartTask{Join: true, Server: r.Server, Start: start})
+	}
+	if e.Unaccounted != "" && len(j.queued) > 0 && !j.answered {
+		reason := refusal.New(refusal.OutcomeUnknown, "a former owner may have started tasks on %s, which can't be asked", e.Unaccounted)
+		effects = append(effects, d.giveUp(now, j, reason)...)
+	}
+	return effects
+}
+
+// cancel gives a job up on the caller's request.
+func (d *Dispatcher) cancel(now time.Time, e Cancel) []Effect {
+	j, ok := d.jobs[e.Job]
+	if !ok || j.answered {
+		return nil
+	}
+	return d.giveUp(now, j, refusal.New(refusal.Cancelled, "the caller cancelled the job"))
+}
+
+// fenced gives up the jobs that need another start, and goes on as the new
+// incarnation.
+func (d *Dispatcher) fenced(now time.Time, e Fenced) []Effect {
+	var effects []Effect
+	for _, j := range d.jobs {
+		if !j.answered && len(j.queued) > 0 {
+			reason := refusal.New(refusal.OutcomeUnknown, "the entry was fenced, and another one may run the job")
+			effects = append(effects, d.giveUp(now, j, reason)...)
+		}
+	}
+	d.self = e.Self
+	return effects
+}
+
+// giveUp answers a job at once and takes its unstarted tasks back.
+func (d *Dispatcher) giveUp(now time.Time, j *job, reason *refusal.Error) []Effect {
+	answer := j.givenUp(reason)
+	for len(j.queued) > 0 {
+		t := j.queued[0]
+		d.dequeue(j, t)
+		t.state = taskDropped
+	}
+	var effects []Effect
+	for _, t := range j.tasks {
+		if t.state == taskSent && !t.withdrawn {
+			t.withdrawn = true
+			d.counts.Withdrawn++
+			effects = append(effects, WithdrawTask{Ref: pollenfront.TaskRef{Job: j.ID, Task: t.Name}, Server: t.server})
+		}
+	}
+	return append(effects, d.answer(now, j, answer)...)
+}
+
+// answer gives a job its one answer.
+func (d *Dispatcher) answer(now time.Time, j *job, answer pollenfront.Answer) []Effect {
+	j.answered = true
+	t := d.team(j.Team)
+	t.inFlight -= len(j.tasks)
+	d.counts.answered(answer.Status)
+	d.forgetIfDone(j)
+	return []Effect{AnswerJob{Answer: answer, Took: now.Sub(j.arrived)}}
+}
+
+// forgetIfDone drops a job that is answered and has no attempt under way.
+func (d *Dispatcher) forgetIfDone(j *job) {
+	if j.answered && j.sent == 0 {
+		delete(d.jobs, j.ID)
+	}
+}
+
+// taskEnded takes in the outcome of an attempt.
+func (d *Dispatcher) taskEnded(now time.Time, e TaskEnded) []Effect {
+	j, ok := d.jobs[e.Ref.Job]
+	if !ok {
+		return nil
+	}
+	t, ok := j.tasks[e.Ref.Task]
+	if !ok || t.state != taskSent || t.attempt != e.Attempt {
+		return nil
+	}
+	j.sent--
+	s := d.servers[e.Server.Name]
+	if s != nil && s.Ref() == e.Server {
+		s.own--
+		s.seen = now
+	}
+	effects := d.settle(now, j, t, s, e.Outcome)
+	d.forgetIfDone(j)
+	return effects
+}
+
+// settle moves a task to the state that the outcome of its attempt calls for.
+func (d *Dispatcher) settle(now time.Time, j *job, t *task, s *server, outcome pollenfront.Outcome) []Effect {
+	t.outcome = outcome
+	switch outcome.State {
+	case pollenfront.OutcomeSucceeded:
+		return d.settleSuccess(now, j, t, s)
+	case pollenfront.OutcomeNotStarted:
+		return d.settleNotStarted(now, j, t, s)
+	case pollenfront.OutcomeFailed:
+		d.settleFailure(now, s)
+		t.state, j.started = taskFailed, true
+		if j.answered {
+			return nil
+		}
+		return d.giveUp(now, j, refusal.New(refusal.TaskFailed, "task %s failed on %s: %s", t.Name, t.server.Name, outcome.Detail))
+	default:
+		t.state, j.started = taskFailed, true
+		if j.answered {
+			return nil
+		}
+		return d.giveUp(now, j, refusal.New(refusal.OutcomeUnknown, "task %s was lost on %s: %s", t.Name, t.server.Name, outcome.Detail))
+	}
+}
+
+// settleSuccess takes in a result, and completes the job with the last one.
+func (d *Dispatcher) settleSuccess(now time.Time, j *job, t *task, s *server) []Effect {
+	t.state, j.started = taskSucceeded, true
+	j.succeeds++
+	d.estimator.Observe(t.server.Name, j.Kind, time.Duration(t.outcome.RunTime))
+	if s != nil {
+		s.succeeded()
+	}
+	if j.answered || j.succeeds < len(j.tasks) {
+		return nil
+	}
+	return d.answer(now, j, j.complete())
+}
+
+// settleFailure counts a failure against the server.
+func (d *Dispatcher) settleFailure(now time.Time, s *server) {
+	if s == nil {
+		return
+	}
+	var ejected, share float64
+	for _, other := range d.servers {
+		share += other.failureShare
+		if other.ejected() {
+			ejected++
+		}
+	}
+	n := float64(len(d.servers))
+	if s.failed(now, share/n, (ejected+1)/n <= maxEjected) {
+		d.counts.Ejected++
+	}
+}
+
+// settleNotStarted queues a task again whose attempt was refused.
+func (d *Dispatcher) settleNotStarted(now time.Time, j *job, t *task, s *server) []Effect {
+	d.counts.NotStarted++
+	t.refusals++
+	if s != nil && s.Ref() == t.server {
+		d.learnRefusal(now, s, refusal.Kind(t.outcome.Reason))
+	}
+	if j.answered {
+		t.state = taskDropped
+		return nil
+	}
+	if kind := refusal.Kind(t.outcome.Reason); kind == refusal.Fenced || kind == refusal.NotOwner {
+		t.state = taskDropped
+		return d.giveUp(now, j, refusal.New(refusal.OutcomeUnknown, "another entry owns the job by now: %s", t.outcome.Detail))
+	}
+	d.requeue(j, t)
+	if t.refusals < maxTaskRefusals {
+		return nil
+	}
+	reason := refusal.New(refusal.Overloaded, "%d attempts to start task %s were refused, the last one since %s", t.refusals, t.Name, t.outcome.Detail)
+	return d.giveUp(now, j, reason.After(refusedRetryAfter))
+}
+
+// learnRefusal stops sends to a server that refused an attempt.
+func (d *Dispatcher) learnRefusal(now time.Time, s *server, kind refusal.Kind) {
+	switch kind {
+	case refusal.AgentLeaving, refusal.WrongIncarnation:
+		s.gone = true
+	case refusal.Cancelled:
+	case refusal.ServerFull:
+		s.fullUntil = now.Add(fullPause)
+	default:
+		s.fullUntil = now.Add(10 * fullPause)
+	}
+}
+
+// serverSeen takes in an announcement or a heartbeat.
+func (d *Dispatcher) serverSeen(now time.Time, e ServerSeen) {
+	s, ok := d.servers[e.Server.Name]
+	if ok && s.Incarnation > e.Server.Incarnation {
+		return
+	}
+	if !ok || s.Incarnation != e.Server.Incarnation {
+		s = newServer(e.Server, now)
+		d.servers[s.Name] = s
+		d.sortServers()
+	}
+	s.gone = false
+	s.report(now, e.Load)
+}
+
+// loadSeen takes in the load that came with an answer.
+func (d *Dispatcher) loadSeen(now time.Time, e LoadSeen) {
+	if s, ok := d.servers[e.Server.Name]; ok && s.Ref() == e.Server {
+		s.report(now, e.Load)
+	}
+}
+
+// serverGone stops sends to a server that is leaving or was lost.
+func (d *Dispatcher) serverGone(e ServerGone) {
+	if s, ok := d.servers[e.Server.Name]; ok && s.Ref() == e.Server {
+		s.gone = true
+	}
+}
+
+// setView replaces the view by a newer one.
+func (d *Dispatcher) setView(now time.Time, v *view.View) {
+	if v.Version <= d.view.Version {
+		return
+	}
+	for _, s := range d.servers {
+		if d.view.CheckServer(s.Name, s.Zone) != nil && v.CheckServer(s.Name, s.Zone) == nil {
+			s.rampFrom = now
+		}
+	}
+	if d.policy.Name() != v.Policy() {
+		d.policy = policy.New(v.Policy())
+	}
+	d.view = v
+	d.sortServers()
+}
+
+// sortServers lists the servers that may start tasks, in the order of names.
+func (d *Dispatcher) sortServers() {
+	d.order = d.order[:0]
+	for name, s := range d.servers {
+		if d.view.CheckServer(name, s.Zone) == nil {
+			d.order = append(d.order, name)
+		}
+	}
+	slices.Sort(d.order)
+}
+
+// tick gives up the jobs whose deadline has passed or can't be met any more,
+// takes queued tasks back from stragglers, and forgets lost servers.
+func (d *Dispatcher) tick(now time.Time) []Effect {
+	var effects []Effect
+	for _, j := range d.jobs {
+		if j.answered {
+			continue
+		}
+		if now.After(j.Deadline) {
+			reason := refusal.New(refusal.CannotFinish, "the deadline passed with %d of %d tasks done", j.succeeds, len(j.tasks))
+			effects = append(effects, d.giveUp(now, j, reason)...)
+			continue
+		}
+		effects = append(effects, d.takeBack(now, j)...)
+	}
+	return effects
+}
+
+// takeBack withdraws tasks that a straggler should have finished long ago. An
+// agent gives a task back only if it has not started.
+func (d *Dispatcher) takeBack(now time.Time, j *job) []Effect {
+	var effects []Effect
+	for _, t := range j.tasks {
+		if t.state != taskSent || t.withdrawn {
+			continue
+		}
+		s := d.servers[t.server.Name]
+		due := patience*(t.choice.Wait+t.choice.Expected) + patienceFloor
+		if s == nil || s.load.Queued == 0 || now.Sub(t.sentAt) < due {
+			continue
+		}
+		t.withdrawn = true
+		d.counts.Withdrawn++
+		effects = append(effects, WithdrawTask{Ref: pollenfront.TaskRef{Job: j.ID, Task: t.Name}, Server: t.server})
+	}
+	return effects
+}
--- /dev/null
+++ b/dispatch/server.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+)
+
+// Parameters of how the dispatcher judges servers.
+const (
+	ejectShare      = 0.5 // Least share of failures that ejects a server.
+	ejectSample     = 5   // Least number of failures that ejects a server.
+	ejectTimesPeers = 3.0 // Least ratio of the share to that of all servers.
+	failureGain     = 0.1 // Weight of the newest outcome in the share of failures.
+	fullPause       = 20 * time.Millisecond
+	maxEjected      = 0.34 // Greatest share of the servers that is ejected at once.
+	maxProbePause   = time.Minute
+	minProbePause   = 5 * time.Second
+	probesToReturn  = 3
+	rampTime        = 2 * time.Second // From a return until all slots are used.
+	rampFirst       = 0.25            // Share of the slots used right after a return.
+	silenceLimit    = 2500 * time.Millisecond
+)
+
+// A server is what the dispatcher knows of a backend server.
+type server struct {
+	pollenfront.Server
+
+	ejectedUntil time.Time // Zero if not ejected.
+	failures     int       // Since the last success.
+	failureShare float64
+	fullUntil    time.Time // No sends until then, after a refusal.
+	gone         bool
+	load         pollenfront.Load
+	own          int // Tasks sent and not ended.
+	probePause   time.Duration
+	probesPassed int
+	rampFrom     time.Time // Instant of the first announcement or of the return of its zone.
+	seen         time.Time // Instant of the last message.
+}
+
+// newServer returns a server that has just announced itself.
+func newServer(announced pollenfront.Server, now time.Time) *server {
+	return &server{Server: announced, rampFrom: now, seen: now}
+}
+
+// report takes in a load report unless a newer one is known.
+func (s *server) report(now time.Time, load pollenfront.Load) {
+	s.seen = now
+	if load.Serial >= s.load.Serial {
+		s.load = load
+	}
+}
+
+// room returns the number of tasks that may still be sent to the server.
+func (s *server) room(now time.Time, depth int) int {
+	if s.gone || now.Before(s.fullUntil) || now.Sub(s.seen) > silenceLimit {
+		return 0
+	}
+	if s.ejected() {
+		return s.probeRoom(now)
+	}
+	allowed := s.Slots + depth
+	if ramping := now.Sub(s.rampFrom); ramping < rampTime {
+		share := rampFirst + (1-rampFirst)*float64(ramping)/float64(rampTime)
+		allowed = max(1, int(float64(s.Slots)*share))
+	}
+	return allowed - s.own - s.load.Others
+}
+
+// ejected reports whether the server is ejected or on probation.
+func (s *server) ejected() bool {
+	return !s.ejectedUntil.IsZero()
+}
+
+// probeRoom allows one task at a time once the pause is over.
+func (s *server) probeRoom(now time.Time) int {
+	if now.Before(s.ejectedUntil) {
+		return 0
+	}
+	return 1 - s.own
+}
+
+// wait returns the expected time until a slot is free.
+func (s *server) wait(expected time.Duration) time.Duration {
+	ahead := s.own + s.load.Others - s.Slots + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead) * expected / time.Duration(s.Slots)
+}
+
+// succeeded takes in a success.
+func (s *server) succeeded() {
+	s.failures = 0
+	s.failureShare *= 1 - failureGain
+	if !s.ejected() {
+		return
+	}
+	s.probesPassed++
+	if s.probesPassed >= probesToReturn {
+		s.ejectedUntil = time.Time{}
+		s.failureShare = 0
+		s.probePause = 0
+	}
+}
+
+// failed takes in a failure. Peers is the share of failures over all servers,
+// and mayEject whether another server may be ejected. It reports whether the
+// server was ejected by this failure.
+func (s *server) failed(now time.Time, peers float64, mayEject bool) bool {
+	s.failures++
+	s.failureShare += failureGain * (1 - s.failureShare)
+	if s.ejected() {
+		s.eject(now)
+		return false
+	}
+	sick := s.failures >= ejectSample || s.failureShare >= ejectShare
+	if !sick || s.failureShare < ejectTimesPeers*peers || !mayEject {
+		return false
+	}
+	s.eject(now)
+	return true
+}
+
+// eject stops sends for a pause that doubles each time.
+func (s *server) eject(now time.Time) {
+	s.probesPassed = 0
+	s.probePause = min(maxProbePause, max(minProbePause, 2*s.probePause))
+	s.ejectedUntil = now.Add(s.probePause)
+}
--- /dev/null
+++ b/estimate/estimator.go
@@ -0,0 +1,128 @@
+// Package estimate learns run times per kind of task and per backend server.
+//
+// The model is log(run time) = base of the kind + slowness of the server +
+// noise. Sharing the slowness between kinds lets a server be judged after a few
+// tasks of any kind.
+//
+// # Usage
+//
+//	e := estimate.NewEstimator()
+//	e.Observe("fast-1", "stock-lookup", 80*time.Millisecond)
+//	d := e.Expected("fast-1", "stock-lookup", declared)
+package estimate
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of the learning.
+const (
+	defaultRunTime = 200 * time.Millisecond // Of a kind that is neither known nor declared.
+	minGain        = 0.03                   // Share of an error that is learned once much is known.
+	shortest       = time.Millisecond       // Shorter observations are taken for this.
+)
+
+// An average is a value learned from a number of observations.
+type average struct {
+	count int
+	value float64
+}
+
+// learn moves the value by a share of err that shrinks with experience.
+func (a *average) learn(err float64) {
+	a.count++
+	a.value += err * max(minGain, 1/float64(a.count+1))
+}
+
+// An Estimator learns run times. It is not safe for concurrent use.
+type Estimator struct {
+	kinds   map[string]*average // Log of seconds on a server of slowness 0.
+	servers map[string]*average // Slowness.
+}
+
+// NewEstimator returns an Estimator that knows nothing.
+func NewEstimator() *Estimator {
+	return &Estimator{kinds: make(map[string]*average), servers: make(map[string]*average)}
+}
+
+// Observe learns that a task of a kind took runTime on a server.
+func (e *Estimator) Observe(server, kind string, runTime time.Duration) {
+	observed := math.Log(max(runTime, shortest).Seconds())
+	s := e.server(server)
+	k, known := e.kinds[kind]
+	if !known {
+		e.kinds[kind] = &average{count: 1, value: observed - s.value}
+		s.count++
+		return
+	}
+	err := observed - k.value - s.value
+	k.learn(err / 2)
+	s.learn(err / 2)
+}
+
+// Expected returns the run time expected for a task of a kind on a server.
+// Declared is used only while nothing is known of the kind; zero means none.
+func (e *Estimator) Expected(server, kind string, declared time.Duration) time.Duration {
+	return scale(e.Base(kind, declared), e.Slowness(server))
+}
+
+// Base returns the run time of a kind on a server of slowness 1.
+func (e *Estimator) Base(kind string, declared time.Duration) time.Duration {
+	if k, ok := e.kinds[kind]; ok {
+		return seconds(math.Exp(k.value))
+	}
+	if declared > 0 {
+		return declared
+	}
+	return defaultRunTime
+}
+
+// Slowness returns the factor by which a server is slower than the reference.
+// A server that has not run a task yet is taken for an average one.
+func (e *Estimator) Slowness(server string) float64 {
+	if s, ok := e.servers[server]; ok && s.count > 0 {
+		return math.Exp(s.value)
+	}
+	return math.Exp(e.meanSlowness())
+}
+
+// Forget drops what is known of a server that is gone.
+func (e *Estimator) Forget(server string) {
+	delete(e.servers, server)
+}
+
+// server returns what is known of a server, which starts as an average one.
+func (e *Estimator) server(name string) *average {
+	s, ok := e.servers[name]
+	if !ok {
+		s = &average{value: e.meanSlowness()}
+		e.servers[name] = s
+	}
+	return s
+}
+
+// meanSlowness returns the mean slowness of the known servers, as a logarithm.
+func (e *Estimator) meanSlowness() float64 {
+	var sum, n float64
+	for _, s := range e.servers {
+		if s.count > 0 {
+			sum += s.value
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
+// scale returns d times factor.
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
+// seconds returns s seconds as a duration.
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
