Place tasks by a virtual schedule of the owner's queue

Cause: a queued task waited for a fast server whenever that server alone was expected to be quicker, without reckoning with the tasks queued before it in other lanes or at other owners; and agents refused every task that two owners had sent to the same last slot.

Change: a pass looks at the queue in the order of service and books the slot that each waiting task will take, once for each owner; run times are learned with the full error; agents take 8 tasks beyond the queue depth, since owners race for the last slots; the load tool draws its jobs from one sequence.

--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		choice.WithRoom++
-		cost := other.Wait + other.Expected
+		cost := other.Cost()
 		if i != chosen && (choice.RunnerUp == "" || cost < choice.RunnerUpCost) {
 			choice.RunnerUp, choice.RunnerUpCost = other.Name, cost
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -35,7 +35,6 @@
 	TickInterval = 20 * time.Millisecond
 
 	attemptBits       = 32 // Attempts of one version of the view.
-	maxBehindTried    = 64 // Queued tasks that are tried when the first one waits.
 	maxTaskRefusals   = 30 // Refused attempts after which a task is given up.
 	patience          = 4  // Times the expected completion after which a task is taken back.
 	patienceFloor     = 100 * time.Millisecond
@@ -44,19 +43,20 @@
 
 // A Dispatcher owns jobs and places their tasks.
 type Dispatcher struct {
-	attempts  uint64
-	candidate []pollenfront.Candidate // Reused between calls.
-	counts    Counts
-	estimator *estimate.Estimator
-	jobs      map[pollenfront.JobID]*job
-	lanes     map[laneKey]*lane
-	order     []string // Names of the servers, sorted.
-	policy    pollenfront.Policy
-	random    *rand.Rand
-	self      pollenfront.EntryRef
-	servers   map[string]*server
-	teams     map[string]*team
-	view      *view.View
+	attempts    uint64
+	candidate   []pollenfront.Candidate // Reused between calls.
+	counts      Counts
+	estimator   *estimate.Estimator
+	jobs        map[pollenfront.JobID]*job
+	lanes       map[laneKey]*lane
+	order       []string     // Names of the servers, sorted.
+	passServers []passServer // Reused between calls.
+	policy      pollenfront.Policy
+	random      *rand.Rand
+	self        pollenfront.EntryRef
+	servers     map[string]*server
+	teams       map[string]*team
+	view        *view.View
 }
 
 // New returns a Dispatcher for the entry self. All its random choices come
@@ -239,7 +239,7 @@
 	j.sent--
 	s := d.servers[e.Server.Name]
 	if s != nil && s.Ref() == e.Server {
-		s.own--
+		s.ended(t)
 		s.seen = now
 	}
 	effects := d.settle(now, j, t, s, e.Outcome)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -22,6 +22,20 @@
 	taskDropped // Given up without a start.
 )
 
+// A waitFor says which server a queued task waits for.
+type waitFor struct {
+	server string
+	wait   time.Duration
+}
+
+// String describes the wait to an operator.
+func (w waitFor) String() string {
+	if w.server == "" {
+		return "no backend server has had room yet"
+	}
+	return fmt.Sprintf("%s is expected to be free in %v and to finish them first", w.server, w.wait.Round(time.Millisecond))
+}
+
 // A task is what the dispatcher keeps of a task.
 type task struct {
 	attempt uint64
@@ -41,8 +55,8 @@
 	answered bool
 	arrived  time.Time
 	key      time.Time // Jobs of a team are served in the order of this instant.
-	lastNote string    // Why the last task is still queued.
 	pollenfront.Job
+	note     waitFor
 	queued   []*task // Longest first.
 	sent     int
 	started  bool // Whether a task may have started.
@@ -99,5 +113,5 @@
 	if len(j.queued) == 0 {
 		return ""
 	}
-	return fmt.Sprintf("%d of %d tasks queued: %s", len(j.queued), len(j.Tasks), j.lastNote)
+	return fmt.Sprintf("%d of %d tasks queued: %s", len(j.queued), len(j.Tasks), j.note)
 }
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -34,13 +34,13 @@
 	l.jobs = slices.DeleteFunc(l.jobs, func(other *job) bool { return other == j })
 }
 
-// at returns the job of the queued task at the given position.
-func (l *lane) at(position int) *job {
+// at returns the queued task at the given position, and its job.
+func (l *lane) at(position int) (*job, *task) {
 	for _, j := range l.jobs {
 		if position < len(j.queued) {
-			return j
+			return j, j.queued[position]
 		}
 		position -= len(j.queued)
 	}
-	return nil
+	return nil, nil
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,133 +1,203 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/ledger"
 )
 
-// place sends queued tasks to servers until nothing more can be sent.
+// maxConsidered bounds the queued tasks that one pass looks at.
+const maxConsidered = 128
+
+// place sends queued tasks to servers. It looks at the tasks in the order of
+// service; a task for which a full server is the better choice stays queued,
+// and the pass reckons with the slot that it will take.
 func (d *Dispatcher) place(now time.Time) []Effect {
 	var effects []Effect
-	waiting := make(map[string]bool) // Kinds whose tasks wait.
-	for {
-		l := d.nextLane(waiting)
-		if l == nil {
+	pass := d.newPass(now)
+	for range maxConsidered {
+		if pass.room == 0 {
+			break
+		}
+		l, j, t := pass.next()
+		if t == nil {
 			return effects
 		}
-		candidates := d.candidates(now, l.key.kind)
-		chosen, position := d.choose(candidates, l.queued)
+		candidates := pass.candidates(j.Kind)
+		chosen := d.policy.Choose(candidates, d.random)
 		if chosen < 0 {
-			waiting[l.key.kind] = true
-			l.jobs[0].lastNote = d.whyWaiting(candidates)
+			break
+		}
+		if candidates[chosen].Room <= 0 {
+			j.note = waitFor{server: candidates[chosen].Name, wait: candidates[chosen].Wait}
+			pass.book(chosen, candidates[chosen])
+			pass.skip(l)
 			continue
 		}
-		j := l.at(position)
-		t := j.queued[0]
 		t.choice = newChoice(d.policy.Name(), candidates, chosen)
+		pass.take(chosen, candidates[chosen])
 		effects = append(effects, d.send(now, j, t, d.servers[candidates[chosen].Name]))
 	}
+	return effects
 }
 
-// choose asks the policy for a server for the first of the queued tasks of a
-// kind, then for later ones, which may rather take a slow server than wait. It
-// returns the server and the position of the task.
-func (d *Dispatcher) choose(candidates []pollenfront.Candidate, queued int) (int, int) {
-	withRoom := false
-	for _, c := range candidates {
-		withRoom = withRoom || c.Room > 0
+// A pass is one look at the queue.
+type pass struct {
+	candidate  []pollenfront.Candidate // Reused between tasks.
+	dispatcher *Dispatcher
+	position   map[*lane]int // Tasks of a lane that were looked at and stay queued.
+	room       int           // Of all servers.
+	servers    []passServer
+}
+
+// A passServer is a server during a pass.
+type passServer struct {
+	*server
+
+	free     []time.Duration // From now on, of the slots that will be free, sorted.
+	room     int
+	slowness float64
+}
+
+// newPass returns a pass over the servers that may run tasks.
+func (d *Dispatcher) newPass(now time.Time) *pass {
+	p := &pass{dispatcher: d}
+	if !d.hasQueue() {
+		return p
+	}
+	depth := d.view.QueueDepth()
+	p.position = make(map[*lane]int)
+	p.candidate = d.candidate
+	p.servers = d.passServers[:0]
+	for _, name := range d.order {
+		s := d.servers[name]
+		if !s.usable(now) {
+			continue
+		}
+		room := max(0, s.room(now, depth))
+		p.room += room
+		p.servers = append(p.servers, passServer{room: room, server: s, slowness: d.estimator.Slowness(name)})
 	}
-	if !withRoom {
-		return -1, 0
+	d.passServers = p.servers
+	if p.room == 0 {
+		return p
 	}
-	for behind := range min(queued, maxBehindTried) {
-		if chosen := d.policy.Choose(candidates, behind, d.random); chosen >= 0 {
-			return chosen, behind
+	for i := range p.servers {
+		p.servers[i].free = p.servers[i].freeTimes(now, d.estimator.Typical(p.servers[i].Name))
+	}
+	return p
+}
+
+// hasQueue reports whether a task is queued.
+func (d *Dispatcher) hasQueue() bool {
+	for _, l := range d.lanes {
+		if l.queued > 0 {
+			return true
 		}
 	}
-	return -1, 0
+	return false
 }
 
-// nextLane returns the lane whose first job is due first, among the lanes of
-// teams that are not too far ahead of the others. It returns nil if no lane
-// has tasks that can be sent.
-func (d *Dispatcher) nextLane(waiting map[string]bool) *lane {
-	limit, found := d.leastServed(waiting)
+// next returns the next task in the order of service that the pass has not
+// looked at. It returns a nil task if there is none.
+func (p *pass) next() (*lane, *job, *task) {
+	least, found := p.leastServed()
 	if !found {
-		return nil
+		return nil, nil, nil
 	}
-	limit += fairnessWindow
 	var first *lane
-	for key, l := range d.lanes {
-		if len(l.jobs) == 0 || waiting[key.kind] || d.teams[key.team].served > limit {
+	var firstJob *job
+	var firstTask *task
+	for key, l := range p.dispatcher.lanes {
+		if p.position[l] >= l.queued || p.dispatcher.teams[key.team].served > least+fairnessWindow {
 			continue
 		}
-		if first == nil || before(l.jobs[0], first.jobs[0]) {
-			first = l
+		j, t := l.at(p.position[l])
+		if firstJob == nil || before(j, firstJob) {
+			first, firstJob, firstTask = l, j, t
 		}
 	}
-	return first
+	return first, firstJob, firstTask
 }
 
-// leastServed returns the least service among the teams with tasks to send.
-func (d *Dispatcher) leastServed(waiting map[string]bool) (time.Duration, bool) {
+// leastServed returns the least service among the teams with tasks that the
+// pass has not looked at.
+func (p *pass) leastServed() (time.Duration, bool) {
 	var least time.Duration
 	found := false
-	for key, l := range d.lanes {
-		if len(l.jobs) == 0 || waiting[key.kind] {
+	for key, l := range p.dispatcher.lanes {
+		if p.position[l] >= l.queued {
 			continue
 		}
-		if served := d.teams[key.team].served; !found || served < least {
+		if served := p.dispatcher.teams[key.team].served; !found || served < least {
 			least, found = served, true
 		}
 	}
 	return least, found
 }
 
-// before reports whether a is served before b.
-func before(a, b *job) bool {
-	if a.key.Equal(b.key) {
-		return a.ID < b.ID
-	}
-	return a.key.Before(b.key)
+// skip leaves the next task of a lane queued.
+func (p *pass) skip(l *lane) {
+	p.position[l]++
 }
 
-// candidates lists the servers that may run tasks of a kind.
-func (d *Dispatcher) candidates(now time.Time, kind string) []pollenfront.Candidate {
-	d.candidate = d.candidate[:0]
-	base := d.estimator.Base(kind, 0)
-	depth := d.view.QueueDepth()
-	for _, name := range d.order {
-		s := d.servers[name]
-		if s.gone {
-			continue
-		}
-		expected := time.Duration(float64(base) * d.estimator.Slowness(name))
-		d.candidate = append(d.candidate, pollenfront.Candidate{
-			Expected: expected,
-			Name:     name,
-			Others:   s.load.Others,
-			Own:      s.own,
-			Room:     s.room(now, depth),
-			Slots:    s.Slots,
-			Wait:     s.wait(expected),
+// candidates lists the servers for a task of a kind.
+func (p *pass) candidates(kind string) []pollenfront.Candidate {
+	base := float64(p.dispatcher.estimator.Base(kind, 0))
+	p.candidate = p.candidate[:0]
+	for i := range p.servers {
+		s := &p.servers[i]
+		expected := time.Duration(base * s.slowness)
+		p.candidate = append(p.candidate, pollenfront.Candidate{
+			Expected: expected, Name: s.Name, Others: s.load.Others, Own: s.own, Room: s.room, Wait: s.wait(expected),
 		})
 	}
-	return d.candidate
+	p.dispatcher.candidate = p.candidate
+	return p.candidate
 }
 
-// whyWaiting describes why no server was chosen.
-func (d *Dispatcher) whyWaiting(candidates []pollenfront.Candidate) string {
-	if len(candidates) == 0 {
-		return "no backend server may run tasks"
+// take reckons with a task that is sent to a server.
+func (p *pass) take(i int, c pollenfront.Candidate) {
+	p.servers[i].room--
+	p.room--
+	p.servers[i].occupy(c)
+}
+
+// book reckons with a task that waits for a server. The other owners are taken
+// to have as many tasks that wait for it.
+func (p *pass) book(i int, c pollenfront.Candidate) {
+	for range p.dispatcher.activeEntries() {
+		p.servers[i].occupy(c)
 	}
-	for _, c := range candidates {
-		if c.Room > 0 {
-			return "faster servers are expected to be free soon"
-		}
+}
+
+// wait returns the time until a slot is free.
+func (s *passServer) wait(expected time.Duration) time.Duration {
+	if len(s.free) == 0 {
+		return expected
 	}
-	return "all backend servers are full"
+	return s.free[0]
+}
+
+// occupy takes the slot that is free first for the run time of a task.
+func (s *passServer) occupy(c pollenfront.Candidate) {
+	if len(s.free) == 0 {
+		return
+	}
+	end := s.free[0] + c.Expected
+	i, _ := slices.BinarySearch(s.free[1:], end)
+	copy(s.free, s.free[1:i+1])
+	s.free[i] = end
+}
+
+// before reports whether a is served before b.
+func before(a, b *job) bool {
+	if a.key.Equal(b.key) {
+		return a.ID < b.ID
+	}
+	return a.key.Before(b.key)
 }
 
 // send records that a task is sent to a server.
@@ -158,7 +228,7 @@
 	t.attempt, t.sentAt, t.server, t.state, t.withdrawn = attempt, now, to, taskSent, false
 	j.sent++
 	if s, ok := d.servers[to.Name]; ok && s.Ref() == to {
-		s.own++
+		s.sent(t)
 	}
 }
 
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -13,6 +14,7 @@
 	ejectTimesPeers = 3.0 // Least ratio of the share to that of all servers.
 	failureGain     = 0.1 // Weight of the newest outcome in the share of failures.
 	fullPause       = 20 * time.Millisecond
+	leastLeft       = 0.2  // Share of the expected run time that an overdue task is taken to need.
 	maxEjected      = 0.34 // Greatest share of the servers that is ejected at once.
 	maxProbePause   = time.Minute
 	minProbePause   = 5 * time.Second
@@ -33,6 +35,7 @@
 	gone         bool
 	load         pollenfront.Load
 	own          int // Tasks sent and not ended.
+	ownTasks     []*task
 	probePause   time.Duration
 	probesPassed int
 	rampFrom     time.Time // Instant of the first announcement or of the return of its zone.
@@ -52,9 +55,51 @@
 	}
 }
 
+// usable reports whether the server can be reckoned with.
+func (s *server) usable(now time.Time) bool {
+	return !s.gone && now.Sub(s.seen) <= silenceLimit
+}
+
+// sent records that a task was sent to the server.
+func (s *server) sent(t *task) {
+	s.own++
+	s.ownTasks = append(s.ownTasks, t)
+}
+
+// ended records that an attempt ended.
+func (s *server) ended(t *task) {
+	s.own--
+	s.ownTasks = slices.DeleteFunc(s.ownTasks, func(other *task) bool { return other == t })
+}
+
+// freeTimes returns the times from now on at which the slots are expected to
+// be free, sorted. Typical is the run time of an average task on the server.
+func (s *server) freeTimes(now time.Time, typical time.Duration) []time.Duration {
+	var ends []time.Duration
+	for _, t := range s.ownTasks {
+		run := t.choice.Expected
+		left := t.choice.Wait + run - now.Sub(t.sentAt)
+		ends = append(ends, max(left, time.Duration(float64(run)*leastLeft)))
+	}
+	for i := range s.load.Others {
+		ends = append(ends, typical*time.Duration(i+1)/time.Duration(s.load.Others+1))
+	}
+	slices.Sort(ends)
+	free := make([]time.Duration, s.Slots)
+	for i, end := range ends[:min(len(ends), s.Slots)] {
+		free[i] = end
+	}
+	for i := s.Slots; i < len(ends); i++ { // Tasks in the agent's queue.
+		free[0] += typical
+		slices.Sort(free)
+	}
+	slices.Sort(free)
+	return free
+}
+
 // room returns the number of tasks that may still be sent to the server.
 func (s *server) room(now time.Time, depth int) int {
-	if s.gone || now.Before(s.fullUntil) || now.Sub(s.seen) > silenceLimit {
+	if now.Before(s.fullUntil) {
 		return 0
 	}
 	if s.ejected() {
@@ -81,15 +126,6 @@
 	return 1 - s.own
 }
 
-// wait returns the expected time until a slot is free.
-func (s *server) wait(expected time.Duration) time.Duration {
-	ahead := s.own + s.load.Others - s.Slots + 1
-	if ahead <= 0 {
-		return 0
-	}
-	return time.Duration(ahead) * expected / time.Duration(s.Slots)
-}
-
 // succeeded takes in a success.
 func (s *server) succeeded() {
 	s.failures = 0
--- a/estimate/estimator.go
+++ b/estimate/estimator.go
@@ -39,6 +39,7 @@
 type Estimator struct {
 	kinds   map[string]*average // Log of seconds on a server of slowness 0.
 	servers map[string]*average // Slowness.
+	typical average             // Of all kinds, as they are observed.
 }
 
 // NewEstimator returns an Estimator that knows nothing.
@@ -50,6 +51,7 @@
 func (e *Estimator) Observe(server, kind string, runTime time.Duration) {
 	observed := math.Log(max(runTime, shortest).Seconds())
 	s := e.server(server)
+	e.typical.learn(observed - s.value - e.typical.value)
 	k, known := e.kinds[kind]
 	if !known {
 		e.kinds[kind] = &average{count: 1, value: observed - s.value}
@@ -57,8 +59,8 @@
 		return
 	}
 	err := observed - k.value - s.value
-	k.learn(err / 2)
-	s.learn(err / 2)
+	k.learn(err)
+	s.learn(err)
 }
 
 // Expected returns the run time expected for a task of a kind on a server.
@@ -78,6 +80,14 @@
 	return defaultRunTime
 }
 
+// Typical returns the run time of an average task on a server.
+func (e *Estimator) Typical(server string) time.Duration {
+	if e.typical.count == 0 {
+		return defaultRunTime
+	}
+	return scale(seconds(math.Exp(e.typical.value)), e.Slowness(server))
+}
+
 // Slowness returns the factor by which a server is slower than the reference.
 // A server that has not run a task yet is taken for an average one.
 func (e *Estimator) Slowness(server string) float64 {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -33,6 +33,9 @@
 	maxRecords = 400_000
 	// clockSkew is the greatest difference allowed between two clocks.
 	clockSkew = 2 * time.Second
+	// overshoot is the number of tasks that are taken beyond the queue depth,
+	// since several owners may send to the last room at once.
+	overshoot = 8
 )
 
 // A state is the state of a record.
@@ -190,7 +193,7 @@
 	if err := l.check(now, e); err != nil {
 		return l.refuseStart(e, err)
 	}
-	if l.running+len(l.queue) >= l.self.Slots+l.view.QueueDepth() {
+	if l.running+len(l.queue) >= l.self.Slots+l.view.QueueDepth()+overshoot {
 		return l.refuseStart(e, refusal.New(refusal.ServerFull, "%d tasks are running and %d queued", l.running, len(l.queue)))
 	}
 	if r == nil {
--- a/policy/expected/expected.go
+++ b/policy/expected/expected.go
@@ -1,9 +1,9 @@
 // Package expected is the default policy: it chooses by expected completion.
 //
-// The cost of a server is the time until one of its slots is free plus the run
-// time that was learned for it. A task stays queued at its owner when faster
-// servers that are full now are expected to finish it earlier than any server
-// with room would.
+// The cost of a server is the time until one of its slots is free for the task
+// plus the run time that was learned for it. A task waits at its owner when a
+// server that is full now is expected to finish it earlier than any server
+// with room.
 //
 // # Usage
 //
@@ -12,7 +12,6 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"github.com/pollenfront/pollenfront"
 )
@@ -23,46 +22,15 @@
 type Policy struct{}
 
 // Choose implements pollenfront.Policy.
-func (Policy) Choose(candidates []pollenfront.Candidate, behind int, _ *rand.Rand) int {
+func (Policy) Choose(candidates []pollenfront.Candidate, _ *rand.Rand) int {
 	best := -1
-	for i, c := range candidates {
-		if c.Room <= 0 {
-			continue
-		}
-		if best < 0 || cost(c) < cost(candidates[best]) {
+	for i := range candidates {
+		if best < 0 || candidates[i].Cost() < candidates[best].Cost() {
 			best = i
 		}
 	}
-	if best < 0 || waitIsBetter(candidates, cost(candidates[best]), behind) {
-		return -1
-	}
 	return best
 }
 
 // Name implements pollenfront.Policy.
 func (Policy) Name() string { return "expected" }
-
-// cost returns the time until c would have finished the task.
-func cost(c pollenfront.Candidate) time.Duration {
-	return c.Wait + c.Expected
-}
-
-// waitIsBetter reports whether the servers that are full but faster than limit
-// are expected to finish the task sooner than limit, given the number of tasks
-// queued before it.
-func waitIsBetter(candidates []pollenfront.Candidate, limit time.Duration, behind int) bool {
-	var rate, weighted float64 // Tasks a second; their run time in seconds times that.
-	for _, c := range candidates {
-		if c.Room > 0 || c.Expected >= limit {
-			continue
-		}
-		r := float64(c.Slots) / c.Expected.Seconds()
-		rate += r
-		weighted += r * c.Expected.Seconds()
-	}
-	if rate == 0 {
-		return false
-	}
-	waiting := float64(behind+1) / rate
-	return waiting+weighted/rate < limit.Seconds()
-}
--- a/policy/random/random.go
+++ b/policy/random/random.go
@@ -18,7 +18,7 @@
 type Policy struct{}
 
 // Choose implements pollenfront.Policy.
-func (Policy) Choose(candidates []pollenfront.Candidate, _ int, random *rand.Rand) int {
+func (Policy) Choose(candidates []pollenfront.Candidate, random *rand.Rand) int {
 	chosen, seen := -1, 0
 	for i, c := range candidates {
 		if c.Room <= 0 {
--- a/policy/roundrobin/roundrobin.go
+++ b/policy/roundrobin/roundrobin.go
@@ -19,7 +19,7 @@
 }
 
 // Choose implements pollenfront.Policy.
-func (p *Policy) Choose(candidates []pollenfront.Candidate, _ int, _ *rand.Rand) int {
+func (p *Policy) Choose(candidates []pollenfront.Candidate, _ *rand.Rand) int {
 	for step := 1; step <= len(candidates); step++ {
 		i := (p.last + step) % len(candidates)
 		if candidates[i].Room > 0 {
--- a/policy/twochoices/twochoices.go
+++ b/policy/twochoices/twochoices.go
@@ -21,9 +21,9 @@
 }
 
 // Choose implements pollenfront.Policy.
-func (p Policy) Choose(candidates []pollenfront.Candidate, behind int, random *rand.Rand) int {
-	first := p.draw.Choose(candidates, behind, random)
-	second := p.draw.Choose(candidates, behind, random)
+func (p Policy) Choose(candidates []pollenfront.Candidate, random *rand.Rand) int {
+	first := p.draw.Choose(candidates, random)
+	second := p.draw.Choose(candidates, random)
 	if first < 0 || second < 0 {
 		return -1
 	}
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -55,6 +55,8 @@
 type submission struct {
 	answer  pollenfront.Answer
 	arrived time.Time
+	cancel  bool // Is cancelled soon after its submission.
+	double  bool // Is submitted to two entries at once.
 	drawn   deployment.Drawn
 	ended   time.Time
 	kind    deployment.Kind
@@ -139,6 +141,8 @@
 	drawn.Job.ID = pollenfront.NewJobID()
 	drawn.Job.Deadline = now.Add(kind.Timeout)
 	s := &submission{arrived: now, drawn: drawn, kind: kind, warm: warm}
+	s.cancel = r.random.Float64() < r.Cancel
+	s.double = r.random.Float64() < r.Double
 	r.sent = append(r.sent, s)
 	return s
 }
@@ -146,16 +150,12 @@
 // serve submits a job, to another entry with the same ID if no answer came,
 // until an answer came or the deadline has passed.
 func (r *runner) serve(ctx context.Context, s *submission) {
-	r.mutex.Lock()
-	double := r.random.Float64() < r.Double
-	cancel := r.random.Float64() < r.Cancel
-	r.mutex.Unlock()
 	ctx, stop := context.WithDeadline(ctx, s.drawn.Job.Deadline.Add(drainTime))
 	defer stop()
-	if cancel {
+	if s.cancel {
 		go r.cancel(ctx, s)
 	}
-	if double {
+	if s.double {
 		go r.submitOnce(ctx, s, "")
 	}
 	last := ""
