--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -13,9 +13,12 @@
 	minRetryAfter  = 200 * time.Millisecond
 )
 
-// admit returns an error if a job can't be accepted. A recovered job passes:
-// part of it has run already.
-func (d *Dispatcher) admit(now time.Time, j *job, recovered bool) *refusal.Error {
+// admit returns an error if a job can't be accepted. A job that may have
+// run in part passes: it can't be refused as "not run".
+func (d *Dispatcher) admit(now time.Time, j *job, mayHaveRun bool) *refusal.Error {
+	if mayHaveRun {
+		return nil
+	}
 	team, ok := d.view.Team(j.Team)
 	if !ok {
 		return refusal.New(refusal.UnknownTeam, "team %q is not configured", j.Team)
@@ -23,9 +26,6 @@
 	if _, ok := d.view.Kind(j.Kind); !ok {
 		return refusal.New(refusal.UnknownKind, "kind %q is not configured", j.Kind)
 	}
-	if recovered {
-		return nil
-	}
 	if len(j.tasks) > team.Quota {
 		return refusal.New(refusal.NeverRuns, "the job has %d tasks, and the quota of team %s is %d", len(j.tasks), j.Team, team.Quota)
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -124,7 +124,7 @@
 		err := refusal.New(refusal.OutcomeUnknown, "attempts of an earlier submission of the job are still under way")
 		return []Effect{AnswerJob{Answer: j.givenUp(err)}}
 	}
-	if err := d.admit(now, j, len(e.Recovered) > 0); err != nil {
+	if err := d.admit(now, j, e.mayHaveRun()); err != nil {
 		d.counts.Refused++
 		return []Effect{AnswerJob{Answer: j.givenUp(err)}}
 	}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -20,6 +20,11 @@
 	Unaccounted string // An agent that may hold records and can't be asked, or empty.
 }
 
+// mayHaveRun reports whether a former owner may have started a task of the job.
+func (e Submit) mayHaveRun() bool {
+	return len(e.Recovered) > 0 || e.Unaccounted != ""
+}
+
 // A Cancel asks to give a job up.
 type Cancel struct {
 	Job pollenfront.JobID
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -67,7 +67,7 @@
 // under which it is not the owner, is fetched first.
 func (n *node) serveInquire(ctx context.Context, conn *peer.Conn, inquire peer.Inquire) (peer.InquireReply, error) {
 	n.catchUp(ctx, conn, inquire.Version)
-	return n.owner.Inquire(inquire.Job, inquire.Version)
+	return n.owner.Inquire(inquire)
 }
 
 // serveJob describes a job of this entry.
--- a/entry/internal/owner/accept.go
+++ b/entry/internal/owner/accept.go
@@ -24,7 +24,7 @@
 func (o *Owner) accept(job pollenfront.Job, f *flight, version uint64) {
 	ctx, cancel := context.WithDeadline(context.Background(), job.Deadline)
 	defer cancel()
-	found, err := o.trace(ctx, job.ID, version)
+	found, err := o.trace(ctx, job.ID)
 	if err == nil && found.holder != "" {
 		o.follow(ctx, job, found.holder)
 		return
@@ -61,7 +61,7 @@
 
 // trace asks the former owners of a job, and the agents for those that are
 // gone. It asks nobody for a job that no former owner can have accepted.
-func (o *Owner) trace(ctx context.Context, id pollenfront.JobID, version uint64) (origin, error) {
+func (o *Owner) trace(ctx context.Context, id pollenfront.JobID) (origin, error) {
 	v := o.members.View()
 	former := v.FormerOwners(id, o.members.Self(), settle)
 	o.mutex.Lock()
@@ -83,7 +83,9 @@
 	if err := o.waitFenced(ctx, v, former); err != nil {
 		return origin{}, err
 	}
-	records, unaccounted := o.agents.Adopt(ctx, id, version)
+	// The agents must hold a view without the former owners that are gone, so
+	// that no start of theirs that is still on the way can take effect.
+	records, unaccounted := o.agents.Adopt(ctx, id, o.members.View().Version)
 	return origin{records: records, unaccounted: unaccounted}, nil
 }
 
@@ -94,7 +96,7 @@
 	for o.members.View().Has(ref) {
 		var reply peer.InquireReply
 		callCtx, cancel := context.WithTimeout(ctx, inquireTimeout)
-		err := o.members.Call(callCtx, ref.Name, peer.MethodInquire, peer.Inquire{Job: id, Version: o.members.View().Version}, &reply)
+		err := o.members.Call(callCtx, ref.Name, peer.MethodInquire, peer.Inquire{Job: id, Owner: ref, Version: o.members.View().Version}, &reply)
 		cancel()
 		if err == nil {
 			return reply.Mine, false, nil
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -156,12 +156,18 @@
 
 // Inquire tells an entry that came to own a job whether this one has it. If
 // not, this entry never accepts it: its view names the new owner. It returns a
-// refusal.StaleView error if its view is older than the new owner's.
-func (o *Owner) Inquire(id pollenfront.JobID, version uint64) (peer.InquireReply, error) {
+// refusal.StaleView error if its view is older than the new owner's, and a
+// refusal.WrongIncarnation error if another incarnation is meant, of whose jobs
+// this one knows nothing.
+func (o *Owner) Inquire(inquire peer.Inquire) (peer.InquireReply, error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if present := o.members.View().Version; present < version {
-		return peer.InquireReply{}, refusal.New(refusal.StaleView, "entry %s holds view %d", o.members.Self().Name, present).At(version)
+	self, id := o.members.Self(), inquire.Job
+	if self != inquire.Owner {
+		return peer.InquireReply{}, refusal.New(refusal.WrongIncarnation, "this is %s incarnation %d", self.Name, self.Incarnation)
+	}
+	if present := o.members.View().Version; present < inquire.Version {
+		return peer.InquireReply{}, refusal.New(refusal.StaleView, "entry %s holds view %d", self.Name, present).At(inquire.Version)
 	}
 	_, flying := o.flights[id]
 	_, kept := o.answers.get(id)
--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -3,10 +3,10 @@
 // A proof says: at this instant no newer version of the view was accepted.
 // There are three kinds. A read of the platform's table that returned the
 // version at hand proves it at the instant the read was sent. Another process
-// can pass on its own proof with its age. And while the table is out, answers
-// from a majority of the entries that none of them knows a newer version, nor
-// can reach the table, prove it too: an accepted change has been confirmed by a
-// majority, and two majorities share a member.
+// can pass on its own proof with its age. And answers from a majority of the
+// entries that none of them knows a newer version prove it too, also while the
+// table is out: an accepted change has been confirmed by a majority, and two
+// majorities share a member.
 //
 // # Usage
 //
@@ -39,18 +39,18 @@
 // A Tracker keeps the newest proof that a view is current. Instants are
 // monotonic and local to the process.
 type Tracker struct {
-	members  []string // Names of the entries that a majority is counted over.
-	proof    time.Time
-	self     string // Name of the entry, empty in an agent.
-	silences map[string]time.Time
-	tableAt  time.Time // Instant of the last successful read, sent.
-	version  uint64
+	agreed  map[string]time.Time // Instant up to which an entry knew no newer version.
+	members []string             // Names of the entries that a majority is counted over.
+	proof   time.Time
+	self    string    // Name of the entry, empty in an agent.
+	tableAt time.Time // Instant of the last successful read, sent.
+	version uint64
 }
 
 // NewTracker returns a Tracker for the entry named self, or for an agent if
 // self is empty.
 func NewTracker(self string) *Tracker {
-	return &Tracker{self: self, silences: make(map[string]time.Time)}
+	return &Tracker{self: self, agreed: make(map[string]time.Time)}
 }
 
 // SetView tells the tracker which view the process holds now. All proofs of
@@ -61,7 +61,7 @@
 	}
 	t.version = v.Version
 	t.proof = time.Time{}
-	clear(t.silences)
+	clear(t.agreed)
 	t.members = t.members[:0]
 	for _, member := range v.Members() {
 		t.members = append(t.members, member.Name)
@@ -98,11 +98,9 @@
 	if report.HasProof {
 		t.Passed(sentAt, report.Version, report.Age)
 	}
-	if !report.TableDown || report.Version > t.version {
-		delete(t.silences, report.Name)
-		return
+	if report.Version <= t.version {
+		t.agreed[report.Name] = later(t.agreed[report.Name], sentAt)
 	}
-	t.silences[report.Name] = later(t.silences[report.Name], sentAt)
 }
 
 // Age returns the age of the newest proof. It returns false if there is none.
@@ -137,10 +135,10 @@
 }
 
 // majorityProof returns the instant up to which a majority of the entries has
-// said that the table is out and that it knows no newer version. It returns
-// the zero time if there is no such majority.
+// said that it knows no newer version. It returns the zero time if there is no
+// such majority.
 func (t *Tracker) majorityProof(now time.Time) time.Time {
-	if !slices.Contains(t.members, t.self) || !t.TableDown(now) {
+	if !slices.Contains(t.members, t.self) {
 		return time.Time{}
 	}
 	needed := Majority(len(t.members)) - 1 // The process itself is one.
@@ -149,7 +147,7 @@
 	}
 	var instants []time.Time
 	for _, name := range t.members {
-		if at, ok := t.silences[name]; ok && name != t.self {
+		if at, ok := t.agreed[name]; ok && name != t.self {
 			instants = append(instants, at)
 		}
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -84,8 +84,9 @@
 
 // An Inquire asks a former owner whether it has accepted a job.
 type Inquire struct {
-	Job     pollenfront.JobID `json:"job"`
-	Version uint64            `json:"version"` // View under which the sender owns the job.
+	Job     pollenfront.JobID    `json:"job"`
+	Owner   pollenfront.EntryRef `json:"owner"`   // The former owner that is meant.
+	Version uint64               `json:"version"` // View under which the sender owns the job.
 }
 
 // An InquireReply says whether a former owner has a job. If not, it never
--- a/standin/checkcmd.go
+++ b/standin/checkcmd.go
@@ -13,14 +13,18 @@
 
 // A checkCmd checks a history.
 type checkCmd struct {
-	History string `arg:"required" help:"file with the history"`
+	History []string `arg:"required" help:"files with the history"`
 }
 
 // execute prints the violations and returns an error if there is any.
 func (c *checkCmd) execute(context.Context) error {
-	records, err := history.Read(c.History)
-	if err != nil {
-		return err
+	var records []history.Record
+	for _, file := range c.History {
+		part, err := history.Read(file)
+		if err != nil {
+			return err
+		}
+		records = append(records, part...)
 	}
 	violations := history.Check(records)
 	for _, v := range violations {
--- /dev/null
+++ b/view/view_test.go
@@ -0,0 +1,168 @@
+package view_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/refusal"
+	"github.com/pollenfront/pollenfront/view"
+)
+
+const retention = 5 * time.Minute
+
+var start = time.Now()
+
+// apply applies changes in turn, a second apart.
+func apply(t testing.TB, v *view.View, changes ...view.Change) *view.View {
+	t.Helper()
+	for i, change := range changes {
+		next, err := v.Apply(change, start.Add(time.Duration(i)*time.Second), retention)
+		qt.Assert(t, err, qt.IsNil)
+		v = next
+	}
+	return v
+}
+
+func join(name string, incarnation uint64, zone string) view.Change {
+	return view.Change{Entry: view.Entry{Incarnation: incarnation, Name: name, Zone: zone}, ID: name, Operation: view.OpJoin}
+}
+
+func TestApply(t *testing.T) {
+	base := apply(t, &view.View{}, join("e1", 1, "west"), join("e2", 1, "east"))
+	e1 := pollenfront.EntryRef{Incarnation: 1, Name: "e1"}
+	tests := []struct {
+		name   string
+		first  view.Change // Applied before, as another operator's.
+		change view.Change
+		want   refusal.Kind
+	}{
+		{name: "take out", change: view.Change{Name: "west", Operation: view.OpTakeOutZone}},
+		{name: "take out an unknown zone", change: view.Change{Name: "north", Operation: view.OpTakeOutZone}, want: refusal.BadRequest},
+		{
+			name: "racing operators", first: view.Change{Name: "west", Operation: view.OpTakeOutZone}, want: refusal.Conflict,
+			change: view.Change{Base: 2, Name: "west", Operation: view.OpReturnZone},
+		},
+		{
+			name: "operators at two zones do not race", first: view.Change{Name: "east", Operation: view.OpTakeOutZone},
+			change: view.Change{Base: 2, Name: "west", Operation: view.OpTakeOutZone},
+		},
+		{name: "fence", change: view.Change{Operation: view.OpFence, Ref: e1}},
+		{
+			name: "a late fence does not hit the successor", first: join("e1", 2, "west"), want: refusal.Conflict,
+			change: view.Change{Operation: view.OpFence, Ref: e1},
+		},
+		{name: "reinstate a server that is not retired", change: view.Change{Name: "x", Operation: view.OpReinstate}, want: refusal.UnknownServer},
+		{name: "quota of zero", change: view.Change{Operation: view.OpSetTeam, Team: view.Team{Name: "a", Weight: 1}}, want: refusal.BadRequest},
+		{name: "unknown setting", change: view.Change{Operation: view.OpSetting, Setting: view.Setting{Key: "x", Value: "1"}}, want: refusal.BadRequest},
+		{name: "unknown policy", change: view.Change{Operation: view.OpSetting, Setting: view.Setting{Key: "policy", Value: "x"}}, want: refusal.BadRequest},
+		{name: "unknown operation", change: view.Change{Operation: "x"}, want: refusal.BadRequest},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := base
+			if test.first.Operation != "" {
+				v = apply(t, v, test.first)
+			}
+			next, err := v.Apply(test.change, start, retention)
+			if test.want != "" {
+				qt.Assert(t, refusal.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, next.Version, qt.Equals, v.Version+1)
+		})
+	}
+}
+
+func TestEntriesOfAZoneThatIsOutOwnNoNewJobs(t *testing.T) {
+	v := apply(t, &view.View{}, join("e1", 1, "west"), join("e2", 1, "east"), view.Change{Name: "west", Operation: view.OpTakeOutZone})
+	qt.Assert(t, v.Members(), qt.DeepEquals, []pollenfront.EntryRef{{Incarnation: 1, Name: "e2"}})
+	v = apply(t, v, view.Change{Name: "west", Operation: view.OpReturnZone})
+	qt.Assert(t, v.Members(), qt.HasLen, 2)
+}
+
+func TestFormerOwners(t *testing.T) {
+	const settle = 6 * time.Second
+	v := apply(t, &view.View{}, join("e1", 1, "west"))
+	v, err := v.Apply(view.Change{Operation: view.OpFence, Ref: pollenfront.EntryRef{Incarnation: 1, Name: "e1"}}, start.Add(time.Minute), retention)
+	qt.Assert(t, err, qt.IsNil)
+	v, err = v.Apply(join("e2", 1, "east"), start.Add(time.Minute), retention)
+	qt.Assert(t, err, qt.IsNil)
+	self := pollenfront.EntryRef{Incarnation: 1, Name: "e2"}
+	old, recent := idAt(start.Add(time.Minute)), idAt(start.Add(time.Minute+settle+time.Second))
+	qt.Assert(t, v.FormerOwners(old, self, settle), qt.DeepEquals, []pollenfront.EntryRef{{Incarnation: 1, Name: "e1"}})
+	qt.Assert(t, v.FormerOwners(recent, self, settle), qt.HasLen, 0)
+}
+
+// idAt returns a job ID that was created at a time.
+func idAt(at time.Time) pollenfront.JobID {
+	hex := fmt.Sprintf("%012x", at.UnixMilli())
+	return pollenfront.JobID(hex[:8] + "-" + hex[8:] + "-7000-8000-000000000000")
+}
+
+func TestOwnershipMovesOnlyWithTheEntryThatChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,8}`), 2, 8, rapid.ID).Draw(t, "entries")
+		v := &view.View{}
+		for _, name := range names {
+			next, err := v.Apply(join(name, 1, "west"), start, retention)
+			if err != nil {
+				t.Fatal(err)
+			}
+			v = next
+		}
+		gone := v.Entries[rapid.IntRange(0, len(names)-1).Draw(t, "gone")]
+		next, err := v.Apply(view.Change{Operation: view.OpLeft, Ref: gone.Ref()}, start, retention)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 50 {
+			id := pollenfront.NewJobID()
+			before, _ := v.Owner(id)
+			after, ok := next.Owner(id)
+			if !ok || after.Ref() == gone.Ref() || (before.Ref() != gone.Ref() && before.Ref() != after.Ref()) {
+				t.Fatalf("job moved from %s to %s when %s left", before.Name, after.Name, gone.Name)
+			}
+			at, ok := next.OwnerAt(id, v.Version)
+			if !ok || at != before.Ref() {
+				t.Fatalf("the owner at version %d was %s, not %s", v.Version, before.Name, at.Name)
+			}
+		}
+	})
+}
+
+func TestViewsNeverRevert(t *testing.T) {
+	base := apply(t, &view.View{}, join("e1", 1, "west"), join("e2", 1, "east"))
+	rapid.Check(t, func(t *rapid.T) {
+		v := base
+		out := map[string]bool{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "changes") {
+			zone := rapid.SampledFrom([]string{"east", "west"}).Draw(t, "zone")
+			takeOut := rapid.Bool().Draw(t, "take-out")
+			base := uint64(rapid.IntRange(0, int(v.Version)).Draw(t, "base"))
+			change := view.Change{Base: base, ID: fmt.Sprint(i), Name: zone, Operation: view.OpReturnZone}
+			if takeOut {
+				change.Operation = view.OpTakeOutZone
+			}
+			next, err := v.Apply(change, start, retention)
+			if err != nil {
+				continue
+			}
+			out[zone] = takeOut
+			v = next
+			for name, want := range out {
+				if v.ZoneOut(name) != want {
+					t.Fatalf("zone %s reverted", name)
+				}
+			}
+			if version, ok := v.AppliedAt(change.ID); !ok || version != v.Version {
+				t.Fatalf("change %s can't be read back", change.ID)
+			}
+		}
+	})
+}
