Accept jobs only in contact with a majority, and survey agents after joining

Change beside those: an entry accepts jobs only while a majority has answered it within 1.2 s, and is fenced only after a longer silence, so that jobs made after its last possible acceptance need no questions at all. Agents back off when an entry does not answer.

Three entries do not bear two faults at once without refusals.

--- a/agent/internal/entries/links.go
+++ b/agent/internal/entries/links.go
@@ -123,9 +123,10 @@
 	for ctx.Err() == nil {
 		conn, err := peer.Dial(ctx, l.settings.IP, k.address, l.handler(), l.metrics)
 		if err == nil {
-			backoff = firstBackoff
 			l.setConn(k, conn)
-			l.beat(ctx, k, conn)
+			if l.beat(ctx, k, conn) {
+				backoff = firstBackoff
+			}
 			l.setConn(k, nil)
 			conn.Close()
 		}
@@ -134,17 +135,18 @@
 	}
 }
 
-// beat sends heartbeats over a connection until it breaks or ctx ends.
-func (l *Links) beat(ctx context.Context, k *link, conn *peer.Conn) {
-	for {
+// beat sends heartbeats over a connection until it breaks or ctx ends. It
+// reports whether any was answered.
+func (l *Links) beat(ctx context.Context, k *link, conn *peer.Conn) bool {
+	for answered := false; ; answered = true {
 		if err := l.heartbeat(ctx, conn); err != nil {
-			return
+			return answered
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return true
 		case <-conn.Done():
-			return
+			return true
 		case <-k.wake:
 		case <-time.After(heartbeatInterval - rand.N(heartbeatInterval/5)):
 		}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -44,11 +44,11 @@
 // servePing exchanges reports. A newer view is fetched before the answer, so
 // that the answer confirms it.
 func (n *node) servePing(ctx context.Context, conn *peer.Conn, ping peer.Ping) (peer.PingReply, error) {
-	if n.members.Hear(ping.Report, ping.Unheard, time.Time{}) {
+	if n.members.Hear(ping.Report, ping.Silence, time.Time{}) {
 		n.catchUp(ctx, conn, ping.Report.Version)
 	}
 	return peer.PingReply{
-		Accepted: n.members.Accepted(), Report: n.members.Report(), Unheard: n.members.Unheard(),
+		Accepted: n.members.Accepted(), Report: n.members.Report(), Silence: n.members.Silence(),
 	}, nil
 }
 
@@ -60,7 +60,7 @@
 // serveSubmit takes a job that another entry handed over.
 func (n *node) serveSubmit(ctx context.Context, conn *peer.Conn, submit peer.Submit) (pollenfront.Answer, error) {
 	n.catchUp(ctx, conn, submit.Version)
-	return n.owner.Submit(ctx, submit.Job, submit.JoinOnly)
+	return n.owner.Submit(ctx, submit)
 }
 
 // serveInquire tells a new owner whether this entry has a job. The newer view,
--- a/entry/internal/agents/agents.go
+++ b/entry/internal/agents/agents.go
@@ -43,6 +43,7 @@
 	retention time.Duration
 	roster    *roster.Roster
 	sink      Sink
+	surveyed  bool
 }
 
 // A link is the connection to one incarnation of an agent.
--- a/entry/internal/callers/api.go
+++ b/entry/internal/callers/api.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	callers.NewAPI(router, members, retention).Routes(mux)
+//	callers.NewAPI(router, members, agents.Surveyed, registry).Routes(mux)
 //
 // The routes are POST /v1/jobs, GET and DELETE /v1/jobs/{id}, POST
 // /v1/job-ids, GET /healthz and GET /readyz.
@@ -40,17 +40,19 @@
 	answers  *prometheus.CounterVec
 	router   *handover.Router
 	stopping atomic.Bool
+	surveyed func() bool // Whether the entry knows the agents.
 	waiting  atomic.Int64
 }
 
 // NewAPI returns an API that hands jobs to router.
-func NewAPI(router *handover.Router, m *members.Members, registry prometheus.Registerer) *API {
+func NewAPI(router *handover.Router, m *members.Members, surveyed func() bool, registry prometheus.Registerer) *API {
 	a := &API{
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_answers_total", Help: "Answers and refusals given to callers.",
 		}, []string{"status", "reason"}),
-		members: m,
-		router:  router,
+		members:  m,
+		router:   router,
+		surveyed: surveyed,
 	}
 	registry.MustRegister(a.answers)
 	return a
@@ -79,7 +81,7 @@
 // ready tells the balancer whether to send requests here.
 func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
 	self, ok := a.members.View().Entry(a.members.Self().Name)
-	if a.stopping.Load() || !ok || a.members.View().ZoneOut(self.Zone) || !a.members.Fresh() {
+	if a.stopping.Load() || !ok || a.members.View().ZoneOut(self.Zone) || !a.members.Fresh() || !a.members.InContact() || !a.surveyed() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -150,12 +152,12 @@
 	observe.WriteJSON(w, http.StatusOK, state)
 }
 
-// refuse answers with a refusal. A refusal that leaves the outcome open says
-// so in its status; any other one means that the job did not run.
+// refuse answers with a refusal. It says "refused", not "not run", since only
+// the owner of a job knows what became of earlier submissions of it.
 func (a *API) refuse(w http.ResponseWriter, id pollenfront.JobID, err error) {
 	refused := refusal.From(err)
 	answer := pollenfront.Answer{
-		Job: id, Message: err.Error(), Reason: string(refused.Kind), RetryAfter: refused.RetryAfter, Status: pollenfront.StatusNotRun,
+		Job: id, Message: err.Error(), Reason: string(refused.Kind), RetryAfter: refused.RetryAfter, Status: pollenfront.StatusRefused,
 	}
 	if refused.Kind == refusal.OutcomeUnknown || refused.Kind == refusal.Internal {
 		answer.Status = pollenfront.StatusUnknown
--- a/entry/internal/callers/jobbody.go
+++ b/entry/internal/callers/jobbody.go
@@ -35,14 +35,12 @@
 	return job, checkTasks(job.Tasks)
 }
 
-// checkDeadline checks that a deadline is in the future, but not too far.
+// checkDeadline checks that there is a deadline that is not too far. Whether it
+// has passed is for the owner to say, who may have the job's answer.
 func checkDeadline(deadline, now time.Time) error {
 	if deadline.IsZero() {
 		return refusal.New(refusal.BadRequest, "a deadline or a timeout is missing")
 	}
-	if !deadline.After(now) {
-		return refusal.New(refusal.DeadlinePassed, "the deadline %s has passed; the server's time is %s", deadline.Format(time.RFC3339Nano), now.UTC().Format(time.RFC3339Nano))
-	}
 	if deadline.Sub(now) > maxDeadline {
 		return refusal.New(refusal.BadRequest, "the deadline is more than %v ahead", maxDeadline)
 	}
--- a/entry/internal/handover/router.go
+++ b/entry/internal/handover/router.go
@@ -13,6 +13,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/entry/internal/members"
 	"github.com/pollenfront/pollenfront/entry/internal/owner"
@@ -45,13 +47,14 @@
 // not run, and a refusal.OutcomeUnknown error if an owner that may have
 // accepted it was lost until the deadline.
 func (r *Router) Submit(ctx context.Context, job pollenfront.Job) (pollenfront.Answer, error) {
-	ctx, cancel := context.WithDeadline(ctx, job.Deadline.Add(grace))
+	ctx, cancel := context.WithTimeout(ctx, max(0, time.Until(job.Deadline))+grace)
 	defer cancel()
+	submission := uuid.NewString()
 	lost := false
 	pause := firstPause
 	var lastErr error
 	for range maxAttempts {
-		answer, err := r.submitOnce(ctx, job)
+		answer, err := r.submitOnce(ctx, job, submission)
 		if err == nil {
 			return answer, nil
 		}
@@ -91,16 +94,16 @@
 }
 
 // submitOnce hands a job over to the owner that the present view names.
-func (r *Router) submitOnce(ctx context.Context, job pollenfront.Job) (pollenfront.Answer, error) {
+func (r *Router) submitOnce(ctx context.Context, job pollenfront.Job, submission string) (pollenfront.Answer, error) {
 	name, own := r.ownerOf(job.ID)
 	if own {
-		return r.owner.Submit(ctx, job, false)
+		return r.owner.Submit(ctx, peer.Submit{Job: job, Submission: submission})
 	}
 	if name == "" {
 		return pollenfront.Answer{}, refusal.New(refusal.NotReady, "no entry owns jobs yet").After(time.Second)
 	}
 	var answer pollenfront.Answer
-	submit := peer.Submit{Job: job, Version: r.members.View().Version}
+	submit := peer.Submit{Job: job, Submission: submission, Version: r.members.View().Version}
 	err := r.members.Call(ctx, name, peer.MethodSubmit, submit, &answer)
 	return answer, err
 }
@@ -117,7 +120,7 @@
 // transient reports whether a hand-over can be tried again: the owner was not
 // reached, or the two views differ.
 func transient(err error) bool {
-	return !isRefusal(err) || refusal.Is(err, refusal.NotOwner) || refusal.Is(err, refusal.Fenced)
+	return !isRefusal(err) || refusal.Is(err, refusal.NotOwner) || refusal.Is(err, refusal.Fenced) || refusal.Is(err, refusal.NotReached) || refusal.Is(err, refusal.NotReady)
 }
 
 // isRefusal reports whether the other entry answered.
--- a/entry/internal/members/members.go
+++ b/entry/internal/members/members.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -72,7 +71,7 @@
 // A hearing is what was last heard from another entry.
 type hearing struct {
 	at      time.Time
-	unheard []string
+	silence []peer.Silence
 	version uint64
 }
 
@@ -186,12 +185,20 @@
 	return true
 }
 
+// InContact reports whether a majority of the entries has answered lately. An
+// entry that is not may be fenced by the others, and must not accept jobs.
+func (m *Members) InContact() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.tracker.InContact(time.Now())
+}
+
 // Hear takes in another entry's report. It returns true if the other entry has
 // a newer view.
-func (m *Members) Hear(report freshness.PeerReport, unheard []string, sentAt time.Time) bool {
+func (m *Members) Hear(report freshness.PeerReport, silence []peer.Silence, sentAt time.Time) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.heard[report.Name] = hearing{at: time.Now(), unheard: unheard, version: report.Version}
+	m.heard[report.Name] = hearing{at: time.Now(), silence: silence, version: report.Version}
 	if !sentAt.IsZero() {
 		m.tracker.Peer(sentAt, report)
 	}
@@ -199,11 +206,12 @@
 	return report.Version > m.view.Version
 }
 
-// Unheard returns the names of the entries that have been silent.
-func (m *Members) Unheard() []string {
+// Silence returns for how long the other entries have been silent, if they
+// have been so for long enough to be fenced.
+func (m *Members) Silence() []peer.Silence {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.unheard(time.Now())
+	return m.silence(time.Now())
 }
 
 // Accepted returns the newest version that is known to be accepted.
@@ -249,21 +257,27 @@
 // noteAccepted checks whether the present view is accepted: a majority of each
 // set of owners that is not settled yet has confirmed it.
 func (m *Members) noteAccepted() {
-	if m.newestAccepted() >= m.view.Version {
-		return
+	version := m.view.Version
+	if m.newestAccepted() < version && m.majorityOfEachSet(func(name string) bool { return m.confirmed(name, version) }) {
+		m.recordAccepted(version)
 	}
+}
+
+// majorityOfEachSet reports whether a majority of each set of owners that is
+// not settled yet has a property.
+func (m *Members) majorityOfEachSet(has func(name string) bool) bool {
 	for _, set := range m.view.UnsettledSets() {
-		confirmed := 0
+		count := 0
 		for _, member := range set.Members {
-			if m.confirmed(member.Name, m.view.Version) {
-				confirmed++
+			if has(member.Name) {
+				count++
 			}
 		}
-		if confirmed < freshness.Majority(len(set.Members)) && len(set.Members) > 0 {
-			return
+		if len(set.Members) > 0 && count < freshness.Majority(len(set.Members)) {
+			return false
 		}
 	}
-	m.recordAccepted(m.view.Version)
+	return true
 }
 
 // recordAccepted records that a version is accepted.
@@ -290,38 +304,64 @@
 	return name == m.self.Name || m.heard[name].version >= version
 }
 
-// unheard returns the names of the entries that have been silent.
-func (m *Members) unheard(now time.Time) []string {
-	var names []string
+// silence returns for how long the other entries have been silent.
+func (m *Members) silence(now time.Time) []peer.Silence {
+	var silence []peer.Silence
 	for _, e := range m.view.Entries {
-		if e.Name != m.self.Name && now.Sub(m.heard[e.Name].at) > deadAfter {
-			names = append(names, e.Name)
+		if d := now.Sub(m.heard[e.Name].at); e.Name != m.settings.Name && d > deadAfter {
+			silence = append(silence, peer.Silence{For: d, Name: e.Name})
 		}
 	}
-	return names
+	return silence
+}
+
+// A deadEntry is an entry that a majority does not hear.
+type deadEntry struct {
+	ref      pollenfront.EntryRef
+	silentAt time.Time // Wall-clock time since which it can't have accepted jobs.
 }
 
 // deadEntries returns the entries that a majority, with recent votes, does not
-// hear.
-func (m *Members) deadEntries(now time.Time) []pollenfront.EntryRef {
+// hear. Such an entry has ceased to accept jobs: each vote says since when the
+// voter has not answered it.
+func (m *Members) deadEntries(now time.Time) []deadEntry {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	var dead []pollenfront.EntryRef
-	for _, name := range m.unheard(now) {
-		votes := 1
-		for _, e := range m.view.Entries {
-			h := m.heard[e.Name]
-			if e.Name != m.self.Name && now.Sub(h.at) < voteLimit && slices.Contains(h.unheard, name) {
-				votes++
+	var dead []deadEntry
+	for _, own := range m.silence(now) {
+		shortest := own.For
+		voted := m.majorityOfEachSet(func(voter string) bool {
+			if voter == m.settings.Name {
+				return true
 			}
-		}
-		if e, ok := m.view.Entry(name); ok && votes >= freshness.Majority(len(m.view.Entries)) {
-			dead = append(dead, e.Ref())
+			vote, ok := m.vote(voter, own.Name, now)
+			if ok {
+				shortest = min(shortest, vote)
+			}
+			return ok
+		})
+		if e, ok := m.view.Entry(own.Name); ok && voted {
+			dead = append(dead, deadEntry{ref: e.Ref(), silentAt: now.Add(freshness.ContactLimit - shortest)})
 		}
 	}
 	return dead
 }
 
+// vote returns for how long another entry has not heard the one named. It
+// returns false if that entry's last report is old or does not say so.
+func (m *Members) vote(voter, name string, now time.Time) (time.Duration, bool) {
+	h := m.heard[voter]
+	if now.Sub(h.at) >= voteLimit {
+		return 0, false
+	}
+	for _, s := range h.silence {
+		if s.Name == name {
+			return s.For, true
+		}
+	}
+	return 0, false
+}
+
 // forgetSilence starts the count of silence anew after this process itself was
 // paused.
 func (m *Members) forgetSilence(now time.Time) {
@@ -334,12 +374,12 @@
 	}
 	for name, h := range m.heard {
 		h.at = now
-		h.unheard = nil
+		h.silence = nil
 		m.heard[name] = h
 	}
 }
 
-// IsConflict reports whether err is a conflict with another writer.
+// isConflict reports whether err is a conflict with another writer.
 func isConflict(err error) bool {
 	return refusal.Is(err, refusal.Conflict)
 }
--- a/entry/internal/members/round.go
+++ b/entry/internal/members/round.go
@@ -23,8 +23,8 @@
 	both.Go(func() { m.PingAll(ctx) })
 	both.Wait()
 	m.rejoinIfFenced(ctx)
-	for _, ref := range m.deadEntries(time.Now()) {
-		m.fence(ctx, ref)
+	for _, dead := range m.deadEntries(time.Now()) {
+		m.fence(ctx, dead)
 	}
 }
 
@@ -78,11 +78,11 @@
 	defer cancel()
 	sentAt := time.Now()
 	var reply peer.PingReply
-	if err := m.Call(ctx, e.Name, peer.MethodPing, peer.Ping{Report: m.Report(), Unheard: m.Unheard()}, &reply); err != nil {
+	if err := m.Call(ctx, e.Name, peer.MethodPing, peer.Ping{Report: m.Report(), Silence: m.Silence()}, &reply); err != nil {
 		return
 	}
 	m.NoteAccepted(reply.Accepted)
-	if m.Hear(reply.Report, reply.Unheard, sentAt) {
+	if m.Hear(reply.Report, reply.Silence, sentAt) {
 		m.fetchView(ctx, e.Name)
 	}
 }
@@ -99,7 +99,7 @@
 func (m *Members) Call(ctx context.Context, name, method string, params, result any) error {
 	conn, err := m.conn(ctx, name)
 	if err != nil {
-		return err
+		return refusal.New(refusal.NotReached, "entry %s: %v", name, err).After(time.Second)
 	}
 	err = conn.Call(ctx, method, params, result)
 	if err != nil && refusal.From(err).Kind == refusal.Internal && method == peer.MethodPing {
@@ -149,13 +149,13 @@
 }
 
 // fence removes an entry that is dead.
-func (m *Members) fence(ctx context.Context, ref pollenfront.EntryRef) {
-	change := view.Change{By: m.settings.Name, ID: newChangeID(), Operation: view.OpFence, Ref: ref}
+func (m *Members) fence(ctx context.Context, dead deadEntry) {
+	change := view.Change{By: m.settings.Name, ID: newChangeID(), Operation: view.OpFence, Ref: dead.ref, Silent: dead.silentAt}
 	_, err := m.write(ctx, change, m.table)
 	if err != nil && !isConflict(err) {
-		m.logger.Warn("fence failed", zap.String("entry", ref.Name), zap.Error(err))
+		m.logger.Warn("fence failed", zap.String("entry", dead.ref.Name), zap.Error(err))
 		return
 	}
-	m.logger.Info("fenced", zap.String("entry", ref.Name), zap.Uint64("incarnation", ref.Incarnation))
+	m.logger.Info("fenced", zap.String("entry", dead.ref.Name), zap.Uint64("incarnation", dead.ref.Incarnation))
 	m.PingAll(ctx)
 }
--- a/entry/internal/owner/accept.go
+++ b/entry/internal/owner/accept.go
@@ -63,7 +63,7 @@
 // gone. It asks nobody for a job that no former owner can have accepted.
 func (o *Owner) trace(ctx context.Context, id pollenfront.JobID) (origin, error) {
 	v := o.members.View()
-	former := v.FormerOwners(id, o.members.Self(), settle)
+	former := v.FormerOwners(id, o.members.Self(), settle, skew)
 	o.mutex.Lock()
 	askAgents := o.answers.mayHaveForgotten(id)
 	o.mutex.Unlock()
--- a/entry/internal/owner/answers.go
+++ b/entry/internal/owner/answers.go
@@ -12,6 +12,8 @@
 type answers struct {
 	forgotten    time.Time // Newest creation time of a dropped answer's job ID.
 	kept         map[pollenfront.JobID]pollenfront.Answer
+	notRunOrder  []string // Submissions.
+	notRuns      map[string]pollenfront.Answer
 	order        []pollenfront.JobID
 	refusalOrder []pollenfront.JobID
 	refusals     map[pollenfront.JobID]*refusal.Error
@@ -22,6 +24,7 @@
 func newAnswers(retention time.Duration) *answers {
 	return &answers{
 		kept:      make(map[pollenfront.JobID]pollenfront.Answer),
+		notRuns:   make(map[string]pollenfront.Answer),
 		refusals:  make(map[pollenfront.JobID]*refusal.Error),
 		retention: retention,
 	}
@@ -33,10 +36,11 @@
 	return answer, ok
 }
 
-// keep keeps an answer. An answer that says "not run" is kept only as a reason
-// for operators: the job may be submitted again.
-func (a *answers) keep(id pollenfront.JobID, answer pollenfront.Answer) {
+// keep keeps an answer. An answer that says "not run" is kept for the
+// submissions that it answers only: the job may be submitted again.
+func (a *answers) keep(id pollenfront.JobID, answer pollenfront.Answer, submissions []string) {
 	if answer.Status == pollenfront.StatusNotRun {
+		a.keepNotRun(answer, submissions)
 		a.noteRefusal(id, refusal.New(refusal.Kind(answer.Reason), "%s", answer.Message))
 		return
 	}
@@ -47,6 +51,24 @@
 	}
 }
 
+// keepNotRun keeps the answer to submissions that did not run.
+func (a *answers) keepNotRun(answer pollenfront.Answer, submissions []string) {
+	for _, s := range submissions {
+		a.notRuns[s] = answer
+		a.notRunOrder = append(a.notRunOrder, s)
+	}
+	for len(a.notRunOrder) > maxKept {
+		delete(a.notRuns, a.notRunOrder[0])
+		a.notRunOrder = a.notRunOrder[1:]
+	}
+}
+
+// notRun returns the answer to a submission that did not run.
+func (a *answers) notRun(submission string) (pollenfront.Answer, bool) {
+	answer, ok := a.notRuns[submission]
+	return answer, ok
+}
+
 // noteRefusal keeps the reason of a refusal.
 func (a *answers) noteRefusal(id pollenfront.JobID, err error) {
 	if _, known := a.refusals[id]; !known {
--- /dev/null
+++ b/entry/internal/owner/answers_test.go
@@ -0,0 +1,33 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pollenfront/pollenfront"
+)
+
+func TestAnswers(t *testing.T) {
+	id := pollenfront.NewJobID()
+	a := newAnswers(time.Minute)
+
+	a.keep(id, pollenfront.Answer{Job: id, Status: pollenfront.StatusNotRun}, []string{"s1"})
+	_, ok := a.get(id)
+	qt.Assert(t, ok, qt.IsFalse, qt.Commentf("a job that did not run may be submitted again"))
+	_, ok = a.notRun("s1")
+	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("a late copy of the submission stays refused"))
+	_, ok = a.notRun("s2")
+	qt.Assert(t, ok, qt.IsFalse)
+
+	a.keep(id, pollenfront.Answer{Job: id, Status: pollenfront.StatusComplete}, []string{"s2"})
+	_, ok = a.get(id)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, a.mayHaveForgotten(id), qt.IsFalse)
+
+	a.sweep(time.Now().Add(2 * time.Minute))
+	_, ok = a.get(id)
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, a.mayHaveForgotten(id), qt.IsTrue, qt.Commentf("the owner must ask the agents again"))
+}
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	o := owner.New(members, retention, registry)
-//	answer, err := o.Submit(ctx, job, false)
+//	answer, err := o.Submit(ctx, peer.Submit{Job: job, Submission: id})
 package owner
 
 import (
@@ -30,13 +30,15 @@
 const (
 	inquireTimeout = time.Second
 	inquirePause   = 100 * time.Millisecond
-	maxAhead       = 2 * time.Second // Greatest lead of a job ID over the clock.
-	maxKept        = 50_000          // Answers.
-	maxRefusals    = 2_000           // Refusals whose reason is kept.
+	maxAhead       = time.Second // Greatest lead of a job ID over the clock.
+	maxKept        = 50_000      // Answers.
+	maxRefusals    = 2_000       // Refusals whose reason is kept.
 	sweepInterval  = time.Second
 	// settle is the time after a change of the owners during which a former
-	// owner may still accept a job whose ID is not older than the change.
-	settle = freshness.Limit + maxAhead + time.Second
+	// owner that is alive may still accept jobs under the view before.
+	settle = freshness.Limit
+	// skew is the greatest lead of a job ID over the clock of another entry.
+	skew = maxAhead + 500*time.Millisecond
 )
 
 // An Owner owns jobs.
@@ -54,11 +56,12 @@
 
 // A flight is a job that has no answer yet.
 type flight struct {
-	answer    pollenfront.Answer
-	cancelled bool
-	done      chan struct{}
-	err       error // Set instead of answer if the job was not accepted.
-	since     time.Time
+	answer      pollenfront.Answer
+	cancelled   bool
+	done        chan struct{}
+	err         error // Set instead of answer if the job was not accepted.
+	since       time.Time
+	submissions []string
 }
 
 // New returns an Owner without jobs. Attach must be called before it is used.
@@ -112,17 +115,23 @@
 }
 
 // Submit accepts a job, or joins it if it is known, and waits for its answer.
-// With joinOnly, an unknown job is refused. It returns a refusal if the job
-// was not accepted.
-func (o *Owner) Submit(ctx context.Context, job pollenfront.Job, joinOnly bool) (pollenfront.Answer, error) {
+// With JoinOnly, an unknown job is refused. It returns a refusal if the job
+// was not accepted. A submission that was answered as not run stays so, also if
+// a copy of it arrives late.
+func (o *Owner) Submit(ctx context.Context, submit peer.Submit) (pollenfront.Answer, error) {
+	job := submit.Job
 	o.mutex.Lock()
+	if answer, ok := o.answers.notRun(submit.Submission); ok {
+		o.mutex.Unlock()
+		return answer, nil
+	}
 	if answer, ok := o.answers.get(job.ID); ok {
 		o.mutex.Unlock()
 		return answer, nil
 	}
 	f, known := o.flights[job.ID]
 	if !known {
-		version, err := o.mayAccept(job.ID, joinOnly)
+		version, err := o.mayAccept(job.ID, submit.JoinOnly)
 		if err != nil {
 			o.answers.noteRefusal(job.ID, err)
 			o.mutex.Unlock()
@@ -132,6 +141,7 @@
 		o.flights[job.ID] = f
 		go o.accept(job, f, version)
 	}
+	f.submissions = append(f.submissions, submit.Submission)
 	o.mutex.Unlock()
 	select {
 	case <-f.done:
@@ -229,6 +239,12 @@
 	if !o.members.Fresh() {
 		return 0, refusal.New(refusal.StaleView, "entry %s can't prove that its view is current", o.members.Self().Name).After(time.Second)
 	}
+	if !o.agents.Surveyed() {
+		return 0, refusal.New(refusal.NotReady, "entry %s has not learned yet which agents there are", o.members.Self().Name).After(time.Second)
+	}
+	if !o.members.InContact() {
+		return 0, refusal.New(refusal.StaleView, "entry %s is not in contact with a majority of the entries", o.members.Self().Name).After(time.Second)
+	}
 	v := o.members.View()
 	owner, ok := v.Owner(id)
 	if !ok || owner.Ref() != o.members.Self() {
@@ -254,7 +270,7 @@
 		o.answers.noteRefusal(id, err)
 		return
 	}
-	o.answers.keep(id, answer)
+	o.answers.keep(id, answer, f.submissions)
 }
 
 // perform carries out effects. The caller holds the mutex.
--- a/entry/runcmd.go
+++ b/entry/runcmd.go
@@ -71,7 +71,7 @@
 	n.agents = agents.New(time.Duration(s.Retention), n.owner.Step, process.Logger)
 	n.owner.Attach(n.agents)
 	n.router = handover.NewRouter(n.members, n.owner)
-	n.callers = callers.NewAPI(n.router, n.members, process.Registry)
+	n.callers = callers.NewAPI(n.router, n.members, n.agents.Surveyed, process.Registry)
 	n.members.SetHandler(n.handler())
 	n.members.OnView(n.owner.ViewChanged)
 	n.members.OnView(func(v *view.View) { n.agents.ViewChanged(v.Version) })
@@ -117,16 +117,26 @@
 	if err := n.members.Join(ctx); err != nil {
 		return nil //nolint:nilerr // The entry was stopped before it could join.
 	}
+	go n.agents.Survey(ctx, n.others, n.askRoster)
+	return n.members.Run(ctx)
+}
+
+// others returns the names of the other entries in the view.
+func (n *node) others() []string {
+	var names []string
 	for _, e := range n.members.View().Entries {
-		if e.Name == n.settings.Name {
-			continue
-		}
-		var reply peer.RosterReply
-		if err := n.members.Call(ctx, e.Name, peer.MethodRoster, peer.Empty{}, &reply); err == nil {
-			n.agents.Merge(reply)
+		if e.Name != n.settings.Name {
+			names = append(names, e.Name)
 		}
 	}
-	return n.members.Run(ctx)
+	return names
+}
+
+// askRoster asks another entry for its roster.
+func (n *node) askRoster(ctx context.Context, entry string) (peer.RosterReply, error) {
+	var reply peer.RosterReply
+	err := n.members.Call(ctx, entry, peer.MethodRoster, peer.Empty{}, &reply)
+	return reply, err
 }
 
 // leave stops in a planned way: the balancer and the other entries are told,
@@ -156,7 +166,7 @@
 		Fresh    bool                 `json:"fresh"`
 		Roster   any                  `json:"roster"`
 		Self     pollenfront.EntryRef `json:"self"`
-		Unheard  []string             `json:"unheard"`
+		Silence  []peer.Silence       `json:"silence"`
 		View     *view.View           `json:"view"`
 	}{
 		Accepted: n.members.Accepted(),
@@ -164,7 +174,7 @@
 		Fresh:    n.members.Fresh(),
 		Roster:   n.agents.Roster(),
 		Self:     n.members.Self(),
-		Unheard:  n.members.Unheard(),
+		Silence:  n.members.Silence(),
 		View:     n.members.View(),
 	}
 }
--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -23,6 +23,11 @@
 	"github.com/pollenfront/pollenfront/view"
 )
 
+// ContactLimit is how long an entry may accept jobs after a majority of the
+// entries has last answered it. The others may fence it only after a longer
+// silence, so that it has ceased to accept by then.
+const ContactLimit = 1200 * time.Millisecond
+
 // Limit is the greatest age of a proof under which a task may start. It bounds
 // how long after an accepted change work can still start under the old view.
 const Limit = 3 * time.Second
@@ -40,6 +45,7 @@
 // monotonic and local to the process.
 type Tracker struct {
 	agreed  map[string]time.Time // Instant up to which an entry knew no newer version.
+	contact map[string]time.Time // Instant of the last message to an entry that it answered.
 	members []string             // Names of the entries that a majority is counted over.
 	proof   time.Time
 	self    string    // Name of the entry, empty in an agent.
@@ -50,7 +56,7 @@
 // NewTracker returns a Tracker for the entry named self, or for an agent if
 // self is empty.
 func NewTracker(self string) *Tracker {
-	return &Tracker{self: self, agreed: make(map[string]time.Time)}
+	return &Tracker{self: self, agreed: make(map[string]time.Time), contact: make(map[string]time.Time)}
 }
 
 // SetView tells the tracker which view the process holds now. All proofs of
@@ -95,6 +101,7 @@
 // Peer records another entry's report, in an answer to a message sent at
 // sentAt.
 func (t *Tracker) Peer(sentAt time.Time, report PeerReport) {
+	t.contact[report.Name] = later(t.contact[report.Name], sentAt)
 	if report.HasProof {
 		t.Passed(sentAt, report.Version, report.Age)
 	}
@@ -134,10 +141,23 @@
 	return PeerReport{Age: age, HasProof: ok, Name: t.self, TableDown: t.TableDown(now), Version: t.version}
 }
 
+// InContact reports whether a majority of the entries, this one included, has
+// answered within ContactLimit.
+func (t *Tracker) InContact(now time.Time) bool {
+	at := t.majorityInstant(now, t.contact)
+	return !at.IsZero() && now.Sub(at) <= ContactLimit
+}
+
 // majorityProof returns the instant up to which a majority of the entries has
 // said that it knows no newer version. It returns the zero time if there is no
 // such majority.
 func (t *Tracker) majorityProof(now time.Time) time.Time {
+	return t.majorityInstant(now, t.agreed)
+}
+
+// majorityInstant returns the newest instant that the instants of a majority
+// of the entries reach. The instant of the process itself is now.
+func (t *Tracker) majorityInstant(now time.Time, byName map[string]time.Time) time.Time {
 	if !slices.Contains(t.members, t.self) {
 		return time.Time{}
 	}
@@ -147,7 +167,7 @@
 	}
 	var instants []time.Time
 	for _, name := range t.members {
-		if at, ok := t.agreed[name]; ok && name != t.self {
+		if at, ok := byName[name]; ok && name != t.self {
 			instants = append(instants, at)
 		}
 	}
--- a/job.go
+++ b/job.go
@@ -49,7 +49,8 @@
 const (
 	StatusComplete Status = "complete"        // Every task succeeded.
 	StatusFailed   Status = "failed"          // At least one task failed or was cancelled after a start.
-	StatusNotRun   Status = "not-run"         // No task of the job was started.
+	StatusNotRun   Status = "not-run"         // No task of the job was started, by this or any earlier submission.
+	StatusRefused  Status = "refused"         // This submission was not accepted and started nothing; says nothing of earlier ones.
 	StatusUnknown  Status = "outcome-unknown" // A task may have run, and its outcome can't be learned.
 )
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -77,9 +77,10 @@
 // A Submit hands a job over to its owner. JoinOnly is set if only an answer
 // that the owner already has or works on is wanted.
 type Submit struct {
-	Job      pollenfront.Job `json:"job"`
-	JoinOnly bool            `json:"join-only,omitempty"`
-	Version  uint64          `json:"version"` // Of the sender's view.
+	Job        pollenfront.Job `json:"job"`
+	JoinOnly   bool            `json:"join-only,omitempty"`
+	Submission string          `json:"submission"` // Unique to the caller's request; the same for repeated hand-overs of it.
+	Version    uint64          `json:"version"`    // Of the sender's view.
 }
 
 // An Inquire asks a former owner whether it has accepted a job.
@@ -111,14 +112,20 @@
 // A Ping carries an entry's report to another entry.
 type Ping struct {
 	Report  freshness.PeerReport `json:"report"`
-	Unheard []string             `json:"unheard,omitempty"` // Entries that the sender does not hear.
+	Silence []Silence            `json:"silence,omitempty"`
+}
+
+// A Silence says for how long the sender has not heard an entry.
+type Silence struct {
+	For  time.Duration `json:"for"`
+	Name string        `json:"name"`
 }
 
 // A PingReply carries the other entry's report back.
 type PingReply struct {
 	Accepted uint64               `json:"accepted"` // Newest version known to be accepted.
 	Report   freshness.PeerReport `json:"report"`
-	Unheard  []string             `json:"unheard,omitempty"`
+	Silence  []Silence            `json:"silence,omitempty"`
 }
 
 // A RosterReply lists the agents that an entry knows, and the records that it
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -40,6 +40,7 @@
 	NeverRuns        Kind = "never-runs"
 	NoServers        Kind = "no-servers"
 	NotOwner         Kind = "not-owner"
+	NotReached       Kind = "not-reached"
 	NotReady         Kind = "not-ready"
 	NotStarted       Kind = "not-started"
 	OutcomeUnknown   Kind = "outcome-unknown"
@@ -82,6 +83,7 @@
 	NeverRuns:        {"split the job or ask the operators for a larger quota", http.StatusUnprocessableEntity},
 	NoServers:        {"wait until a backend server announces itself", http.StatusServiceUnavailable},
 	NotOwner:         {"fetch the newer view and ask the owner", http.StatusMisdirectedRequest},
+	NotReached:       {"submit again after the stated time", http.StatusServiceUnavailable},
 	NotReady:         {"wait until the entry has joined", http.StatusServiceUnavailable},
 	NotStarted:       {"the task can be placed elsewhere", http.StatusServiceUnavailable},
 	OutcomeUnknown:   {"check the effects of the job before submitting it under a new ID", http.StatusGatewayTimeout},
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,8 +25,9 @@
 // States of an incarnation.
 const (
 	Connected State = "connected" // Can be asked.
+	Dead      State = "dead"      // Died before a later incarnation started; its records are gone.
 	Left      State = "left"      // Handed its records over.
-	Lost      State = "lost"      // Died or is not reached; its records can't be had.
+	Lost      State = "lost"      // Is not reached from here; others may reach it.
 )
 
 // A Member is one incarnation of an agent.
@@ -47,16 +48,13 @@
 }
 
 // Connected records that an incarnation can be asked. Earlier incarnations of
-// the agent that did not leave are lost.
+// the agent that did not leave are dead since it started, which its number
+// tells in Unix milliseconds.
 func (r *Roster) Connected(ref pollenfront.ServerRef, now time.Time) {
-	for other, m := range r.members {
-		if other.Name == ref.Name && other.Incarnation < ref.Incarnation && m.State == Connected {
-			r.set(other, Lost, now)
-		}
-	}
 	if m, ok := r.members[ref]; !ok || m.State == Lost {
 		r.set(ref, Connected, now)
 	}
+	r.buryEarlier(ref)
 }
 
 // Lost records that an incarnation can't be asked.
@@ -71,26 +69,30 @@
 	r.set(ref, Left, now)
 }
 
-// Merge takes in what another entry knows. Agents that only the other entry
-// is connected to count as lost until they connect here too.
+// Merge takes in what another entry knows. Agents that the other entry is
+// connected to count as lost until they connect here too.
 func (r *Roster) Merge(members []Member, now time.Time) {
 	for _, m := range members {
-		if _, known := r.members[m.Ref]; known {
+		if known, ok := r.members[m.Ref]; ok && (known.State != Lost || m.State == Connected || m.State == Lost) {
 			continue
 		}
-		if m.State == Connected {
+		if m.State == Connected || m.State == Lost {
 			m.State, m.Since = Lost, now
 		}
 		r.members[m.Ref] = m
 	}
+	for ref := range r.members {
+		r.buryEarlier(ref)
+	}
 }
 
 // Unaccounted returns the name of an agent that may have started tasks since
 // the given time and can't be asked. It returns an empty string if there is
-// none.
+// none. An agent that is not reached from here counts however long that has
+// been so: the former owner may have reached it.
 func (r *Roster) Unaccounted(since time.Time) string {
 	for _, m := range r.Members() {
-		if m.State == Lost && m.Since.After(since) {
+		if m.State == Lost || m.State == Dead && m.Since.After(since) {
 			return m.Ref.Name
 		}
 	}
@@ -118,6 +120,16 @@
 	return members
 }
 
+// buryEarlier marks the earlier incarnations of an agent as dead.
+func (r *Roster) buryEarlier(ref pollenfront.ServerRef) {
+	started := time.UnixMilli(int64(ref.Incarnation))
+	for other, m := range r.members {
+		if other.Name == ref.Name && other.Incarnation < ref.Incarnation && (m.State == Connected || m.State == Lost) {
+			r.set(other, Dead, started)
+		}
+	}
+}
+
 // set records a state.
 func (r *Roster) set(ref pollenfront.ServerRef, state State, now time.Time) {
 	r.members[ref] = Member{Ref: ref, Since: now, State: state}
--- a/standin/internal/history/check.go
+++ b/standin/internal/history/check.go
@@ -39,6 +39,7 @@
 			violations = append(violations, explain(id, ops)...)
 		}
 	}
+	violations = append(violations, checkRefused(jobs)...)
 	violations = append(violations, checkTakeOuts(records)...)
 	slices.SortFunc(violations, func(a, b Violation) int {
 		return compare(a.Promise+string(a.Job), b.Promise+string(b.Job))
@@ -71,6 +72,27 @@
 	return porcupine.CheckOperationsTimeout(model, operations, checkTimeout) != porcupine.Illegal
 }
 
+// checkRefused returns the jobs that started although every submission of them
+// was answered as refused or not run.
+func checkRefused(jobs map[pollenfront.JobID][]Record) []Violation {
+	var violations []Violation
+	for id, records := range jobs {
+		starts, others := 0, 0
+		for _, r := range records {
+			switch {
+			case r.Event == EventStart:
+				starts++
+			case r.Answer == nil || r.Answer.Status != pollenfront.StatusRefused && r.Answer.Status != pollenfront.StatusNotRun:
+				others++
+			}
+		}
+		if starts > 0 && others == 0 && len(records) > starts {
+			violations = append(violations, Violation{Job: id, Promise: "refused starts nothing", Trace: fmt.Sprintf("%d starts", starts)})
+		}
+	}
+	return violations
+}
+
 // checkTakeOuts returns the starts in a zone, or on a server, that was out for
 // longer than TakeOutLimit.
 func checkTakeOuts(records []Record) []Violation {
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -160,8 +160,10 @@
 	}
 	last := ""
 	for ctx.Err() == nil {
-		s.tries++
 		answer, name, ok := r.submitOnce(ctx, s, last)
+		if name != "" {
+			s.tries++
+		}
 		if ok {
 			s.answer, s.ended = answer, time.Now()
 			return
--- a/view/change.go
+++ b/view/change.go
@@ -47,6 +47,7 @@
 	Operation Operation            `json:"operation"`
 	Ref       pollenfront.EntryRef `json:"ref,omitzero"`
 	Setting   Setting              `json:"setting,omitzero"`
+	Silent    time.Time            `json:"silent,omitzero"` // For a fence: when the entry had ceased to accept jobs.
 	Team      Team                 `json:"team,omitzero"`
 }
 
@@ -87,7 +88,7 @@
 	})
 	next.Changes = tail(next.Changes, maxAppliedChanges)
 	next.Accepted = max(next.Accepted, change.Accepted)
-	next.recordEntrySet(change.Operation, now, retention)
+	next.recordEntrySet(change, now, retention)
 	return next, nil
 }
 
@@ -222,7 +223,7 @@
 // recordEntrySet adds the present set of owners to the history if it has
 // changed, and drops sets that were replaced too long ago. The owners are the
 // active entries outside of the zones that are taken out.
-func (v *View) recordEntrySet(cause Operation, now time.Time, retention time.Duration) {
+func (v *View) recordEntrySet(change Change, now time.Time, retention time.Duration) {
 	members := []pollenfront.EntryRef{}
 	for _, e := range v.Entries {
 		if e.State == EntryActive && !v.ZoneOut(e.Zone) {
@@ -230,7 +231,7 @@
 		}
 	}
 	if !slices.Equal(members, v.Members()) {
-		v.EntrySets = append(v.EntrySets, EntrySet{Cause: cause, From: v.Version, Members: members, Since: now})
+		v.EntrySets = append(v.EntrySets, EntrySet{Cause: change.Operation, Ceased: change.Silent, From: v.Version, Members: members, Since: now})
 	}
 	for len(v.EntrySets) > 1 && now.Sub(v.EntrySets[1].Since) > retention {
 		v.EntrySets = v.EntrySets[1:]
--- a/view/owner.go
+++ b/view/owner.go
@@ -49,17 +49,18 @@
 
 // FormerOwners returns the other entries that may have accepted the job before
 // self came to own it, newest first. Settle is the time after a change during
-// which a former owner may still accept a job.
-func (v *View) FormerOwners(id pollenfront.JobID, self pollenfront.EntryRef, settle time.Duration) []pollenfront.EntryRef {
+// which a former owner that was not fenced may still accept a job, and skew the
+// greatest lead of a job ID over the clock of the entry that wrote the change.
+func (v *View) FormerOwners(id pollenfront.JobID, self pollenfront.EntryRef, settle, skew time.Duration) []pollenfront.EntryRef {
 	var former []pollenfront.EntryRef
 	seen := map[pollenfront.EntryRef]bool{self: true}
 	for i := len(v.EntrySets) - 2; i >= 0; i-- {
-		replacedAt := v.EntrySets[i+1].Since
-		if id.Time().After(replacedAt.Add(settle)) {
-			break
-		}
 		owner, ok := ownerIn(v.EntrySets[i].Members, id)
-		if ok && !seen[owner] {
+		if !ok || seen[owner] {
+			continue
+		}
+		ceased := v.EntrySets[i+1].ceased(v.Has(owner), settle)
+		if !id.Time().After(ceased.Add(skew)) {
 			seen[owner] = true
 			former = append(former, owner)
 		}
@@ -67,6 +68,20 @@
 	return former
 }
 
+// ceased returns when an entry that owned jobs before the set came into force
+// had ceased to accept them. One that is still in the view may do so until the
+// change has reached it. One that has left, or was replaced by its successor,
+// had ceased before.
+func (s EntrySet) ceased(present bool, settle time.Duration) time.Time {
+	switch {
+	case present:
+		return s.Since.Add(settle)
+	case s.Cause == OpFence && !s.Ceased.IsZero():
+		return s.Ceased
+	}
+	return s.Since
+}
+
 // UnsettledSets returns the entry sets that must confirm v before it counts as
 // accepted: a majority of each set that was in force since the newest version
 // that was known to be accepted when v was written.
--- a/view/view.go
+++ b/view/view.go
@@ -50,7 +50,8 @@
 // An EntrySet is the set of entries that owned job IDs from a version on.
 type EntrySet struct {
 	Cause   Operation              `json:"cause"`
-	From    uint64                 `json:"from"` // First version with this set.
+	Ceased  time.Time              `json:"ceased,omitzero"` // For a fence: when the entry had ceased to accept jobs.
+	From    uint64                 `json:"from"`            // First version with this set.
 	Members []pollenfront.EntryRef `json:"members"`
 	Since   time.Time              `json:"since"` // Wall-clock time of the change.
 }
