Serve jobs by urgency, at the owner and in the agents' queues

Cause: at 80% load small jobs waited behind the tasks of large ones, first at their owner (a job's key was its arrival plus its ideal response time) and then because a slot that another owner's task freed was known to that owner first.

Change: the key is the arrival plus 8 times the ideal response time, and an agent starts its queued tasks in the order of their keys, across owners.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -39,6 +39,10 @@
 	patience          = 4  // Times the expected completion after which a task is taken back.
 	patienceFloor     = 100 * time.Millisecond
 	refusedRetryAfter = time.Second
+	// urgency is the multiple of its ideal response time after which a job is
+	// served before all that arrive later. It keeps small jobs from waiting for
+	// large ones, and large ones from waiting for ever.
+	urgency = 8
 )
 
 // A Dispatcher owns jobs and places their tasks.
@@ -130,7 +134,7 @@
 	}
 	d.counts.Accepted++
 	j.work = d.workOf(j.Kind, j.queued)
-	j.key = now.Add(d.ideal(j))
+	j.key = now.Add(urgency * d.ideal(j))
 	d.jobs[j.ID] = j
 	t := d.team(j.Team)
 	t.inFlight += len(j.tasks)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -215,6 +215,7 @@
 		Accepted: j.accepted,
 		Attempt:  t.attempt,
 		Deadline: j.Deadline,
+		Due:      j.key,
 		Kind:     j.Kind,
 		Owner:    d.self,
 		Ref:      pollenfront.TaskRef{Job: j.ID, Task: t.Name},
--- a/ledger/event.go
+++ b/ledger/event.go
@@ -16,6 +16,7 @@
 	Accepted uint64                `json:"accepted"` // View version under which the owner accepted the job.
 	Attempt  uint64                `json:"attempt"`  // Grows with every attempt to start the same task.
 	Deadline time.Time             `json:"deadline"` // Wall-clock time.
+	Due      time.Time             `json:"due"`      // Queued tasks start in the order of this wall-clock time.
 	Kind     string                `json:"kind"`
 	Owner    pollenfront.EntryRef  `json:"owner"`
 	Ref      pollenfront.TaskRef   `json:"ref"`
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -200,12 +200,23 @@
 		r = l.create(e.Ref)
 	}
 	r.attempt, r.owner, r.start, r.state = e.Attempt, e.Owner, e, stateQueued
-	l.queue = append(l.queue, e.Ref)
+	l.enqueue(e)
 	l.owned[e.Owner.Name]++
 	l.serial++
 	return nil
 }
 
+// enqueue queues a task in the order of service.
+func (l *Ledger) enqueue(e Start) {
+	i, _ := slices.BinarySearchFunc(l.queue, e.Due, func(queued pollenfront.TaskRef, due time.Time) int {
+		if l.find(queued).start.Due.After(due) {
+			return 1
+		}
+		return -1
+	})
+	l.queue = slices.Insert(l.queue, i, e.Ref)
+}
+
 // join answers a request for a task that is on record. A driver that gets no
 // Reply yet waits for the one that comes when the task ends.
 func (l *Ledger) join(ref pollenfront.TaskRef, attempt uint64, r *record) []Effect {
