Keep proofs across view changes, and let short tasks overtake queued ones

A proof that nothing newer than version v was accepted holds for every later version too, so nothing is dropped now. The property test passes 20000 checks with the wider rule.

Cause 2: the wait for a full server reckoned with the tasks in the agent's queue, which a short task overtakes, so short tasks went to slow servers. Change: kinds shorter than the average see the next free slot and may be sent beyond the queue depth; agents take 32 tasks beyond it; a server that refused a task rests longer with each refusal of it.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -312,7 +312,7 @@
 	d.counts.NotStarted++
 	t.refusals++
 	if s != nil && s.Ref() == t.server {
-		d.learnRefusal(now, s, refusal.Kind(t.outcome.Reason))
+		d.learnRefusal(now, s, t)
 	}
 	if j.answered {
 		t.state = taskDropped
@@ -330,16 +330,18 @@
 	return d.giveUp(now, j, reason.After(refusedRetryAfter))
 }
 
-// learnRefusal stops sends to a server that refused an attempt.
-func (d *Dispatcher) learnRefusal(now time.Time, s *server, kind refusal.Kind) {
-	switch kind {
+// learnRefusal stops sends to a server that refused an attempt, for longer the
+// more often the task was refused.
+func (d *Dispatcher) learnRefusal(now time.Time, s *server, t *task) {
+	pause := fullPause << min(t.refusals, maxPauseDoublings)
+	switch refusal.Kind(t.outcome.Reason) {
 	case refusal.AgentLeaving, refusal.WrongIncarnation:
 		s.gone = true
 	case refusal.Cancelled:
 	case refusal.ServerFull:
-		s.fullUntil = now.Add(fullPause)
+		s.fullUntil = now.Add(pause)
 	default:
-		s.fullUntil = now.Add(10 * fullPause)
+		s.fullUntil = now.Add(10 * pause)
 	}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -11,6 +11,10 @@
 // maxConsidered bounds the queued tasks that one pass looks at.
 const maxConsidered = 128
 
+// urgentRoom is the number of tasks beyond the queue depth that may be sent of
+// short kinds. They overtake the queued tasks of longer kinds at the agent.
+const urgentRoom = 4
+
 // place sends queued tasks to servers. It looks at the tasks in the order of
 // service; a task for which a full server is the better choice stays queued,
 // and the pass reckons with the slot that it will take.
@@ -56,7 +60,8 @@
 type passServer struct {
 	*server
 
-	free     []time.Duration // From now on, of the slots that will be free, sorted.
+	free     []time.Duration // Times from now on at which slots are free for a task that queues, sorted.
+	next     []time.Duration // The same for a task that overtakes the queued ones.
 	room     int
 	slowness float64
 }
@@ -76,8 +81,8 @@
 		if !s.usable(now) {
 			continue
 		}
-		room := max(0, s.room(now, depth))
-		p.room += room
+		room := s.room(now, depth)
+		p.room += max(0, room+urgentRoom)
 		p.servers = append(p.servers, passServer{room: room, server: s, slowness: d.estimator.Slowness(name)})
 	}
 	d.passServers = p.servers
@@ -85,7 +90,8 @@
 		return p
 	}
 	for i := range p.servers {
-		p.servers[i].free = p.servers[i].freeTimes(now, d.estimator.Typical(p.servers[i].Name))
+		s := &p.servers[i]
+		s.next, s.free = s.freeTimes(now, d.estimator.Typical(s.Name))
 	}
 	return p
 }
@@ -146,13 +152,19 @@
 // candidates lists the servers for a task of a kind.
 func (p *pass) candidates(kind string) []pollenfront.Candidate {
 	base := float64(p.dispatcher.estimator.Base(kind, 0))
+	urgent := p.dispatcher.estimator.Short(kind)
 	p.candidate = p.candidate[:0]
 	for i := range p.servers {
 		s := &p.servers[i]
 		expected := time.Duration(base * s.slowness)
-		p.candidate = append(p.candidate, pollenfront.Candidate{
-			Expected: expected, Name: s.Name, Others: s.load.Others, Own: s.own, Room: s.room, Wait: s.wait(expected),
-		})
+		c := pollenfront.Candidate{
+			Expected: expected, Name: s.Name, Others: s.load.Others, Own: s.own, Room: s.room, Wait: s.free[0],
+		}
+		if urgent {
+			c.Room += urgentRoom
+			c.Wait = s.next[0]
+		}
+		p.candidate = append(p.candidate, c)
 	}
 	p.dispatcher.candidate = p.candidate
 	return p.candidate
@@ -173,23 +185,18 @@
 	}
 }
 
-// wait returns the time until a slot is free.
-func (s *passServer) wait(expected time.Duration) time.Duration {
-	if len(s.free) == 0 {
-		return expected
-	}
-	return s.free[0]
-}
-
 // occupy takes the slot that is free first for the run time of a task.
 func (s *passServer) occupy(c pollenfront.Candidate) {
-	if len(s.free) == 0 {
-		return
-	}
-	end := s.free[0] + c.Expected
-	i, _ := slices.BinarySearch(s.free[1:], end)
-	copy(s.free, s.free[1:i+1])
-	s.free[i] = end
+	occupy(s.free, c.Expected)
+	occupy(s.next, c.Expected)
+}
+
+// occupy puts the first of some sorted times off.
+func occupy(free []time.Duration, by time.Duration) {
+	end := free[0] + by
+	i, _ := slices.BinarySearch(free[1:], end)
+	copy(free, free[1:i+1])
+	free[i] = end
 }
 
 // before reports whether a is served before b.
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -9,19 +9,20 @@
 
 // Parameters of how the dispatcher judges servers.
 const (
-	ejectShare      = 0.5 // Least share of failures that ejects a server.
-	ejectSample     = 5   // Least number of failures that ejects a server.
-	ejectTimesPeers = 3.0 // Least ratio of the share to that of all servers.
-	failureGain     = 0.1 // Weight of the newest outcome in the share of failures.
-	fullPause       = 20 * time.Millisecond
-	leastLeft       = 0.2  // Share of the expected run time that an overdue task is taken to need.
-	maxEjected      = 0.34 // Greatest share of the servers that is ejected at once.
-	maxProbePause   = time.Minute
-	minProbePause   = 5 * time.Second
-	probesToReturn  = 3
-	rampTime        = 2 * time.Second // From a return until all slots are used.
-	rampFirst       = 0.25            // Share of the slots used right after a return.
-	silenceLimit    = 2500 * time.Millisecond
+	ejectShare        = 0.5 // Least share of failures that ejects a server.
+	ejectSample       = 5   // Least number of failures that ejects a server.
+	ejectTimesPeers   = 3.0 // Least ratio of the share to that of all servers.
+	failureGain       = 0.1 // Weight of the newest outcome in the share of failures.
+	fullPause         = 20 * time.Millisecond
+	leastLeft         = 0.2  // Share of the expected run time that an overdue task is taken to need.
+	maxEjected        = 0.34 // Greatest share of the servers that is ejected at once.
+	maxPauseDoublings = 5
+	maxProbePause     = time.Minute
+	minProbePause     = 5 * time.Second
+	probesToReturn    = 3
+	rampTime          = 2 * time.Second // From a return until all slots are used.
+	rampFirst         = 0.25            // Share of the slots used right after a return.
+	silenceLimit      = 2500 * time.Millisecond
 )
 
 // A server is what the dispatcher knows of a backend server.
@@ -73,9 +74,10 @@
 }
 
 // freeTimes returns the times from now on at which the slots are expected to
-// be free, sorted. Typical is the run time of an average task on the server.
-func (s *server) freeTimes(now time.Time, typical time.Duration) []time.Duration {
-	var ends []time.Duration
+// be free, sorted: for a task that overtakes those in the agent's queue, and for
+// one that does not. Typical is the run time of an average task on the server.
+func (s *server) freeTimes(now time.Time, typical time.Duration) (next, last []time.Duration) {
+	ends := make([]time.Duration, 0, len(s.ownTasks)+s.load.Others)
 	for _, t := range s.ownTasks {
 		run := t.choice.Expected
 		left := t.choice.Wait + run - now.Sub(t.sentAt)
@@ -85,16 +87,14 @@
 		ends = append(ends, typical*time.Duration(i+1)/time.Duration(s.load.Others+1))
 	}
 	slices.Sort(ends)
-	free := make([]time.Duration, s.Slots)
-	for i, end := range ends[:min(len(ends), s.Slots)] {
-		free[i] = end
+	running := min(len(ends), s.Slots)
+	next = make([]time.Duration, s.Slots)
+	copy(next[s.Slots-running:], ends[:running])
+	last = slices.Clone(next)
+	for range len(ends) - running {
+		occupy(last, typical)
 	}
-	for i := s.Slots; i < len(ends); i++ { // Tasks in the agent's queue.
-		free[0] += typical
-		slices.Sort(free)
-	}
-	slices.Sort(free)
-	return free
+	return next, last
 }
 
 // room returns the number of tasks that may still be sent to the server.
--- a/estimate/estimator.go
+++ b/estimate/estimator.go
@@ -88,6 +88,12 @@
 	return scale(seconds(math.Exp(e.typical.value)), e.Slowness(server))
 }
 
+// Short reports whether tasks of a kind are shorter than an average task.
+func (e *Estimator) Short(kind string) bool {
+	k, ok := e.kinds[kind]
+	return ok && k.value <= e.typical.value
+}
+
 // Slowness returns the factor by which a server is slower than the reference.
 // A server that has not run a task yet is taken for an average one.
 func (e *Estimator) Slowness(server string) float64 {
--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -59,15 +59,14 @@
 	return &Tracker{self: self, agreed: make(map[string]time.Time), contact: make(map[string]time.Time)}
 }
 
-// SetView tells the tracker which view the process holds now. All proofs of
-// an older version are void.
+// SetView tells the tracker which view the process holds now. A proof of an
+// older version holds for it too: what was not newer than that version is not
+// newer than this one.
 func (t *Tracker) SetView(v *view.View) {
 	if v.Version <= t.version {
 		return
 	}
 	t.version = v.Version
-	t.proof = time.Time{}
-	clear(t.agreed)
 	t.members = t.members[:0]
 	for _, member := range v.Members() {
 		t.members = append(t.members, member.Name)
@@ -78,7 +77,7 @@
 // given version.
 func (t *Tracker) TableRead(sentAt time.Time, version uint64) {
 	t.tableAt = later(t.tableAt, sentAt)
-	if version == t.version {
+	if version <= t.version {
 		t.proof = later(t.proof, sentAt)
 	}
 }
@@ -93,7 +92,7 @@
 // message sent at sentAt. The proof counts from sentAt, the latest instant
 // that is certainly not after the answer was made.
 func (t *Tracker) Passed(sentAt time.Time, version uint64, age time.Duration) {
-	if version == t.version {
+	if version <= t.version {
 		t.proof = later(t.proof, sentAt.Add(-age))
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -33,9 +33,10 @@
 	maxRecords = 400_000
 	// clockSkew is the greatest difference allowed between two clocks.
 	clockSkew = 2 * time.Second
-	// overshoot is the number of tasks that are taken beyond the queue depth,
-	// since several owners may send to the last room at once.
-	overshoot = 8
+	// overshoot is the number of tasks that are taken beyond the queue depth:
+	// several owners may send to the last room at once, and short tasks may
+	// overtake queued ones.
+	overshoot = 32
 )
 
 // A state is the state of a record.
