--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 SHELL := /bin/bash
 MODULES := ./... ./agent/... ./entry/... ./pollenctl/... ./standin/...
 
-.PHONY: build demo lint test unit
+.PHONY: bench build demo faults lint recovery slopes test unit
+
+bench: build ## measures the policy into run/bench (ROWS="..." for some rows)
+	scripts/bench.sh $(ROWS)
 
 build: ## builds all programs into bin/
 	go build -o bin/ ./agent ./entry ./pollenctl ./standin
@@ -10,10 +13,19 @@
 demo: build ## runs both deployments on loopback and shows their answers
 	scripts/demo.sh
 
-test: lint unit ## checks format and style, and runs all tests
+faults: build ## runs the schedule of faults of SEED and checks the history
+	scripts/faults.sh
 
-lint:
+lint: ## checks format and style
 	scripts/lint.sh
 
+recovery: build ## kills an owner under load and states the time to recover
+	scripts/recovery.sh
+
+slopes: build ## measures the slopes of docs/CAPACITY.md
+	scripts/slopes.sh
+
+test: lint unit ## checks format and style, and runs all tests
+
 unit: build
 	go test -race -timeout 10m $(MODULES)
--- a/agent/checksettingscmd.go
+++ b/agent/checksettingscmd.go
@@ -8,7 +8,7 @@
 
 // A checkSettingsCmd checks a settings file.
 type checkSettingsCmd struct {
-	Settings string `arg:"--settings,required" help:"TOML file with the settings" placeholder:"FILE"`
+	Settings string `arg:"--settings" help:"TOML file with the settings, required" placeholder:"FILE"`
 }
 
 // execute returns all faults of the file.
--- a/entry/internal/members/change.go
+++ b/entry/internal/members/change.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	for {
 		m.PingAll(ctx)
-		if m.Accepted() >= version {
+		if m.checkAccepted() >= version {
 			return operatorapi.ChangeResult{Accepted: true, Unconfirmed: m.Unconfirmed(version), Version: version}
 		}
 		select {
--- a/entry/internal/members/members.go
+++ b/entry/internal/members/members.go
@@ -221,6 +221,15 @@
 	return m.newestAccepted()
 }
 
+// checkAccepted checks whether the present view is accepted, and returns the
+// newest version that is.
+func (m *Members) checkAccepted() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.noteAccepted()
+	return m.newestAccepted()
+}
+
 // NoteAccepted takes in that another entry knows a version to be accepted.
 func (m *Members) NoteAccepted(version uint64) {
 	m.mutex.Lock()
--- a/entry/runcmd.go
+++ b/entry/runcmd.go
@@ -26,7 +26,7 @@
 
 // A runCmd runs the entry.
 type runCmd struct {
-	Settings string `arg:"--settings,required" help:"TOML file with the settings" placeholder:"FILE"`
+	Settings string `arg:"--settings" help:"TOML file with the settings, required" placeholder:"FILE"`
 }
 
 // execute runs the entry until ctx ends, then leaves in a planned way.
--- a/pollenctl/command.go
+++ b/pollenctl/command.go
@@ -25,7 +25,7 @@
 
 // A command is the command line of the program.
 type command struct {
-	API       []string      `arg:"--api,separate,env:POLLENFRONT_API" help:"base URL of an entry; may be repeated" placeholder:"URL"`
+	API       []string      `arg:"--api,separate" help:"base URL of an entry; may be repeated [default: the URLs in POLLENFRONT_API, with commas between]" placeholder:"URL"`
 	Base      uint64        `help:"view version that changes are based on; default: the present one"`
 	By        string        `arg:"env:USER" help:"name of the operator, for the record of changes"`
 	DryRun    bool          `arg:"--dry-run" help:"try changes out without making them"`
@@ -67,6 +67,9 @@
 	if c.Output != "table" && c.Output != "json" {
 		return program.ExitError{Code: program.ExitUsage, Err: fmt.Errorf("--output %q is not table or json", c.Output)}
 	}
+	if len(c.API) == 0 {
+		c.API = strings.FieldsFunc(os.Getenv("POLLENFRONT_API"), func(r rune) bool { return r == ',' })
+	}
 	statements, err := c.statements()
 	if err != nil {
 		return program.ExitError{Code: program.ExitUsage, Err: err}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,6 +44,9 @@
 // Load reads settings from the file and checks them. It returns all faults
 // joined in one error.
 func Load(file string, into Checker) error {
+	if file == "" {
+		return errors.New("--settings FILE is missing")
+	}
 	meta, err := toml.DecodeFile(file, into)
 	if err != nil {
 		var parse toml.ParseError
--- a/standin/command.go
+++ b/standin/command.go
@@ -11,6 +11,7 @@
 	Network  *networkCmd  `arg:"subcommand:network" help:"run relays that add latency and can be cut"`
 	Plan     *planCmd     `arg:"subcommand:plan" help:"lay out the processes of a deployment"`
 	Platform *platformCmd `arg:"subcommand:platform" help:"run the platform's table service and object store"`
+	Table    *tableCmd    `arg:"subcommand:table" help:"write the reports of many runs as a table and plots"`
 }
 
 // Description describes the program in its help.
@@ -50,6 +51,8 @@
 		return c.Plan
 	case c.Platform != nil:
 		return c.Platform
+	case c.Table != nil:
+		return c.Table
 	}
 	return nil
 }
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	drainTime   = 3 * time.Second // Beyond the longest timeout.
-	resubmitGap = 100 * time.Millisecond
+	drainTime    = 3 * time.Second // Beyond the longest timeout.
+	neverTimeout = 10 * time.Millisecond
+	resubmitGap  = 100 * time.Millisecond
 )
 
 // Options are the options of a run.
@@ -35,6 +36,7 @@
 	For         time.Duration
 	History     string // File to write, or empty.
 	Mix         string
+	Never       float64 // Share of the jobs that can never run: their deadline is too near.
 	Seed        uint64
 	Utilization float64       // Share of the capacity that the jobs need.
 	Warm        time.Duration // Time before jobs count.
@@ -140,6 +142,9 @@
 	}
 	drawn.Job.ID = pollenfront.NewJobID()
 	drawn.Job.Deadline = now.Add(kind.Timeout)
+	if r.random.Float64() < r.Never {
+		drawn.Job.Deadline = now.Add(neverTimeout)
+	}
 	s := &submission{arrived: now, drawn: drawn, kind: kind, warm: warm}
 	s.cancel = r.random.Float64() < r.Cancel
 	s.double = r.random.Float64() < r.Double
--- a/standin/loadcmd.go
+++ b/standin/loadcmd.go
@@ -22,6 +22,7 @@
 	History string        `help:"file for the history"`
 	JSON    string        `help:"file for the report"`
 	Mix     string        `default:"morning" help:"morning or evening"`
+	Never   float64       `help:"share of the jobs that can never run"`
 	Seed    uint64        `default:"1" help:"seed of the arrivals"`
 	Util    float64       `default:"0.5" help:"share of the capacity that the jobs need"`
 	Warm    time.Duration `default:"5s" help:"time before jobs count"`
@@ -39,7 +40,7 @@
 	}
 	report, err := load.Run(ctx, load.Options{
 		Burst: c.Burst, Cancel: c.Cancel, Deployment: d, Double: c.Double, Fail: c.Fail, Fleet: fleet, For: c.For,
-		History: c.History, Mix: c.Mix, Seed: c.Seed, Utilization: c.Util, Warm: c.Warm,
+		History: c.History, Mix: c.Mix, Never: c.Never, Seed: c.Seed, Utilization: c.Util, Warm: c.Warm,
 	})
 	if err != nil {
 		return err
