Count majorities over all entries, and name another ID when an owner is lost

All entries in the view vote now, also those that are leaving or in a zone that is out: they still run.

The entry that takes the request refuses at once, names the remedy, and POST /v1/job-ids gives IDs of owners that are heard. Weighed against an election of a substitute without the table, which would be a consensus group of our own.

--- a/entry/internal/callers/api.go
+++ b/entry/internal/callers/api.go
@@ -93,9 +93,10 @@
 	ID pollenfront.JobID `json:"id"`
 }
 
-// newID returns a job ID for callers whose clock is wrong.
+// newID returns a job ID for callers whose clock is wrong, or whose job's owner
+// is lost.
 func (a *API) newID(w http.ResponseWriter, _ *http.Request) {
-	observe.WriteJSON(w, http.StatusOK, newIDReply{ID: pollenfront.NewJobID()})
+	observe.WriteJSON(w, http.StatusOK, newIDReply{ID: a.router.NewID()})
 }
 
 // submit submits a job and waits for its answer.
--- a/entry/internal/handover/router.go
+++ b/entry/internal/handover/router.go
@@ -29,6 +29,7 @@
 	grace       = 500 * time.Millisecond // Wait after the deadline for the owner's own answer.
 	maxAttempts = 200
 	maxPause    = 200 * time.Millisecond
+	newIDTries  = 64
 )
 
 // A Router finds the owner of a job.
@@ -73,6 +74,20 @@
 	return pollenfront.Answer{}, lostOr(lost, lastErr)
 }
 
+// NewID returns a job ID whose owner is not known to be lost, for callers that
+// have no good clock or were told to take another ID.
+func (r *Router) NewID() pollenfront.JobID {
+	id := pollenfront.NewJobID()
+	for range newIDTries {
+		name, own := r.ownerOf(id)
+		if own || !r.members.Abandoned(name) {
+			break
+		}
+		id = pollenfront.NewJobID()
+	}
+	return id
+}
+
 // State asks the owner of a job for its state.
 func (r *Router) State(ctx context.Context, id pollenfront.JobID) (peer.JobState, error) {
 	name, own := r.ownerOf(id)
@@ -102,6 +117,9 @@
 	if name == "" {
 		return pollenfront.Answer{}, refusal.New(refusal.NotReady, "no entry owns jobs yet").After(time.Second)
 	}
+	if r.members.Abandoned(name) {
+		return pollenfront.Answer{}, refusal.New(refusal.OwnerLost, "entry %s, which owns the job, is silent, and the table is down", name)
+	}
 	var answer pollenfront.Answer
 	submit := peer.Submit{Job: job, Submission: submission, Version: r.members.View().Version}
 	err := r.members.Call(ctx, name, peer.MethodSubmit, submit, &answer)
--- a/entry/internal/members/members.go
+++ b/entry/internal/members/members.go
@@ -193,6 +193,18 @@
 	return m.tracker.InContact(time.Now())
 }
 
+// Abandoned reports whether an entry is silent and can't be fenced now, since
+// the table is down.
+func (m *Members) Abandoned(name string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := time.Now()
+	if name == m.settings.Name || !m.tracker.TableDown(now) {
+		return false
+	}
+	return now.Sub(m.heard[name].at) > deadAfter
+}
+
 // Hear takes in another entry's report. It returns true if the other entry has
 // a newer view.
 func (m *Members) Hear(report freshness.PeerReport, silence []peer.Silence, sentAt time.Time) bool {
@@ -264,7 +276,7 @@
 }
 
 // noteAccepted checks whether the present view is accepted: a majority of each
-// set of owners that is not settled yet has confirmed it.
+// set of entries that is not settled yet has confirmed it.
 func (m *Members) noteAccepted() {
 	version := m.view.Version
 	if m.newestAccepted() < version && m.majorityOfEachSet(func(name string) bool { return m.confirmed(name, version) }) {
@@ -272,17 +284,17 @@
 	}
 }
 
-// majorityOfEachSet reports whether a majority of each set of owners that is
+// majorityOfEachSet reports whether a majority of each set of entries that is
 // not settled yet has a property.
 func (m *Members) majorityOfEachSet(has func(name string) bool) bool {
 	for _, set := range m.view.UnsettledSets() {
 		count := 0
-		for _, member := range set.Members {
-			if has(member.Name) {
+		for _, voter := range set.Voters {
+			if has(voter) {
 				count++
 			}
 		}
-		if len(set.Members) > 0 && count < freshness.Majority(len(set.Members)) {
+		if len(set.Voters) > 0 && count < freshness.Majority(len(set.Voters)) {
 			return false
 		}
 	}
--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -67,10 +67,7 @@
 		return
 	}
 	t.version = v.Version
-	t.members = t.members[:0]
-	for _, member := range v.Members() {
-		t.members = append(t.members, member.Name)
-	}
+	t.members = v.Voters()
 }
 
 // TableRead records that a read of the table, sent at sentAt, returned the
--- a/freshness/tracker_test.go
+++ b/freshness/tracker_test.go
@@ -49,7 +49,7 @@
 func viewOf(version uint64, n int) *view.View {
 	set := view.EntrySet{From: 1}
 	for i := range n {
-		set.Members = append(set.Members, view.Entry{Name: name(i)}.Ref())
+		set.Voters = append(set.Voters, name(i))
 	}
 	return &view.View{EntrySets: []view.EntrySet{set}, Version: version}
 }
@@ -189,7 +189,7 @@
 			},
 		},
 		{
-			name: "an entry that is no owner has no say in the majority", after: 4 * time.Second,
+			name: "an entry that is not in the view has no say in the majority", after: 4 * time.Second,
 			do: func(x *freshness.Tracker) {
 				x.Peer(start.Add(3*time.Second), freshness.PeerReport{Name: "e9", Version: 7})
 			},
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -46,6 +46,7 @@
 	OutcomeUnknown   Kind = "outcome-unknown"
 	OverQuota        Kind = "over-quota"
 	Overloaded       Kind = "overloaded"
+	OwnerLost        Kind = "owner-lost"
 	RecordedNotYet   Kind = "recorded-not-in-force"
 	ServerFull       Kind = "server-full"
 	ServerRetired    Kind = "server-retired"
@@ -89,6 +90,7 @@
 	OutcomeUnknown:   {"check the effects of the job before submitting it under a new ID", http.StatusGatewayTimeout},
 	OverQuota:        {"submit again when earlier jobs have finished", http.StatusTooManyRequests},
 	Overloaded:       {"submit again after the stated time", http.StatusServiceUnavailable},
+	OwnerLost:        {"submit again at once under a new ID from POST /v1/job-ids", http.StatusServiceUnavailable},
 	RecordedNotYet:   {"watch the version until every zone confirms it", http.StatusAccepted},
 	ServerFull:       {"the task is placed elsewhere", http.StatusServiceUnavailable},
 	ServerRetired:    {"the task is placed elsewhere", http.StatusServiceUnavailable},
--- a/standin/command.go
+++ b/standin/command.go
@@ -7,6 +7,7 @@
 	Backend  *backendCmd  `arg:"subcommand:backend" help:"run a backend server that sleeps"`
 	Check    *checkCmd    `arg:"subcommand:check" help:"check a history against the model"`
 	Faults   *faultsCmd   `arg:"subcommand:faults" help:"order a seeded schedule of faults on a running fleet"`
+	Gap      *gapCmd      `arg:"subcommand:gap" help:"state how long the jobs of a killed owner had to wait"`
 	Load     *loadCmd     `arg:"subcommand:load" help:"submit jobs in an open loop and report"`
 	Network  *networkCmd  `arg:"subcommand:network" help:"run relays that add latency and can be cut"`
 	Plan     *planCmd     `arg:"subcommand:plan" help:"lay out the processes of a deployment"`
@@ -43,6 +44,8 @@
 		return c.Check
 	case c.Faults != nil:
 		return c.Faults
+	case c.Gap != nil:
+		return c.Gap
 	case c.Load != nil:
 		return c.Load
 	case c.Network != nil:
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/refusal"
 	"github.com/pollenfront/pollenfront/standin/internal/deployment"
 	"github.com/pollenfront/pollenfront/standin/internal/history"
 	"github.com/pollenfront/pollenfront/standin/internal/plan"
@@ -22,6 +23,7 @@
 const (
 	drainTime    = 3 * time.Second // Beyond the longest timeout.
 	neverTimeout = 10 * time.Millisecond
+	maxNewIDs    = 20
 	resubmitGap  = 100 * time.Millisecond
 )
 
@@ -169,6 +171,10 @@
 		if name != "" {
 			s.tries++
 		}
+		if ok && answer.Reason == string(refusal.OwnerLost) && s.tries < maxNewIDs {
+			s.drawn.Job.ID = pollenfront.NewJobID()
+			continue
+		}
 		if ok {
 			s.answer, s.ended = answer, time.Now()
 			return
--- a/view/change.go
+++ b/view/change.go
@@ -224,14 +224,15 @@
 // changed, and drops sets that were replaced too long ago. The owners are the
 // active entries outside of the zones that are taken out.
 func (v *View) recordEntrySet(change Change, now time.Time, retention time.Duration) {
-	members := []pollenfront.EntryRef{}
+	members, voters := []pollenfront.EntryRef{}, []string{}
 	for _, e := range v.Entries {
+		voters = append(voters, e.Name)
 		if e.State == EntryActive && !v.ZoneOut(e.Zone) {
 			members = append(members, e.Ref())
 		}
 	}
-	if !slices.Equal(members, v.Members()) {
-		v.EntrySets = append(v.EntrySets, EntrySet{Cause: change.Operation, Ceased: change.Silent, From: v.Version, Members: members, Since: now})
+	if !slices.Equal(members, v.Members()) || !slices.Equal(voters, v.Voters()) {
+		v.EntrySets = append(v.EntrySets, EntrySet{Cause: change.Operation, Ceased: change.Silent, From: v.Version, Members: members, Since: now, Voters: voters})
 	}
 	for len(v.EntrySets) > 1 && now.Sub(v.EntrySets[1].Since) > retention {
 		v.EntrySets = v.EntrySets[1:]
--- a/view/owner.go
+++ b/view/owner.go
@@ -47,6 +47,14 @@
 	return nil
 }
 
+// Voters returns the names of the entries that a majority is counted over.
+func (v *View) Voters() []string {
+	if len(v.EntrySets) == 0 {
+		return nil
+	}
+	return v.EntrySets[len(v.EntrySets)-1].Voters
+}
+
 // FormerOwners returns the other entries that may have accepted the job before
 // self came to own it, newest first. Settle is the time after a change during
 // which a former owner that was not fenced may still accept a job, and skew the
--- a/view/view.go
+++ b/view/view.go
@@ -47,13 +47,16 @@
 	return pollenfront.EntryRef{Incarnation: e.Incarnation, Name: e.Name}
 }
 
-// An EntrySet is the set of entries that owned job IDs from a version on.
+// An EntrySet is the set of entries that owned job IDs from a version on, and
+// of those that a majority is counted over. The latter has the entries that are
+// leaving and those in zones that are out, too: they still run.
 type EntrySet struct {
 	Cause   Operation              `json:"cause"`
 	Ceased  time.Time              `json:"ceased,omitzero"` // For a fence: when the entry had ceased to accept jobs.
 	From    uint64                 `json:"from"`            // First version with this set.
 	Members []pollenfront.EntryRef `json:"members"`
-	Since   time.Time              `json:"since"` // Wall-clock time of the change.
+	Since   time.Time              `json:"since"`  // Wall-clock time of the change.
+	Voters  []string               `json:"voters"` // Names.
 }
 
 // A Kind is a kind of job.
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -82,6 +82,7 @@
 func TestEntriesOfAZoneThatIsOutOwnNoNewJobs(t *testing.T) {
 	v := apply(t, &view.View{}, join("e1", 1, "west"), join("e2", 1, "east"), view.Change{Name: "west", Operation: view.OpTakeOutZone})
 	qt.Assert(t, v.Members(), qt.DeepEquals, []pollenfront.EntryRef{{Incarnation: 1, Name: "e2"}})
+	qt.Assert(t, v.Voters(), qt.DeepEquals, []string{"e1", "e2"}, qt.Commentf("they still run and vote"))
 	v = apply(t, v, view.Change{Name: "west", Operation: view.OpReturnZone})
 	qt.Assert(t, v.Members(), qt.HasLen, 2)
 }
