--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -15,7 +15,7 @@
 
 // admit returns an error if a job can't be accepted. A job that may have
 // run in part passes: it can't be refused as "not run".
-func (d *Dispatcher) admit(now time.Time, j *job, mayHaveRun bool) *refusal.Error {
+func (d *Dispatcher) admit(now time.Time, j *job, f fleet, mayHaveRun bool) *refusal.Error {
 	if mayHaveRun {
 		return nil
 	}
@@ -29,16 +29,16 @@
 	if len(j.tasks) > team.Quota {
 		return refusal.New(refusal.NeverRuns, "the job has %d tasks, and the quota of team %s is %d", len(j.tasks), j.Team, team.Quota)
 	}
-	if err := d.checkQuota(j, team.Quota); err != nil {
+	if err := d.checkQuota(j, f, team.Quota); err != nil {
 		return err
 	}
-	return d.checkDeadline(now, j)
+	return d.checkDeadline(now, j, f)
 }
 
 // checkQuota returns a refusal.OverQuota error if the team has too many tasks
 // in flight. Each entry grants an equal share of the quota, and at least one
 // job at a time.
-func (d *Dispatcher) checkQuota(j *job, quota int) *refusal.Error {
+func (d *Dispatcher) checkQuota(j *job, f fleet, quota int) *refusal.Error {
 	entries := d.activeEntries()
 	share := (quota + entries - 1) / entries
 	inFlight := d.team(j.Team).inFlight
@@ -46,34 +46,39 @@
 		return nil
 	}
 	err := refusal.New(refusal.OverQuota, "team %s has %d tasks in flight at this entry, whose share of the quota is %d", j.Team, inFlight, share)
-	return err.After(max(minRetryAfter, d.drainTime(d.workOf(j.Kind, j.queued))))
+	return err.After(max(minRetryAfter, d.drainTime(f, d.workOf(j.Kind, j.queued))))
 }
 
 // checkDeadline returns an error if the job is not expected to finish in time
 // behind the jobs that are served before it.
-func (d *Dispatcher) checkDeadline(now time.Time, j *job) *refusal.Error {
+func (d *Dispatcher) checkDeadline(now time.Time, j *job, f fleet) *refusal.Error {
 	if !now.Before(j.Deadline) {
 		return refusal.New(refusal.DeadlinePassed, "the deadline %s has passed", j.Deadline.Format(time.RFC3339Nano))
 	}
-	if d.capacity() == 0 {
+	if f.capacity == 0 {
 		return refusal.New(refusal.NoServers, "no backend server may run tasks now").After(refusedRetryAfter)
 	}
 	work := d.workOf(j.Kind, j.queued)
-	ahead, tasks := d.backlogBefore(now.Add(d.ideal(j)))
+	ahead, tasks := d.backlogBefore(now.Add(urgency * d.ideal(j, f)))
 	if tasks+len(j.queued) > maxQueuedTasks {
-		return refusal.New(refusal.Overloaded, "%d tasks are queued", tasks).After(max(minRetryAfter, d.drainTime(ahead)))
+		return refusal.New(refusal.Overloaded, "%d tasks are queued", tasks).After(max(minRetryAfter, d.drainTime(f, ahead)))
 	}
-	finish := d.drainTime(ahead+work) + d.fastest(j.Kind)
+	finish := d.drainTime(f, ahead+work) + d.shortest(j.Kind, f)
 	if left := j.Deadline.Sub(now); finish > left {
 		err := refusal.New(refusal.CannotFinish, "the job is expected to take %v, and its deadline is in %v", finish.Round(time.Millisecond), left.Round(time.Millisecond))
-		return err.After(max(minRetryAfter, min(finish-left, d.drainTime(ahead))))
+		return err.After(max(minRetryAfter, min(finish-left, d.drainTime(f, ahead))))
 	}
 	return nil
 }
 
 // ideal returns the expected response time of a job on an idle fleet.
-func (d *Dispatcher) ideal(j *job) time.Duration {
-	return d.fastest(j.Kind) + time.Duration(float64(d.workOf(j.Kind, j.queued))/max(1, d.capacity()))
+func (d *Dispatcher) ideal(j *job, f fleet) time.Duration {
+	return d.shortest(j.Kind, f) + time.Duration(float64(d.workOf(j.Kind, j.queued))/max(1, f.capacity))
+}
+
+// shortest returns the expected run time of a kind on the fastest server.
+func (d *Dispatcher) shortest(kind string, f fleet) time.Duration {
+	return time.Duration(float64(d.estimator.Base(kind, 0)) * f.fastest)
 }
 
 // workOf returns the expected run time of tasks on a server of slowness 1.
@@ -103,39 +108,33 @@
 
 // drainTime returns the time that this entry's share of the servers needs for
 // an amount of work.
-func (d *Dispatcher) drainTime(work time.Duration) time.Duration {
-	capacity := d.capacity()
-	if capacity == 0 {
+func (d *Dispatcher) drainTime(f fleet, work time.Duration) time.Duration {
+	if f.capacity == 0 {
 		return 0
 	}
-	return time.Duration(float64(work) * float64(d.activeEntries()) / capacity)
+	return time.Duration(float64(work) * float64(d.activeEntries()) / f.capacity)
 }
 
-// capacity returns the work that the usable servers do in a unit of time, as a
-// multiple of one slot of slowness 1.
-func (d *Dispatcher) capacity() float64 {
-	var sum float64
-	for _, name := range d.order {
-		s := d.servers[name]
-		if !s.gone && !s.ejected() {
-			sum += float64(s.Slots) / d.estimator.Slowness(name)
-		}
-	}
-	return sum
+// A fleet sums up the servers that may run tasks.
+type fleet struct {
+	capacity float64 // Work done in a unit of time, as a multiple of one slot of slowness 1.
+	fastest  float64 // Slowness of the fastest server.
 }
 
-// fastest returns the expected run time of a kind on the fastest server.
-func (d *Dispatcher) fastest(kind string) time.Duration {
-	least := time.Duration(0)
-	for _, name := range d.order {
-		if d.servers[name].gone {
+// fleet sums up the servers that may run tasks now.
+func (d *Dispatcher) fleet() fleet {
+	var f fleet
+	for _, s := range d.order {
+		if s.gone || s.ejected() {
 			continue
 		}
-		if e := d.estimator.Expected(name, kind, 0); least == 0 || e < least {
-			least = e
+		slowness := d.estimator.Slowness(s.Name)
+		f.capacity += float64(s.Slots) / slowness
+		if f.fastest == 0 || slowness < f.fastest {
+			f.fastest = slowness
 		}
 	}
-	return least
+	return f
 }
 
 // activeEntries returns the number of entries that own jobs.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -17,6 +17,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -53,7 +54,7 @@
 	estimator   *estimate.Estimator
 	jobs        map[pollenfront.JobID]*job
 	lanes       map[laneKey]*lane
-	order       []string     // Names of the servers, sorted.
+	order       []*server    // Those that may start tasks, sorted by name.
 	passServers []passServer // Reused between calls.
 	policy      pollenfront.Policy
 	random      *rand.Rand
@@ -128,13 +129,14 @@
 		err := refusal.New(refusal.OutcomeUnknown, "attempts of an earlier submission of the job are still under way")
 		return []Effect{AnswerJob{Answer: j.givenUp(err)}}
 	}
-	if err := d.admit(now, j, e.mayHaveRun()); err != nil {
+	f := d.fleet()
+	if err := d.admit(now, j, f, e.mayHaveRun()); err != nil {
 		d.counts.Refused++
 		return []Effect{AnswerJob{Answer: j.givenUp(err)}}
 	}
 	d.counts.Accepted++
 	j.work = d.workOf(j.Kind, j.queued)
-	j.key = now.Add(urgency * d.ideal(j))
+	j.key = now.Add(urgency * d.ideal(j, f))
 	d.jobs[j.ID] = j
 	t := d.team(j.Team)
 	t.inFlight += len(j.tasks)
@@ -391,15 +393,15 @@
 	d.sortServers()
 }
 
-// sortServers lists the servers that may start tasks, in the order of names.
+// sortServers lists the servers that may start tasks.
 func (d *Dispatcher) sortServers() {
 	d.order = d.order[:0]
 	for name, s := range d.servers {
 		if d.view.CheckServer(name, s.Zone) == nil {
-			d.order = append(d.order, name)
+			d.order = append(d.order, s)
 		}
 	}
-	slices.Sort(d.order)
+	slices.SortFunc(d.order, func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 // tick gives up the jobs whose deadline has passed or can't be met any more,
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -51,6 +51,7 @@
 type pass struct {
 	candidate  []pollenfront.Candidate // Reused between tasks.
 	dispatcher *Dispatcher
+	now        time.Time
 	position   map[*lane]int // Tasks of a lane that were looked at and stay queued.
 	room       int           // Of all servers.
 	servers    []passServer
@@ -76,23 +77,19 @@
 	p.position = make(map[*lane]int)
 	p.candidate = d.candidate
 	p.servers = d.passServers[:0]
-	for _, name := range d.order {
-		s := d.servers[name]
+	for _, s := range d.order {
 		if !s.usable(now) {
 			continue
 		}
 		room := s.room(now, depth)
 		p.room += max(0, room+urgentRoom)
-		p.servers = append(p.servers, passServer{room: room, server: s, slowness: d.estimator.Slowness(name)})
+		p.servers = append(p.servers, passServer{room: room, server: s, slowness: d.estimator.Slowness(s.Name)})
 	}
 	d.passServers = p.servers
 	if p.room == 0 {
 		return p
 	}
-	for i := range p.servers {
-		s := &p.servers[i]
-		s.next, s.free = s.freeTimes(now, d.estimator.Typical(s.Name))
-	}
+	p.now = now
 	return p
 }
 
@@ -158,11 +155,10 @@
 		s := &p.servers[i]
 		expected := time.Duration(base * s.slowness)
 		c := pollenfront.Candidate{
-			Expected: expected, Name: s.Name, Others: s.load.Others, Own: s.own, Room: s.room, Wait: s.free[0],
+			Expected: expected, Name: s.Name, Others: s.load.Others, Own: s.own, Room: s.room, Wait: p.wait(s, urgent),
 		}
 		if urgent {
 			c.Room += urgentRoom
-			c.Wait = s.next[0]
 		}
 		p.candidate = append(p.candidate, c)
 	}
@@ -170,16 +166,37 @@
 	return p.candidate
 }
 
+// wait returns the time until a slot of a server is free for a task.
+func (p *pass) wait(s *passServer, urgent bool) time.Duration {
+	if s.next == nil && s.own+s.load.Others < s.Slots {
+		return 0
+	}
+	p.reckon(s)
+	if urgent {
+		return s.next[0]
+	}
+	return s.free[0]
+}
+
+// reckon calculates when the slots of a server are free, once in a pass.
+func (p *pass) reckon(s *passServer) {
+	if s.next == nil {
+		s.next, s.free = s.freeTimes(p.now, p.dispatcher.estimator.Typical(s.Name))
+	}
+}
+
 // take reckons with a task that is sent to a server.
 func (p *pass) take(i int, c pollenfront.Candidate) {
 	p.servers[i].room--
 	p.room--
+	p.reckon(&p.servers[i])
 	p.servers[i].occupy(c)
 }
 
 // book reckons with a task that waits for a server. The other owners are taken
 // to have as many tasks that wait for it.
 func (p *pass) book(i int, c pollenfront.Candidate) {
+	p.reckon(&p.servers[i])
 	for range p.dispatcher.activeEntries() {
 		p.servers[i].occupy(c)
 	}
--- a/estimate/estimator.go
+++ b/estimate/estimator.go
@@ -35,22 +35,31 @@
 	a.value += err * max(minGain, 1/float64(a.count+1))
 }
 
+// A slowness is what was learned of a server.
+type slowness struct {
+	average
+
+	factor float64 // Exponential of the value.
+}
+
 // An Estimator learns run times. It is not safe for concurrent use.
 type Estimator struct {
 	kinds   map[string]*average // Log of seconds on a server of slowness 0.
-	servers map[string]*average // Slowness.
-	typical average             // Of all kinds, as they are observed.
+	servers map[string]*slowness
+	sum     float64 // Of the servers' values.
+	typical average // Of all kinds, as they are observed.
 }
 
 // NewEstimator returns an Estimator that knows nothing.
 func NewEstimator() *Estimator {
-	return &Estimator{kinds: make(map[string]*average), servers: make(map[string]*average)}
+	return &Estimator{kinds: make(map[string]*average), servers: make(map[string]*slowness)}
 }
 
 // Observe learns that a task of a kind took runTime on a server.
 func (e *Estimator) Observe(server, kind string, runTime time.Duration) {
 	observed := math.Log(max(runTime, shortest).Seconds())
 	s := e.server(server)
+	defer e.settle(s, s.value)
 	e.typical.learn(observed - s.value - e.typical.value)
 	k, known := e.kinds[kind]
 	if !known {
@@ -63,6 +72,12 @@
 	s.learn(err)
 }
 
+// settle brings up to date what depends on a server's value.
+func (e *Estimator) settle(s *slowness, before float64) {
+	e.sum += s.value - before
+	s.factor = math.Exp(s.value)
+}
+
 // Expected returns the run time expected for a task of a kind on a server.
 // Declared is used only while nothing is known of the kind; zero means none.
 func (e *Estimator) Expected(server, kind string, declared time.Duration) time.Duration {
@@ -97,40 +112,26 @@
 // Slowness returns the factor by which a server is slower than the reference.
 // A server that has not run a task yet is taken for an average one.
 func (e *Estimator) Slowness(server string) float64 {
-	if s, ok := e.servers[server]; ok && s.count > 0 {
-		return math.Exp(s.value)
+	if s, ok := e.servers[server]; ok {
+		return s.factor
 	}
 	return math.Exp(e.meanSlowness())
 }
 
-// Forget drops what is known of a server that is gone.
-func (e *Estimator) Forget(server string) {
-	delete(e.servers, server)
-}
-
 // server returns what is known of a server, which starts as an average one.
-func (e *Estimator) server(name string) *average {
+func (e *Estimator) server(name string) *slowness {
 	s, ok := e.servers[name]
 	if !ok {
-		s = &average{value: e.meanSlowness()}
+		s = &slowness{average: average{value: e.meanSlowness()}}
 		e.servers[name] = s
+		e.sum += s.value
 	}
 	return s
 }
 
 // meanSlowness returns the mean slowness of the known servers, as a logarithm.
 func (e *Estimator) meanSlowness() float64 {
-	var sum, n float64
-	for _, s := range e.servers {
-		if s.count > 0 {
-			sum += s.value
-			n++
-		}
-	}
-	if n == 0 {
-		return 0
-	}
-	return sum / n
+	return e.sum / float64(max(1, len(e.servers)))
 }
 
 // scale returns d times factor.
