--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 MODULES := ./... ./agent/... ./entry/... ./pollenctl/... ./standin/...
 
-.PHONY: bench build demo faults lint recovery slopes test unit
+.PHONY: bench build demo faults lint recovery rolling slopes test unit
 
 bench: build ## measures the policy into run/bench (ROWS="..." for some rows)
 	scripts/bench.sh $(ROWS)
@@ -19,8 +19,11 @@
 lint: ## checks format and style
 	scripts/lint.sh
 
+rolling: build ## restarts all entries and agents under load
+	scripts/rolling.sh
+
 recovery: build ## kills an owner under load and states the time to recover
-	scripts/recovery.sh
+	for c in plain table zone; do scripts/recovery.sh $$c || exit 1; done
 
 slopes: build ## measures the slopes of docs/CAPACITY.md
 	scripts/slopes.sh
--- a/entry/internal/owner/answers.go
+++ b/entry/internal/owner/answers.go
@@ -18,6 +18,7 @@
 	refusalOrder []pollenfront.JobID
 	refusals     map[pollenfront.JobID]*refusal.Error
 	retention    time.Duration
+	size         int // Of the kept answers, in bytes.
 }
 
 // newAnswers returns an empty store.
@@ -46,11 +47,22 @@
 	}
 	a.kept[id] = answer
 	a.order = append(a.order, id)
-	if len(a.order) > maxKept {
+	a.size += sizeOf(answer)
+	for len(a.order) > maxKept || a.size > maxKeptSize && len(a.order) > 1 {
 		a.dropOldest()
 	}
 }
 
+// sizeOf returns about the memory that an answer takes, in bytes.
+func sizeOf(answer pollenfront.Answer) int {
+	const overhead = 128 // Of an answer and of a result.
+	size := overhead + len(answer.Message)
+	for _, r := range answer.Results {
+		size += overhead + len(r.Name) + len(r.Payload)
+	}
+	return size
+}
+
 // keepNotRun keeps the answer to submissions that did not run.
 func (a *answers) keepNotRun(answer pollenfront.Answer, submissions []string) {
 	for _, s := range submissions {
@@ -119,6 +131,7 @@
 func (a *answers) dropOldest() {
 	id := a.order[0]
 	a.order = a.order[1:]
+	a.size -= sizeOf(a.kept[id])
 	delete(a.kept, id)
 	if id.Time().After(a.forgotten) {
 		a.forgotten = id.Time()
--- a/entry/internal/owner/answers_test.go
+++ b/entry/internal/owner/answers_test.go
@@ -9,6 +9,22 @@
 	"github.com/pollenfront/pollenfront"
 )
 
+func TestAnswersAreBoundedInSize(t *testing.T) {
+	a := newAnswers(time.Minute)
+	payload := make([]byte, maxKeptSize/4)
+	ids := make([]pollenfront.JobID, 6)
+	for i := range ids {
+		ids[i] = pollenfront.NewJobID()
+		a.keep(ids[i], pollenfront.Answer{Job: ids[i], Results: []pollenfront.TaskResult{{Payload: payload}}, Status: pollenfront.StatusComplete}, nil)
+	}
+	qt.Assert(t, a.size <= maxKeptSize, qt.IsTrue)
+	_, ok := a.get(ids[0])
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, a.mayHaveForgotten(ids[0]), qt.IsTrue)
+	_, ok = a.get(ids[5])
+	qt.Assert(t, ok, qt.IsTrue)
+}
+
 func TestAnswers(t *testing.T) {
 	id := pollenfront.NewJobID()
 	a := newAnswers(time.Minute)
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -32,6 +32,7 @@
 	inquirePause   = 100 * time.Millisecond
 	maxAhead       = time.Second // Greatest lead of a job ID over the clock.
 	maxKept        = 50_000      // Answers.
+	maxKeptSize    = 64 << 20    // Bytes of answers.
 	maxRefusals    = 2_000       // Refusals whose reason is kept.
 	sweepInterval  = time.Second
 	// settle is the time after a change of the owners during which a former
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -29,8 +29,10 @@
 
 // Limits on what a ledger keeps.
 const (
-	// maxRecords bounds the memory of a ledger. Starts are refused beyond it.
+	// maxRecords and maxSize bound the memory of a ledger, in records and in
+	// bytes of results. Starts are refused beyond them.
 	maxRecords = 400_000
+	maxSize    = 96 << 20
 	// clockSkew is the greatest difference allowed between two clocks.
 	clockSkew = 2 * time.Second
 	// overshoot is the number of tasks that are taken beyond the queue depth:
@@ -72,6 +74,7 @@
 	running   int
 	self      pollenfront.Server
 	serial    uint64
+	size      int // Of the results, in bytes.
 	tracker   *freshness.Tracker
 	view      *view.View
 }
@@ -249,8 +252,8 @@
 	if now.After(e.Deadline) {
 		return refusal.New(refusal.DeadlinePassed, "the deadline passed at %s", e.Deadline.Format(time.RFC3339Nano))
 	}
-	if l.records >= maxRecords {
-		return refusal.New(refusal.ServerFull, "%d tasks are on record", l.records)
+	if l.records >= maxRecords || l.size >= maxSize {
+		return refusal.New(refusal.ServerFull, "%d tasks with %d bytes of results are on record", l.records, l.size)
 	}
 	if err := l.view.CheckServer(l.self.Name, l.self.Zone); err != nil {
 		return err
@@ -296,6 +299,7 @@
 	}
 	r.state = stateFinished
 	r.outcome = outcomeOf(e, now.Sub(r.started))
+	l.size += len(r.outcome.Payload)
 	r.start = Start{}
 	return []Effect{Reply{Outcome: r.outcome, Ref: e.Ref}}
 }
@@ -392,6 +396,9 @@
 			return
 		}
 		l.records -= len(l.byJob[id])
+		for _, r := range l.byJob[id] {
+			l.size -= len(r.outcome.Payload)
+		}
 		delete(l.byJob, id)
 		l.expiry = l.expiry[1:]
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -245,3 +245,21 @@
 	l.Step(start.Add(2*retention+time.Minute), ledger.Tick{})
 	qt.Assert(t, l.Records(), qt.Equals, 0)
 }
+
+func TestResultsAreBoundedInSize(t *testing.T) {
+	owner := pollenfront.EntryRef{Incarnation: 1, Name: "e1"}
+	l := ledger.New(self, retention)
+	l.Step(start, ledger.ViewChanged{View: viewOf(1, owner, false)})
+	l.Step(start, ledger.Proved{SentAt: start, Version: 1})
+	payload := make([]byte, 1<<20)
+	for n := 0; ; n++ {
+		ref := pollenfront.TaskRef{Job: pollenfront.NewJobID(), Task: "a"}
+		effects := l.Step(start, ledger.Start{Accepted: 1, Attempt: 1, Deadline: start.Add(time.Hour), Owner: owner, Ref: ref, Target: self.Ref()})
+		if reply, refused := effects[0].(ledger.Reply); refused {
+			qt.Assert(t, reply.Outcome.Reason, qt.Equals, string(refusal.ServerFull))
+			qt.Assert(t, n > 10 && n < 200, qt.IsTrue)
+			return
+		}
+		l.Step(start, ledger.Finished{Payload: payload, Ref: ref})
+	}
+}
--- a/standin/internal/deployment/deployment.go
+++ b/standin/internal/deployment/deployment.go
@@ -111,6 +111,19 @@
 	return sum
 }
 
+// WithServers returns a copy of d with n servers, whose speeds repeat.
+func (d *Deployment) WithServers(n int) *Deployment {
+	grown := *d
+	grown.Servers = nil
+	for i := range n {
+		s := d.Servers[i%len(d.Servers)]
+		s.Name = fmt.Sprintf("%s-%d", s.Name, i/len(d.Servers))
+		s.Zone = i % len(d.Zones)
+		grown.Servers = append(grown.Servers, s)
+	}
+	return &grown
+}
+
 // servers returns the eleven servers of a deployment, spread over three zones
 // so that each has fast and slow ones.
 func servers(prefix string) []Server {
--- a/standin/plancmd.go
+++ b/standin/plancmd.go
@@ -14,6 +14,7 @@
 	Dir        string `arg:"required" help:"directory for the settings"`
 	Entries    int    `default:"1" help:"entries in each zone"`
 	Octet      int    `default:"0" help:"second number of the loopback addresses"`
+	Servers    int    `default:"0" help:"number of backend servers; default: those of the deployment"`
 }
 
 // execute writes the layout.
@@ -25,6 +26,9 @@
 	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
 		return err
 	}
+	if c.Servers > 0 {
+		d = d.WithServers(c.Servers)
+	}
 	_, err = plan.Write(d, c.Dir, c.Octet, c.Entries)
 	return err
 }
