Let a joining entry learn first, eject failing servers, shed hopeless jobs

It joins first, learns agents and run times from the others, and only then owns jobs. Kinds that were never observed are not refused by their declared time. - Servers whose running tasks are overdue count as slower at once. - Among servers of about equal cost any is chosen, so owners spread.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -9,8 +10,9 @@
 
 // Parameters of admission.
 const (
-	maxQueuedTasks = 20_000 // Of one entry.
-	minRetryAfter  = 200 * time.Millisecond
+	admissionMargin = 150    // Percent of the expected time: jobs that arrive later may be served before.
+	maxQueuedTasks  = 20_000 // Of one entry.
+	minRetryAfter   = 200 * time.Millisecond
 )
 
 // admit returns an error if a job can't be accepted. A job that may have
@@ -63,7 +65,10 @@
 	if tasks+len(j.queued) > maxQueuedTasks {
 		return refusal.New(refusal.Overloaded, "%d tasks are queued", tasks).After(max(minRetryAfter, d.drainTime(f, ahead)))
 	}
-	finish := d.drainTime(f, ahead+work) + d.shortest(j.Kind, f)
+	if !d.estimator.KnownKind(j.Kind) {
+		return nil // Declared run times are too far off to refuse a job by.
+	}
+	finish := d.drainTime(f, ahead+work)*admissionMargin/100 + d.shortest(j.Kind, f)
 	if left := j.Deadline.Sub(now); finish > left {
 		err := refusal.New(refusal.CannotFinish, "the job is expected to take %v, and its deadline is in %v", finish.Round(time.Millisecond), left.Round(time.Millisecond))
 		return err.After(max(minRetryAfter, min(finish-left, d.drainTime(f, ahead))))
@@ -71,6 +76,31 @@
 	return nil
 }
 
+// shed gives up the jobs of which nothing was sent yet, and which are not
+// expected to finish in time behind those that are served before them.
+func (d *Dispatcher) shed(now time.Time) []Effect {
+	var waiting []*job
+	for _, l := range d.lanes {
+		waiting = append(waiting, l.jobs...)
+	}
+	slices.SortFunc(waiting, func(a, b *job) int { return a.key.Compare(b.key) })
+	f := d.fleet()
+	var effects []Effect
+	var ahead time.Duration
+	for _, j := range waiting {
+		work := d.workOf(j.Kind, j.queued)
+		finish := now.Add(d.drainTime(f, ahead+work) + d.shortest(j.Kind, f))
+		if j.sent > 0 || j.started || f.capacity == 0 || !d.estimator.KnownKind(j.Kind) || !finish.After(j.Deadline) {
+			ahead += work
+			continue
+		}
+		late := finish.Sub(j.Deadline)
+		reason := refusal.New(refusal.CannotFinish, "the job would finish %v after its deadline", late.Round(time.Millisecond))
+		effects = append(effects, d.giveUp(now, j, reason.After(max(minRetryAfter, late)))...)
+	}
+	return effects
+}
+
 // ideal returns the expected response time of a job on an idle fleet.
 func (d *Dispatcher) ideal(j *job, f fleet) time.Duration {
 	return d.shortest(j.Kind, f) + time.Duration(float64(d.workOf(j.Kind, j.queued))/max(1, f.capacity))
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -43,6 +43,14 @@
 		outcome := pollenfront.Outcome{RunTime: pollenfront.Duration(100 * time.Millisecond), State: pollenfront.OutcomeSucceeded}
 		step(dispatch.TaskEnded{Attempt: first.Start.Attempt, Outcome: outcome, Ref: first.Start.Ref, Server: first.Server})
 	}
+	for range 5 * servers { // Every server is known.
+		step(dispatch.Submit{Accepted: 1, Job: pollenfront.Job{
+			Deadline: now.Add(time.Minute), ID: pollenfront.NewJobID(), Kind: "pairing", Tasks: []pollenfront.Task{{Name: "a"}}, Team: "clubs",
+		}})
+		for len(sent) > 0 {
+			end()
+		}
+	}
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(250 * time.Microsecond)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -40,6 +40,7 @@
 	patience          = 4  // Times the expected completion after which a task is taken back.
 	patienceFloor     = 100 * time.Millisecond
 	refusedRetryAfter = time.Second
+	shedInterval      = 100 * time.Millisecond
 	// urgency is the multiple of its ideal response time after which a job is
 	// served before all that arrive later. It keeps small jobs from waiting for
 	// large ones, and large ones from waiting for ever.
@@ -60,6 +61,7 @@
 	random      *rand.Rand
 	self        pollenfront.EntryRef
 	servers     map[string]*server
+	shedAt      time.Time
 	teams       map[string]*team
 	view        *view.View
 }
@@ -100,6 +102,8 @@
 		d.setView(now, e.View)
 	case Fenced:
 		effects = d.fenced(now, e)
+	case Learned:
+		d.learned(e)
 	case Tick:
 		effects = d.tick(now)
 	}
@@ -117,6 +121,19 @@
 	return busy
 }
 
+// Estimates returns what was learned of run times, for an entry that joins.
+func (d *Dispatcher) Estimates() estimate.Snapshot {
+	return d.estimator.Snapshot()
+}
+
+// learned takes over what another entry has learned of run times.
+func (d *Dispatcher) learned(e Learned) {
+	d.estimator.Restore(e.Estimates)
+	for _, s := range d.servers {
+		s.untried = s.untried && !d.estimator.Known(s.Name)
+	}
+}
+
 // Self returns the entry that the dispatcher works for.
 func (d *Dispatcher) Self() pollenfront.EntryRef {
 	return d.self
@@ -240,6 +257,7 @@
 	}
 	if !ok || s.Incarnation != e.Server.Incarnation {
 		s = newServer(e.Server, now)
+		s.untried = !d.estimator.Known(s.Name)
 		d.servers[s.Name] = s
 		d.sortServers()
 	}
@@ -304,6 +322,10 @@
 		}
 		effects = append(effects, d.takeBack(now, j)...)
 	}
+	if now.Sub(d.shedAt) >= shedInterval {
+		d.shedAt = now
+		effects = append(effects, d.shed(now)...)
+	}
 	return effects
 }
 
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/estimate"
 	"github.com/pollenfront/pollenfront/ledger"
 	"github.com/pollenfront/pollenfront/view"
 )
@@ -66,6 +67,11 @@
 	Self pollenfront.EntryRef
 }
 
+// A Learned brings what another entry has learned of run times.
+type Learned struct {
+	Estimates estimate.Snapshot
+}
+
 // A Tick lets time pass.
 type Tick struct{}
 
@@ -77,6 +83,7 @@
 func (ServerGone) event()  {}
 func (ViewChanged) event() {}
 func (Fenced) event()      {}
+func (Learned) event()     {}
 func (Tick) event()        {}
 
 // An Effect is something that the driver must do.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -11,10 +11,6 @@
 // maxConsidered bounds the queued tasks that one pass looks at.
 const maxConsidered = 128
 
-// urgentRoom is the number of tasks beyond the queue depth that may be sent of
-// short kinds. They overtake the queued tasks of longer kinds at the agent.
-const urgentRoom = 4
-
 // place sends queued tasks to servers. It looks at the tasks in the order of
 // service; a task for which a full server is the better choice stays queued,
 // and the pass reckons with the slot that it will take.
@@ -61,6 +57,7 @@
 type passServer struct {
 	*server
 
+	extra    int             // Short tasks that may be sent beyond room.
 	free     []time.Duration // Times from now on at which slots are free for a task that queues, sorted.
 	next     []time.Duration // The same for a task that overtakes the queued ones.
 	room     int
@@ -81,9 +78,14 @@
 		if !s.usable(now) {
 			continue
 		}
-		room := s.room(now, depth)
-		p.room += max(0, room+urgentRoom)
-		p.servers = append(p.servers, passServer{room: room, server: s, slowness: d.estimator.Slowness(s.Name)})
+		added := passServer{
+			extra: s.urgentRoom(now), room: s.room(now, depth), server: s, slowness: d.estimator.Slowness(s.Name) * s.overdue(now),
+		}
+		if added.room > 0 && s.onTrial(now) {
+			added.slowness /= probeDiscount
+		}
+		p.room += max(0, added.room+added.extra)
+		p.servers = append(p.servers, added)
 	}
 	d.passServers = p.servers
 	if p.room == 0 {
@@ -158,7 +160,7 @@
 			Expected: expected, Name: s.Name, Others: s.load.Others, Own: s.own, Room: s.room, Wait: p.wait(s, urgent),
 		}
 		if urgent {
-			c.Room += urgentRoom
+			c.Room += s.extra
 		}
 		p.candidate = append(p.candidate, c)
 	}
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -17,10 +17,13 @@
 	leastLeft         = 0.2  // Share of the expected run time that an overdue task is taken to need.
 	maxEjected        = 0.34 // Greatest share of the servers that is ejected at once.
 	maxPauseDoublings = 5
+	maxUrgentRoom     = 4
+	overdueRatio      = 3.0 // Of the time taken to the time expected, from which a server counts as slower.
 	maxProbePause     = time.Minute
 	minProbePause     = 5 * time.Second
 	probesToReturn    = 3
 	rampTime          = 2 * time.Second // From a return until all slots are used.
+	probeDiscount     = 4               // Factor by which an untried server is taken for faster, so that it is tried.
 	rampFirst         = 0.25            // Share of the slots used right after a return.
 	silenceLimit      = 2500 * time.Millisecond
 )
@@ -41,6 +44,7 @@
 	probesPassed int
 	rampFrom     time.Time // Instant of the first announcement or of the return of its zone.
 	seen         time.Time // Instant of the last message.
+	untried      bool      // Has not run enough tasks to be judged.
 }
 
 // newServer returns a server that has just announced itself.
@@ -105,6 +109,9 @@
 	if s.ejected() {
 		return s.probeRoom(now)
 	}
+	if s.untried {
+		return 1 - s.own
+	}
 	allowed := s.Slots + depth
 	if ramping := now.Sub(s.rampFrom); ramping < rampTime {
 		share := rampFirst + (1-rampFirst)*float64(ramping)/float64(rampTime)
@@ -118,6 +125,34 @@
 	return !s.ejectedUntil.IsZero()
 }
 
+// urgentRoom returns the number of short tasks that may be sent beyond room.
+// They overtake the queued tasks of longer kinds at the agent. A server that is
+// not trusted gets none.
+func (s *server) urgentRoom(now time.Time) int {
+	if s.ejected() || s.untried || now.Before(s.fullUntil) || now.Sub(s.rampFrom) < rampTime {
+		return 0
+	}
+	return maxUrgentRoom
+}
+
+// overdue returns the factor by which the server takes longer than expected
+// for the tasks that it runs now, or 1 if that is not remarkable.
+func (s *server) overdue(now time.Time) float64 {
+	factor := 1.0
+	for _, t := range s.ownTasks {
+		expected := t.choice.Wait + t.choice.Expected
+		if ratio := float64(now.Sub(t.sentAt)) / float64(max(expected, time.Millisecond)); ratio > overdueRatio {
+			factor = max(factor, ratio)
+		}
+	}
+	return factor
+}
+
+// onTrial reports whether a task should be sent to the server to learn about it.
+func (s *server) onTrial(now time.Time) bool {
+	return s.untried || s.ejected() && now.After(s.ejectedUntil)
+}
+
 // probeRoom allows one task at a time once the pause is over.
 func (s *server) probeRoom(now time.Time) int {
 	if now.Before(s.ejectedUntil) {
--- a/dispatch/settle.go
+++ b/dispatch/settle.go
@@ -59,6 +59,7 @@
 	d.estimator.Observe(t.server.Name, j.Kind, time.Duration(t.outcome.RunTime))
 	if s != nil {
 		s.succeeded()
+		s.untried = s.untried && !d.estimator.Known(s.Name)
 	}
 	if j.answered || j.succeeds < len(j.tasks) {
 		return nil
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -54,7 +54,7 @@
 
 // serveRoster returns the agents that this entry knows.
 func (n *node) serveRoster(context.Context, *peer.Conn, peer.Empty) (peer.RosterReply, error) {
-	return peer.RosterReply{Members: n.agents.Roster(), Records: n.agents.Records()}, nil
+	return peer.RosterReply{Estimates: n.owner.Estimates(), Members: n.agents.Roster(), Records: n.agents.Records()}, nil
 }
 
 // serveSubmit takes a job that another entry handed over.
--- a/entry/internal/agents/survey.go
+++ b/entry/internal/agents/survey.go
@@ -4,14 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/pollenfront/pollenfront/dispatch"
 	"github.com/pollenfront/pollenfront/freshness"
 	"github.com/pollenfront/pollenfront/peer"
+	"github.com/pollenfront/pollenfront/roster"
 )
 
 // Times of a survey.
 const (
-	lonelySurvey  = 3 * time.Second // Wait for agents to connect when no other entry can tell.
-	surveyPause   = 200 * time.Millisecond
+	longestSurvey = 3 * time.Second // Wait for agents to connect.
+	surveyPause   = 100 * time.Millisecond
 	surveyTimeout = time.Second
 )
 
@@ -22,15 +24,20 @@
 // has joined. Until it has, the entry can't tell whether every agent that may
 // have started tasks of a job for its former owner has been asked, and must not
 // accept jobs. It needs the answers of a majority of the entries, this one
-// included; others returns the names of the rest.
+// included; others returns the names of the rest. It also waits until about all
+// agents have connected, but not for long, and takes over what was learned of
+// run times, so that the first jobs are placed as well as elsewhere.
 func (a *Agents) Survey(ctx context.Context, others func() []string, ask Asker) {
 	joined := time.Now()
+	connected := 0 // Agents that another entry is connected to, at the most.
 	answered := make(map[string]bool)
 	for ctx.Err() == nil {
 		names := others()
 		for _, name := range names {
 			if !answered[name] {
-				answered[name] = a.surveyOne(ctx, name, ask)
+				var count int
+				count, answered[name] = a.surveyOne(ctx, name, ask)
+				connected = max(connected, count)
 			}
 		}
 		count := 1
@@ -39,8 +46,9 @@
 				count++
 			}
 		}
-		alone := len(names) == 0 && time.Since(joined) < lonelySurvey
-		if !alone && count >= freshness.Majority(len(names)+1) {
+		known := count >= freshness.Majority(len(names)+1)
+		early := time.Since(joined) < longestSurvey && (len(names) == 0 || a.reached() < connected)
+		if known && !early {
 			a.mutex.Lock()
 			a.surveyed = true
 			a.mutex.Unlock()
@@ -57,14 +65,29 @@
 	return a.surveyed
 }
 
-// surveyOne asks one entry, and reports whether it answered.
-func (a *Agents) surveyOne(ctx context.Context, name string, ask Asker) bool {
+// reached returns the number of agents that this entry is connected to.
+func (a *Agents) reached() int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return len(a.links)
+}
+
+// surveyOne asks one entry. It returns the number of agents that the other one
+// is connected to, and whether it answered.
+func (a *Agents) surveyOne(ctx context.Context, name string, ask Asker) (int, bool) {
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	reply, err := ask(ctx, name)
 	if err != nil {
-		return false
+		return 0, false
 	}
 	a.Merge(reply)
-	return true
+	a.sink(dispatch.Learned{Estimates: reply.Estimates})
+	connected := 0
+	for _, m := range reply.Members {
+		if m.State == roster.Connected {
+			connected++
+		}
+	}
+	return connected, true
 }
--- a/entry/internal/agents/survey_test.go
+++ b/entry/internal/agents/survey_test.go
@@ -21,11 +21,13 @@
 		name   string
 		others []string
 		silent map[string]bool
+		wait   time.Duration
 		want   bool
 	}{
-		{name: "one of two others answers", others: []string{"e1", "e2"}, silent: map[string]bool{"e1": true}, want: true},
-		{name: "no other answers", others: []string{"e1", "e2"}, silent: map[string]bool{"e1": true, "e2": true}},
-		{name: "alone, agents need time to connect", others: nil},
+		{name: "one of two others answers", others: []string{"e1", "e2"}, silent: map[string]bool{"e1": true}, wait: 5 * time.Second, want: true},
+		{name: "an agent has not connected", others: []string{"e1", "e2"}, wait: time.Second},
+		{name: "no other answers", others: []string{"e1", "e2"}, silent: map[string]bool{"e1": true, "e2": true}, wait: time.Second},
+		{name: "alone, agents need time to connect", wait: time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -37,7 +39,7 @@
 				}
 				return peer.RosterReply{Members: []roster.Member{{Ref: ref, State: roster.Connected}}}, nil
 			}
-			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), test.wait)
 			defer cancel()
 			a.Survey(ctx, func() []string { return test.others }, ask)
 			qt.Assert(t, a.Surveyed(), qt.Equals, test.want)
--- a/entry/internal/callers/api.go
+++ b/entry/internal/callers/api.go
@@ -25,6 +25,7 @@
 	"github.com/pollenfront/pollenfront/entry/internal/members"
 	"github.com/pollenfront/pollenfront/observe"
 	"github.com/pollenfront/pollenfront/refusal"
+	"github.com/pollenfront/pollenfront/view"
 )
 
 // Limits on callers.
@@ -81,7 +82,7 @@
 // ready tells the balancer whether to send requests here.
 func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
 	self, ok := a.members.View().Entry(a.members.Self().Name)
-	if a.stopping.Load() || !ok || a.members.View().ZoneOut(self.Zone) || !a.members.Fresh() || !a.members.InContact() || !a.surveyed() {
+	if a.stopping.Load() || !ok || self.State != view.EntryActive || a.members.View().ZoneOut(self.Zone) || !a.members.Fresh() || !a.members.InContact() || !a.surveyed() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/internal/members/change.go
+++ b/entry/internal/members/change.go
@@ -63,6 +63,9 @@
 		change := view.Change{By: self.Name, Entry: self, ID: newChangeID(), Operation: view.OpJoin}
 		_, err := m.write(ctx, change, m.table)
 		if err == nil {
+			m.mutex.Lock()
+			m.joined = true
+			m.mutex.Unlock()
 			m.PingAll(ctx)
 			return nil
 		}
@@ -75,6 +78,11 @@
 	}
 }
 
+// Activate makes this entry an owner of jobs, after it has joined.
+func (m *Members) Activate(ctx context.Context) error {
+	return m.announce(ctx, view.OpActivate)
+}
+
 // Leave marks this entry as leaving, so that it owns no new jobs.
 func (m *Members) Leave(ctx context.Context) error {
 	return m.announce(ctx, view.OpLeave)
@@ -82,6 +90,9 @@
 
 // Left removes this entry from the view.
 func (m *Members) Left(ctx context.Context) error {
+	m.mutex.Lock()
+	m.left = true
+	m.mutex.Unlock()
 	return m.announce(ctx, view.OpLeft)
 }
 
@@ -109,7 +120,7 @@
 // rejoinIfFenced joins with a new incarnation if this entry was taken for dead.
 func (m *Members) rejoinIfFenced(ctx context.Context) {
 	m.mutex.Lock()
-	fenced := m.joined() && !m.view.Has(m.self.Ref())
+	fenced := m.joined && !m.left && !m.view.Has(m.self.Ref())
 	if fenced {
 		m.self.Incarnation = max(m.self.Incarnation+1, uint64(time.Now().UnixMilli()))
 	}
@@ -122,19 +133,9 @@
 	if m.onFenced != nil {
 		m.onFenced(self)
 	}
-	_ = m.Join(ctx)
-}
-
-// joined reports whether the present incarnation has ever been in the view.
-func (m *Members) joined() bool {
-	for _, set := range m.view.EntrySets {
-		for _, member := range set.Members {
-			if member == m.self.Ref() {
-				return true
-			}
-		}
+	if m.Join(ctx) == nil {
+		_ = m.Activate(ctx)
 	}
-	return false
 }
 
 // write makes a change by compare-and-set. A lost answer is resolved by
--- a/entry/internal/members/members.go
+++ b/entry/internal/members/members.go
@@ -49,7 +49,9 @@
 	conns     map[string]*peer.Conn
 	handler   peer.Handler
 	heard     map[string]hearing
+	joined    bool // Whether the present incarnation has joined.
 	lastRound time.Time
+	left      bool // Whether this entry leaves for good.
 	logger    *zap.Logger
 	metrics   *peer.Metrics
 	mutex     sync.Mutex
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -20,6 +20,7 @@
 	"github.com/pollenfront/pollenfront/dispatch"
 	"github.com/pollenfront/pollenfront/entry/internal/agents"
 	"github.com/pollenfront/pollenfront/entry/internal/members"
+	"github.com/pollenfront/pollenfront/estimate"
 	"github.com/pollenfront/pollenfront/freshness"
 	"github.com/pollenfront/pollenfront/peer"
 	"github.com/pollenfront/pollenfront/refusal"
@@ -195,6 +196,13 @@
 	return len(o.flights)
 }
 
+// Estimates returns what was learned of run times.
+func (o *Owner) Estimates() estimate.Snapshot {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.dispatcher.Estimates()
+}
+
 // Dump returns the state of the dispatcher.
 func (o *Owner) Dump(detail pollenfront.JobID) dispatch.Dump {
 	o.mutex.Lock()
--- a/entry/runcmd.go
+++ b/entry/runcmd.go
@@ -117,7 +117,12 @@
 	if err := n.members.Join(ctx); err != nil {
 		return nil //nolint:nilerr // The entry was stopped before it could join.
 	}
-	go n.agents.Survey(ctx, n.others, n.askRoster)
+	go func() {
+		n.agents.Survey(ctx, n.others, n.askRoster)
+		if err := n.members.Activate(ctx); err != nil {
+			n.logger.Warn("could not become an owner", zap.Error(err))
+		}
+	}()
 	return n.members.Run(ctx)
 }
 
--- a/estimate/estimator.go
+++ b/estimate/estimator.go
@@ -19,6 +19,7 @@
 // Parameters of the learning.
 const (
 	defaultRunTime = 200 * time.Millisecond // Of a kind that is neither known nor declared.
+	knownAfter     = 3                      // Observations.
 	minGain        = 0.03                   // Share of an error that is learned once much is known.
 	shortest       = time.Millisecond       // Shorter observations are taken for this.
 )
@@ -95,6 +96,49 @@
 	return defaultRunTime
 }
 
+// A Snapshot is what an Estimator has learned, as logarithms.
+type Snapshot struct {
+	Kinds   map[string]float64 `json:"kinds"`
+	Servers map[string]float64 `json:"servers"`
+	Typical float64            `json:"typical"`
+}
+
+// Snapshot returns what was learned of kinds and servers that are known.
+func (e *Estimator) Snapshot() Snapshot {
+	s := Snapshot{Kinds: make(map[string]float64), Servers: make(map[string]float64), Typical: e.typical.value}
+	for name, k := range e.kinds {
+		s.Kinds[name] = k.value
+	}
+	for name, server := range e.servers {
+		if e.Known(name) {
+			s.Servers[name] = server.value
+		}
+	}
+	return s
+}
+
+// Restore takes over what another Estimator has learned. It does nothing if
+// this one has made observations of its own.
+func (e *Estimator) Restore(s Snapshot) {
+	if len(e.kinds) > 0 || len(s.Kinds) == 0 {
+		return
+	}
+	e.typical = average{count: knownAfter, value: s.Typical}
+	for name, value := range s.Kinds {
+		e.kinds[name] = &average{count: knownAfter, value: value}
+	}
+	for name, value := range s.Servers {
+		e.servers[name] = &slowness{average: average{count: knownAfter, value: value}, factor: math.Exp(value)}
+		e.sum += value
+	}
+}
+
+// KnownKind reports whether a task of a kind has been observed.
+func (e *Estimator) KnownKind(kind string) bool {
+	_, ok := e.kinds[kind]
+	return ok
+}
+
 // Typical returns the run time of an average task on a server.
 func (e *Estimator) Typical(server string) time.Duration {
 	if e.typical.count == 0 {
@@ -118,6 +162,12 @@
 	return math.Exp(e.meanSlowness())
 }
 
+// Known reports whether a server has run enough tasks to be judged.
+func (e *Estimator) Known(server string) bool {
+	s, ok := e.servers[server]
+	return ok && s.count >= knownAfter
+}
+
 // server returns what is known of a server, which starts as an average one.
 func (e *Estimator) server(name string) *slowness {
 	s, ok := e.servers[name]
--- a/peer/message.go
+++ b/peer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/estimate"
 	"github.com/pollenfront/pollenfront/freshness"
 	"github.com/pollenfront/pollenfront/roster"
 )
@@ -131,6 +132,7 @@
 // A RosterReply lists the agents that an entry knows, and the records that it
 // keeps for those that left.
 type RosterReply struct {
-	Members []roster.Member          `json:"members"`
-	Records []pollenfront.TaskRecord `json:"records"`
+	Estimates estimate.Snapshot        `json:"estimates"`
+	Members   []roster.Member          `json:"members"`
+	Records   []pollenfront.TaskRecord `json:"records"`
 }
--- a/policy/expected/expected.go
+++ b/policy/expected/expected.go
@@ -16,20 +16,36 @@
 	"github.com/pollenfront/pollenfront"
 )
 
+// equalShare is the inverse of the difference up to which costs count as equal.
+const equalShare = 30
+
 var _ pollenfront.Policy = Policy{}
 
 // A Policy chooses the server with the earliest expected completion.
 type Policy struct{}
 
-// Choose implements pollenfront.Policy.
-func (Policy) Choose(candidates []pollenfront.Candidate, _ *rand.Rand) int {
-	best := -1
-	for i := range candidates {
-		if best < 0 || candidates[i].Cost() < candidates[best].Cost() {
-			best = i
+// Choose implements pollenfront.Policy. Among servers that are about equal, it
+// chooses any, so that several owners do not all choose the same one.
+func (Policy) Choose(candidates []pollenfront.Candidate, random *rand.Rand) int {
+	if len(candidates) == 0 {
+		return -1
+	}
+	least := candidates[0].Cost()
+	for _, c := range candidates[1:] {
+		least = min(least, c.Cost())
+	}
+	limit := least + least/equalShare
+	chosen, equals := -1, 0
+	for i, c := range candidates {
+		if c.Cost() > limit {
+			continue
+		}
+		equals++
+		if random.IntN(equals) == 0 {
+			chosen = i
 		}
 	}
-	return best
+	return chosen
 }
 
 // Name implements pollenfront.Policy.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -51,9 +51,10 @@
 // the agent that did not leave are dead since it started, which its number
 // tells in Unix milliseconds.
 func (r *Roster) Connected(ref pollenfront.ServerRef, now time.Time) {
-	if m, ok := r.members[ref]; !ok || m.State == Lost {
-		r.set(ref, Connected, now)
+	if m, ok := r.members[ref]; ok && m.State != Lost {
+		return
 	}
+	r.set(ref, Connected, now)
 	r.buryEarlier(ref)
 }
 
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -163,16 +163,17 @@
 		go r.cancel(ctx, s)
 	}
 	if s.double {
-		go r.submitOnce(ctx, s, "")
+		go r.submitOnce(ctx, s, s.drawn.Job, "")
 	}
+	job := s.drawn.Job
 	last := ""
 	for ctx.Err() == nil {
-		answer, name, ok := r.submitOnce(ctx, s, last)
+		answer, name, ok := r.submitOnce(ctx, s, job, last)
 		if name != "" {
 			s.tries++
 		}
 		if ok && answer.Reason == string(refusal.OwnerLost) && s.tries < maxNewIDs {
-			s.drawn.Job.ID = pollenfront.NewJobID()
+			job.ID = pollenfront.NewJobID()
 			continue
 		}
 		if ok {
@@ -190,17 +191,17 @@
 
 // submitOnce submits a job to an entry other than the one named and records
 // the answer.
-func (r *runner) submitOnce(ctx context.Context, s *submission, other string) (pollenfront.Answer, string, bool) {
+func (r *runner) submitOnce(ctx context.Context, s *submission, job pollenfront.Job, other string) (pollenfront.Answer, string, bool) {
 	e, ok := r.balancer.pick(other)
 	if !ok {
 		return pollenfront.Answer{}, "", false
 	}
 	at := time.Now()
-	answer, err := r.balancer.submit(ctx, e, s.drawn.Job)
+	answer, err := r.balancer.submit(ctx, e, job)
 	record := history.Record{
-		At: at, End: time.Now(), Event: history.EventAnswer, Idempotent: s.kind.Idempotent, Job: s.drawn.Job.ID,
+		At: at, End: time.Now(), Event: history.EventAnswer, Idempotent: s.kind.Idempotent, Job: job.ID,
 	}
-	for _, t := range s.drawn.Job.Tasks {
+	for _, t := range job.Tasks {
 		record.Tasks = append(record.Tasks, t.Name)
 	}
 	if err == nil {
--- a/view/change.go
+++ b/view/change.go
@@ -21,8 +21,9 @@
 
 // Operations, in alphabetical order.
 const (
+	OpActivate    Operation = "activate"      // Makes an entry that has joined an owner.
 	OpFence       Operation = "fence"         // Removes an incarnation of an entry that is dead.
-	OpJoin        Operation = "join"          // Adds an entry; replaces its earlier incarnation.
+	OpJoin        Operation = "join"          // Adds an entry that owns no jobs yet; replaces its earlier incarnation.
 	OpLeave       Operation = "leave"         // Marks an entry as leaving.
 	OpLeft        Operation = "left"          // Removes an entry that has finished its jobs.
 	OpReinstate   Operation = "reinstate"     // Takes a server back that was retired.
@@ -109,11 +110,13 @@
 func (v *View) perform(change Change, present uint64) error {
 	switch change.Operation {
 	case OpJoin:
-		change.Entry.State = EntryActive
+		change.Entry.State = EntryJoining
 		v.Entries = put(v.Entries, change.Entry, func(e Entry) string { return e.Name })
 		return v.addZone(change.Entry.Zone)
+	case OpActivate:
+		return v.setState(change.Ref, EntryActive)
 	case OpLeave:
-		return v.markLeaving(change.Ref)
+		return v.setState(change.Ref, EntryLeaving)
 	case OpLeft, OpFence:
 		return v.removeEntry(change.Ref)
 	case OpTakeOutZone, OpReturnZone:
@@ -146,11 +149,11 @@
 	return nil
 }
 
-// markLeaving marks an entry as leaving.
-func (v *View) markLeaving(ref pollenfront.EntryRef) error {
+// setState changes the state of an entry.
+func (v *View) setState(ref pollenfront.EntryRef, state EntryState) error {
 	for i := range v.Entries {
 		if v.Entries[i].Ref() == ref {
-			v.Entries[i].State = EntryLeaving
+			v.Entries[i].State = state
 			return nil
 		}
 	}
--- a/view/view.go
+++ b/view/view.go
@@ -29,6 +29,7 @@
 // States of an entry. An entry that has left or is fenced is not in the view.
 const (
 	EntryActive  EntryState = "active"  // Owns job IDs.
+	EntryJoining EntryState = "joining" // Gets to know the agents and owns no jobs yet.
 	EntryLeaving EntryState = "leaving" // Finishes its jobs and owns no new ones.
 )
 
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -32,6 +32,12 @@
 	return view.Change{Entry: view.Entry{Incarnation: incarnation, Name: name, Zone: zone}, ID: name, Operation: view.OpJoin}
 }
 
+// active returns the changes by which an entry comes to own jobs.
+func active(name, zone string) []view.Change {
+	ref := pollenfront.EntryRef{Incarnation: 1, Name: name}
+	return []view.Change{join(name, 1, zone), {ID: name + "-active", Operation: view.OpActivate, Ref: ref}}
+}
+
 func TestApply(t *testing.T) {
 	base := apply(t, &view.View{}, join("e1", 1, "west"), join("e2", 1, "east"))
 	e1 := pollenfront.EntryRef{Incarnation: 1, Name: "e1"}
@@ -80,7 +86,8 @@
 }
 
 func TestEntriesOfAZoneThatIsOutOwnNoNewJobs(t *testing.T) {
-	v := apply(t, &view.View{}, join("e1", 1, "west"), join("e2", 1, "east"), view.Change{Name: "west", Operation: view.OpTakeOutZone})
+	v := apply(t, &view.View{}, append(active("e1", "west"), active("e2", "east")...)...)
+	v = apply(t, v, view.Change{Name: "west", Operation: view.OpTakeOutZone})
 	qt.Assert(t, v.Members(), qt.DeepEquals, []pollenfront.EntryRef{{Incarnation: 1, Name: "e2"}})
 	qt.Assert(t, v.Voters(), qt.DeepEquals, []string{"e1", "e2"}, qt.Commentf("they still run and vote"))
 	v = apply(t, v, view.Change{Name: "west", Operation: view.OpReturnZone})
@@ -89,11 +96,13 @@
 
 func TestFormerOwners(t *testing.T) {
 	const settle, skew = 6 * time.Second, time.Second
-	v := apply(t, &view.View{}, join("e1", 1, "west"))
+	v := apply(t, &view.View{}, active("e1", "west")...)
 	v, err := v.Apply(view.Change{Operation: view.OpFence, Ref: pollenfront.EntryRef{Incarnation: 1, Name: "e1"}}, start.Add(time.Minute), retention)
 	qt.Assert(t, err, qt.IsNil)
-	v, err = v.Apply(join("e2", 1, "east"), start.Add(time.Minute), retention)
-	qt.Assert(t, err, qt.IsNil)
+	for _, change := range active("e2", "east") {
+		v, err = v.Apply(change, start.Add(time.Minute), retention)
+		qt.Assert(t, err, qt.IsNil)
+	}
 	self := pollenfront.EntryRef{Incarnation: 1, Name: "e2"}
 	old, recent := idAt(start.Add(time.Minute)), idAt(start.Add(time.Minute+settle+skew+time.Second))
 	qt.Assert(t, v.FormerOwners(old, self, settle, skew), qt.DeepEquals, []pollenfront.EntryRef{{Incarnation: 1, Name: "e1"}})
@@ -111,11 +120,13 @@
 		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,8}`), 2, 8, rapid.ID).Draw(t, "entries")
 		v := &view.View{}
 		for _, name := range names {
-			next, err := v.Apply(join(name, 1, "west"), start, retention)
-			if err != nil {
-				t.Fatal(err)
+			for _, change := range active(name, "west") {
+				next, err := v.Apply(change, start, retention)
+				if err != nil {
+					t.Fatal(err)
+				}
+				v = next
 			}
-			v = next
 		}
 		gone := v.Entries[rapid.IntRange(0, len(names)-1).Draw(t, "gone")]
 		next, err := v.Apply(view.Change{Operation: view.OpLeft, Ref: gone.Ref()}, start, retention)
