--- a/agent/internal/entries/links.go
+++ b/agent/internal/entries/links.go
@@ -36,6 +36,7 @@
 // Links are the connections to all entries.
 type Links struct {
 	book     *book.Book
+	fetching sync.Mutex // Held while a view is fetched.
 	leaving  bool
 	links    map[string]*link // By address.
 	logger   *zap.Logger
@@ -168,7 +169,7 @@
 		return err
 	}
 	if reply.Report.Version > beat.Version {
-		if err := l.fetchView(ctx, conn); err != nil {
+		if err := l.fetchView(ctx, conn, reply.Report.Version); err != nil {
 			return err
 		}
 	}
@@ -178,8 +179,14 @@
 	return nil
 }
 
-// fetchView fetches the entry's view.
-func (l *Links) fetchView(ctx context.Context, conn *peer.Conn) error {
+// fetchView fetches the entry's view, unless another entry has just given one
+// that is as new.
+func (l *Links) fetchView(ctx context.Context, conn *peer.Conn, version uint64) error {
+	l.fetching.Lock()
+	defer l.fetching.Unlock()
+	if l.book.View().Version >= version {
+		return nil
+	}
 	var fetched view.View
 	if err := conn.Call(ctx, peer.MethodView, peer.Empty{}, &fetched); err != nil {
 		return err
--- a/agent/main.go
+++ b/agent/main.go
@@ -15,5 +15,7 @@
 )
 
 func main() {
-	os.Exit(program.Main(&command{}, os.Args[1:]))
+	os.Exit(program.Main(program.NewDaemon(
+		"Runs beside a backend server and makes the last check before a task starts.", load,
+	), os.Args[1:]))
 }
--- a/agent/runcmd.go
+++ b/agent/run.go
@@ -21,17 +21,17 @@
 	"github.com/pollenfront/pollenfront/settings"
 )
 
-// A runCmd runs the agent.
-type runCmd struct {
-	Settings string `arg:"--settings" help:"TOML file with the settings, required" placeholder:"FILE"`
-}
-
-// execute runs the agent until ctx ends, then leaves in a planned way.
-func (c *runCmd) execute(ctx context.Context) error {
+// load reads the settings of an agent and returns what runs it.
+func load(file string) (func(context.Context) error, error) {
 	var s settings.Agent
-	if err := settings.Load(c.Settings, &s); err != nil {
-		return err
+	if err := settings.Load(file, &s); err != nil {
+		return nil, err
 	}
+	return func(ctx context.Context) error { return runAgent(ctx, s) }, nil
+}
+
+// runAgent runs an agent until ctx ends, then leaves in a planned way.
+func runAgent(ctx context.Context, s settings.Agent) error {
 	process, err := observe.NewProcess("agent", s.Name, s.Debug)
 	if err != nil {
 		return err
--- a/entry/main.go
+++ b/entry/main.go
@@ -14,5 +14,7 @@
 )
 
 func main() {
-	os.Exit(program.Main(&command{}, os.Args[1:]))
+	os.Exit(program.Main(program.NewDaemon(
+		"Takes jobs, owns a share of them, and decides which backend server runs which task.", load,
+	), os.Args[1:]))
 }
--- a/entry/runcmd.go
+++ b/entry/run.go
@@ -24,23 +24,18 @@
 	"github.com/pollenfront/pollenfront/view"
 )
 
-// A runCmd runs the entry.
-type runCmd struct {
-	Settings string `arg:"--settings" help:"TOML file with the settings, required" placeholder:"FILE"`
-}
-
-// execute runs the entry until ctx ends, then leaves in a planned way.
-func (c *runCmd) execute(ctx context.Context) error {
+// load reads the settings of an entry and returns what runs it until its
+// context ends.
+func load(file string) (func(context.Context) error, error) {
 	var s settings.Entry
-	if err := settings.Load(c.Settings, &s); err != nil {
-		return err
+	if err := settings.Load(file, &s); err != nil {
+		return nil, err
 	}
 	process, err := observe.NewProcess("entry", s.Name, s.Debug)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	n := newNode(s, process)
-	return n.run(ctx)
+	return newNode(s, process).run, nil
 }
 
 // A node holds the parts of an entry.
--- a/observe/process.go
+++ b/observe/process.go
@@ -59,6 +59,16 @@
 	router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
 }
 
+// ReadJSON reads the body of a request into value. If it can't, it answers with
+// status 400 and returns false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, value any) bool {
+	if err := json.NewDecoder(r.Body).Decode(value); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
 // WriteJSON writes value as the body of a response.
 func WriteJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/standin/internal/backendserver/server.go
+++ b/standin/internal/backendserver/server.go
@@ -86,8 +86,7 @@
 // setFaults replaces the faults.
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !observe.ReadJSON(w, r, &faults) {
 		return
 	}
 	s.mutex.Lock()
@@ -110,8 +109,7 @@
 // run runs a task. It goes on when the connection breaks.
 func (s *Server) run(w http.ResponseWriter, r *http.Request) {
 	var request backend.Request
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !observe.ReadJSON(w, r, &request) {
 		return
 	}
 	payload := Payload{Work: pollenfront.Duration(defaultWork)}
--- a/standin/internal/tableservice/service.go
+++ b/standin/internal/tableservice/service.go
@@ -11,7 +11,6 @@
 package tableservice
 
 import (
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -76,8 +75,7 @@
 // setFaults replaces the faults.
 func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !observe.ReadJSON(w, r, &faults) {
 		return
 	}
 	s.mutex.Lock()
--- a/standin/networkcmd.go
+++ b/standin/networkcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -40,8 +39,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/cuts", func(w http.ResponseWriter, request *http.Request) {
 		var cuts []network.Cut
-		if err := json.NewDecoder(request.Body).Decode(&cuts); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if !observe.ReadJSON(w, request, &cuts) {
 			return
 		}
 		n.SetCuts(cuts)
--- a/view/change.go
+++ b/view/change.go
@@ -110,9 +110,7 @@
 func (v *View) perform(change Change, present uint64) error {
 	switch change.Operation {
 	case OpJoin:
-		change.Entry.State = EntryJoining
-		v.Entries = put(v.Entries, change.Entry, func(e Entry) string { return e.Name })
-		return v.addZone(change.Entry.Zone)
+		return v.join(change.Entry)
 	case OpActivate:
 		return v.setState(change.Ref, EntryActive)
 	case OpLeave:
@@ -137,6 +135,18 @@
 	return refusal.New(refusal.BadRequest, "unknown operation %q", change.Operation)
 }
 
+// join adds an entry. It replaces an earlier incarnation only if that had the
+// same address: then it can't run any more. One with another address may, and
+// has to be fenced first.
+func (v *View) join(entry Entry) error {
+	if old, ok := v.Entry(entry.Name); ok && old.Peer != entry.Peer {
+		return refusal.New(refusal.Conflict, "entry %s is in the view with address %s, and may still run there", old.Name, old.Peer).At(v.Version - 1)
+	}
+	entry.State = EntryJoining
+	v.Entries = put(v.Entries, entry, func(e Entry) string { return e.Name })
+	return v.addZone(entry.Zone)
+}
+
 // addZone adds a zone that the view does not have yet.
 func (v *View) addZone(name string) error {
 	if name == "" {
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -62,6 +62,11 @@
 			name: "a late fence does not hit the successor", first: join("e1", 2, "west"), want: refusal.Conflict,
 			change: view.Change{Operation: view.OpFence, Ref: e1},
 		},
+		{name: "restart at the same address", change: join("e1", 2, "west")},
+		{
+			name: "restart at another address while the old one may run", want: refusal.Conflict,
+			change: view.Change{Entry: view.Entry{Incarnation: 2, Name: "e1", Peer: "127.0.1.9:7000", Zone: "west"}, Operation: view.OpJoin},
+		},
 		{name: "reinstate a server that is not retired", change: view.Change{Name: "x", Operation: view.OpReinstate}, want: refusal.UnknownServer},
 		{name: "quota of zero", change: view.Change{Operation: view.OpSetTeam, Team: view.Team{Name: "a", Weight: 1}}, want: refusal.BadRequest},
 		{name: "unknown setting", change: view.Change{Operation: view.OpSetting, Setting: view.Setting{Key: "x", Value: "1"}}, want: refusal.BadRequest},
