--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 MODULES := ./... ./agent/... ./entry/... ./pollenctl/... ./standin/...
 
-.PHONY: bench build demo faults lint recovery rolling slopes test unit
+.PHONY: bench build demo faults faults-short lint recovery rolling slopes test unit
 
 bench: build ## measures the policy into run/bench (ROWS="..." for some rows)
 	scripts/bench.sh $(ROWS)
@@ -16,6 +16,9 @@
 faults: build ## runs the schedule of faults of SEED and checks the history
 	scripts/faults.sh
 
+faults-short: build ## runs a short schedule of faults; the verdict is on safety only
+	SEED=2 FOR=14s OCTET=30 scripts/faults.sh
+
 lint: ## checks format and style
 	scripts/lint.sh
 
@@ -28,7 +31,7 @@
 slopes: build ## measures the slopes of docs/CAPACITY.md
 	scripts/slopes.sh
 
-test: lint unit ## checks format and style, and runs all tests
+test: lint unit faults-short ## checks format and style, and runs all tests
 
 unit: build
 	go test -race -timeout 10m $(MODULES)
--- a/entry/internal/members/members.go
+++ b/entry/internal/members/members.go
@@ -31,8 +31,9 @@
 	acceptWait       = 5 * time.Second // Longest wait for a change to be accepted.
 	acceptedMemory   = 64              // Accepted versions whose instant is kept.
 	callTimeout      = time.Second
-	deadAfter        = 2 * time.Second // Silence after which an entry may be fenced.
-	pauseLimit       = time.Second     // A longer gap between two rounds means that this process was paused.
+	deadAfter        = 2 * time.Second        // Silence after which an entry may be fenced.
+	pingTimeout      = 600 * time.Millisecond // Shorter than freshness.ContactLimit, so that one silent entry does not cost the contact to the others.
+	pauseLimit       = time.Second            // A longer gap between two rounds means that this process was paused.
 	roundInterval    = 500 * time.Millisecond
 	voteLimit        = 3 * roundInterval // Greatest age of another entry's vote.
 	writeRetries     = 8
--- a/entry/internal/members/round.go
+++ b/entry/internal/members/round.go
@@ -74,7 +74,7 @@
 
 // ping exchanges reports with one entry.
 func (m *Members) ping(ctx context.Context, e view.Entry) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	sentAt := time.Now()
 	var reply peer.PingReply
--- a/standin/internal/load/report.go
+++ b/standin/internal/load/report.go
@@ -37,6 +37,7 @@
 	Messages      map[string]float64   `json:"messages"`
 	Offered       float64              `json:"offered"` // Work submitted a second.
 	Outcomes      map[string]int       `json:"outcomes"`
+	Overhead      Quantiles            `json:"overhead-ms"`      // Response beyond the run time at the server, of jobs with one task.
 	OverIdeal     Quantiles            `json:"over-ideal"`       // Response over ideal, of complete jobs.
 	OverClair     Quantiles            `json:"over-clairvoyant"` // Response over clairvoyant, of complete jobs.
 	RefusalTime   Quantiles            `json:"refusal-time-ms"`
@@ -85,6 +86,7 @@
 		Jobs: len(counted), Messages: m.messages, Outcomes: make(map[string]int),
 	}
 	report.addResponses(r, counted)
+	report.addOverhead(counted, starts)
 	report.addSeconds(counted, starts)
 	report.addMessages(m)
 	return report
@@ -143,6 +145,23 @@
 	p.ResponseTime, p.RefusalTime = response.quantiles(), refused.quantiles()
 }
 
+// addOverhead adds the response time beyond the run time at the server, of
+// complete jobs with one task.
+func (p *Report) addOverhead(counted []*submission, starts []history.Record) {
+	runTimes := make(map[pollenfront.JobID]time.Duration)
+	for _, s := range starts {
+		runTimes[s.Job] = s.End.Sub(s.At)
+	}
+	overhead := newDistribution()
+	for _, s := range counted {
+		ran, ok := runTimes[s.answer.Job]
+		if ok && len(s.drawn.Work) == 1 && s.answer.Status == pollenfront.StatusComplete {
+			overhead.add(1e3 * (s.ended.Sub(s.arrived) - ran).Seconds())
+		}
+	}
+	p.Overhead = overhead.quantiles()
+}
+
 // addSeconds adds what was done in each second.
 func (p *Report) addSeconds(counted []*submission, starts []history.Record) {
 	if len(counted) == 0 {
@@ -225,6 +244,7 @@
 	row("clairvoyant/ideal", p.Clairvoyant)
 	row("response/clairvoyant", p.OverClair)
 	row("refusal ms", p.RefusalTime)
+	row("overhead ms, single tasks", p.Overhead)
 	fmt.Fprintf(w, "messages: %s; wasted %.1f%%\n", metrics{messages: p.Messages}.describe(), 100*p.Wasted)
 	fmt.Fprintf(w, "entries: cpu %v, %.0f bytes\n", time.Duration(p.CPU).Round(time.Millisecond), p.Bytes)
 }
