Leave silent servers out of the capacity; mend the decision benchmark

It showed a fault: silent servers counted as capacity at admission, so jobs were accepted that nobody could run (unit test, failed first).

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -84,7 +84,7 @@
 		waiting = append(waiting, l.jobs...)
 	}
 	slices.SortFunc(waiting, func(a, b *job) int { return a.key.Compare(b.key) })
-	f := d.fleet()
+	f := d.fleet(now)
 	var effects []Effect
 	var ahead time.Duration
 	for _, j := range waiting {
@@ -152,10 +152,10 @@
 }
 
 // fleet sums up the servers that may run tasks now.
-func (d *Dispatcher) fleet() fleet {
+func (d *Dispatcher) fleet(now time.Time) fleet {
 	var f fleet
 	for _, s := range d.order {
-		if s.gone || s.ejected() {
+		if !s.usable(now) || s.ejected() {
 			continue
 		}
 		slowness := d.estimator.Slowness(s.Name)
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -27,8 +27,11 @@
 		refs = append(refs, server)
 		d.Step(now, dispatch.ServerSeen{Server: server})
 	}
-	seen := now
 	now = now.Add(time.Minute) // Past the ramp of new servers.
+	seen := now
+	for _, server := range refs {
+		d.Step(now, dispatch.ServerSeen{Server: server})
+	}
 	var sent []dispatch.StartTask
 	step := func(event dispatch.Event) {
 		for _, effect := range d.Step(now, event) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -146,7 +146,7 @@
 		err := refusal.New(refusal.OutcomeUnknown, "attempts of an earlier submission of the job are still under way")
 		return []Effect{AnswerJob{Answer: j.givenUp(err)}}
 	}
-	f := d.fleet()
+	f := d.fleet(now)
 	if err := d.admit(now, j, f, e.mayHaveRun()); err != nil {
 		d.counts.Refused++
 		return []Effect{AnswerJob{Answer: j.givenUp(err)}}
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -125,6 +125,17 @@
 	qt.Assert(t, f.sent["s0"]-before >= 8, qt.IsTrue, qt.Commentf("%d tasks were sent to the server after its return", f.sent["s0"]-before))
 }
 
+func TestSilentServersAreNoCapacity(t *testing.T) {
+	f := newFleet(2, 2)
+	f.submit(1, time.Minute)
+	f.run(time.Second)
+	f.now = f.now.Add(5 * time.Second) // No heartbeat in that time.
+	id := f.submit(1, time.Minute)
+	qt.Assert(t, f.answers[id].Status, qt.Equals, pollenfront.StatusNotRun)
+	qt.Assert(t, f.answers[id].Reason, qt.Equals, string(refusal.NoServers))
+	qt.Assert(t, f.answers[id].RetryAfter > 0, qt.IsTrue)
+}
+
 func TestNotMoreThanAThirdIsEjected(t *testing.T) {
 	f := newFleet(6, 4)
 	for i := range 6 {
