--- a/entry/internal/members/change.go
+++ b/entry/internal/members/change.go
@@ -106,6 +106,7 @@
 			m.waitAccepted(ctx, version)
 			return nil
 		}
+		err = refusal.Wrap(err, "write "+string(operation))
 		if refusal.Is(err, refusal.Fenced) || isConflict(err) {
 			return err
 		}
--- a/entry/run.go
+++ b/entry/run.go
@@ -20,6 +20,7 @@
 	"github.com/pollenfront/pollenfront/peer"
 	"github.com/pollenfront/pollenfront/platform"
 	"github.com/pollenfront/pollenfront/program"
+	"github.com/pollenfront/pollenfront/refusal"
 	"github.com/pollenfront/pollenfront/settings"
 	"github.com/pollenfront/pollenfront/view"
 )
@@ -78,7 +79,7 @@
 func (n *node) run(ctx context.Context) error {
 	listener, err := peer.Listen(n.settings.Peer, n.handler(), n.metrics)
 	if err != nil {
-		return err
+		return refusal.Wrap(err, "listen for agents and entries")
 	}
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	var group run.Group
