Keep no refusal for joins that name no submission

Found by reading: a former owner's job is joined without a submission ID, and a 'not run' answer was kept under the empty ID, so the next join of another job would have got it.

--- a/entry/internal/owner/answers.go
+++ b/entry/internal/owner/answers.go
@@ -66,6 +66,9 @@
 // keepNotRun keeps the answer to submissions that did not run.
 func (a *answers) keepNotRun(answer pollenfront.Answer, submissions []string) {
 	for _, s := range submissions {
+		if s == "" {
+			continue // Another entry that joined the job, not a caller's submission.
+		}
 		a.notRuns[s] = answer
 		a.notRunOrder = append(a.notRunOrder, s)
 	}
--- a/entry/internal/owner/answers_test.go
+++ b/entry/internal/owner/answers_test.go
@@ -37,6 +37,11 @@
 	_, ok = a.notRun("s2")
 	qt.Assert(t, ok, qt.IsFalse)
 
+	// Entries that join a job for a caller of theirs name no submission.
+	a.keep(id, pollenfront.Answer{Job: id, Status: pollenfront.StatusNotRun}, []string{""})
+	_, ok = a.notRun("")
+	qt.Assert(t, ok, qt.IsFalse, qt.Commentf("no answer may go to a request for another job"))
+
 	a.keep(id, pollenfront.Answer{Job: id, Status: pollenfront.StatusComplete}, []string{"s2"})
 	_, ok = a.get(id)
 	qt.Assert(t, ok, qt.IsTrue)
