Make a vote that an entry is silent a promise not to answer it

(TestSilentEntryIsNotAnsweredAfterTheVote) - An owner whose zone was taken out may accept jobs until that reaches it; once it was fenced later, jobs of those seconds were not traced. (Table test in view, failed first.) - An internal error of an agent counted as proof that a task did not start. It is resolved by asking now, like a lost answer.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -6,6 +6,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/peer"
+	"github.com/pollenfront/pollenfront/refusal"
 	"github.com/pollenfront/pollenfront/view"
 )
 
@@ -44,7 +45,11 @@
 // servePing exchanges reports. A newer view is fetched before the answer, so
 // that the answer confirms it.
 func (n *node) servePing(ctx context.Context, conn *peer.Conn, ping peer.Ping) (peer.PingReply, error) {
-	if n.members.Hear(ping.Report, ping.Silence, time.Time{}) {
+	newer := n.members.Hear(ping.Report, ping.Silence, time.Time{})
+	if !n.members.MayAnswer(ping.Report.Name) {
+		return peer.PingReply{}, refusal.New(refusal.NotReady, "entry %s was silent and may be fenced", ping.Report.Name)
+	}
+	if newer {
 		n.catchUp(ctx, conn, ping.Report.Version)
 	}
 	return peer.PingReply{
--- a/entry/internal/agents/start.go
+++ b/entry/internal/agents/start.go
@@ -62,12 +62,12 @@
 }
 
 // call calls an agent and passes the load that comes back on. A refusal is an
-// outcome: the agent did not start the task.
+// outcome: the agent did not start the task. An internal error proves nothing.
 func (a *Agents) call(ctx context.Context, conn *peer.Conn, e dispatch.StartTask, method string, params any) (pollenfront.Outcome, error) {
 	var reply peer.StartReply
 	err := conn.Call(ctx, method, params, &reply)
 	var refused *refusal.Error
-	if errors.As(err, &refused) {
+	if errors.As(err, &refused) && refused.Kind != refusal.Internal {
 		return notStarted(refused), nil
 	}
 	if err != nil {
--- a/entry/internal/members/change_test.go
+++ b/entry/internal/members/change_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/entry/internal/members"
+	"github.com/pollenfront/pollenfront/freshness"
 	"github.com/pollenfront/pollenfront/peer"
 	"github.com/pollenfront/pollenfront/refusal"
 	"github.com/pollenfront/pollenfront/settings"
@@ -127,3 +128,26 @@
 	qt.Assert(t, m.Accepted() < 3, qt.IsTrue, qt.Commentf("the others have confirmed nothing"))
 	qt.Assert(t, m.InContact(), qt.IsFalse)
 }
+
+func TestSilentEntryIsNotAnsweredAfterTheVote(t *testing.T) {
+	m := join(t, &table{})
+	entry := view.Entry{Incarnation: 1, Name: "east-1", Peer: "127.0.0.1:1", Zone: "east"}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := m.Change(ctx, view.Change{Entry: entry, ID: "join", Operation: view.OpJoin}, false)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, m.MayAnswer("east-1"), qt.IsTrue)
+	for len(m.Silence()) == 0 { // Until it has been silent for long enough.
+		time.Sleep(50 * time.Millisecond)
+	}
+	qt.Assert(t, m.MayAnswer("east-1"), qt.IsFalse)
+	m.Hear(freshness.PeerReport{Name: "east-1"}, nil, time.Time{})
+	qt.Assert(t, m.Silence(), qt.HasLen, 0)
+	qt.Assert(t, m.MayAnswer("east-1"), qt.IsFalse, qt.Commentf("the promise outlasts the silence"))
+	entry.Incarnation = 2
+	ctx, cancel = context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = m.Change(ctx, view.Change{Entry: entry, ID: "rejoin", Operation: view.OpJoin}, false)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, m.MayAnswer("east-1"), qt.IsTrue, qt.Commentf("a new incarnation is not meant"))
+}
--- a/entry/internal/members/members.go
+++ b/entry/internal/members/members.go
@@ -31,7 +31,9 @@
 	acceptWait       = 5 * time.Second // Longest wait for a change to be accepted.
 	acceptedMemory   = 64              // Accepted versions whose instant is kept.
 	callTimeout      = time.Second
+	fenceTimeout     = 3 * time.Second        // Longest time from the votes to the writes of a fence.
 	deadAfter        = 2 * time.Second        // Silence after which an entry may be fenced.
+	promiseTime      = 10 * time.Second       // Entries that were reported as silent are not answered for it.
 	pingTimeout      = 600 * time.Millisecond // Shorter than freshness.ContactLimit, so that one silent entry does not cost the contact to the others.
 	pauseLimit       = time.Second            // A longer gap between two rounds means that this process was paused.
 	roundInterval    = 500 * time.Millisecond
@@ -58,6 +60,7 @@
 	mutex     sync.Mutex
 	onFenced  func(pollenfront.EntryRef)
 	onView    []func(*view.View)
+	promised  map[string]time.Time // When an entry was last reported as silent.
 	self      view.Entry
 	settings  settings.Entry
 	table     pollenfront.Table
@@ -85,6 +88,7 @@
 		heard:    make(map[string]hearing),
 		logger:   logger,
 		metrics:  metrics,
+		promised: make(map[string]time.Time),
 		self:     self,
 		settings: s,
 		table:    table,
@@ -178,6 +182,7 @@
 	for _, e := range v.Entries {
 		if old, ok := before.Entry(e.Name); !ok || old.Incarnation != e.Incarnation {
 			m.heard[e.Name] = hearing{at: now}
+			delete(m.promised, e.Name)
 		}
 	}
 	m.mutex.Unlock()
--- a/entry/internal/members/round.go
+++ b/entry/internal/members/round.go
@@ -150,6 +150,8 @@
 
 // fence removes an entry that is dead.
 func (m *Members) fence(ctx context.Context, dead deadEntry) {
+	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+	defer cancel()
 	change := view.Change{By: m.settings.Name, ID: newChangeID(), Operation: view.OpFence, Ref: dead.ref, Silent: dead.silentAt}
 	_, err := m.write(ctx, change, m.table)
 	if err != nil && !isConflict(err) {
--- a/entry/internal/members/silence.go
+++ b/entry/internal/members/silence.go
@@ -28,11 +28,24 @@
 	return m.silence(time.Now())
 }
 
-// silence returns for how long the other entries have been silent.
+// MayAnswer reports whether a ping of an entry may be answered. A vote that an
+// entry is silent is a promise not to answer it until the fence that the vote
+// may lead to has been written: an entry that resumes in between must not take
+// the answer for contact, and accept jobs that the fence says it did not.
+func (m *Members) MayAnswer(name string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	at, ok := m.promised[name]
+	return !ok || time.Since(at) > promiseTime
+}
+
+// silence returns for how long the other entries have been silent, and promises
+// not to answer those that have been so.
 func (m *Members) silence(now time.Time) []peer.Silence {
 	var silence []peer.Silence
 	for _, e := range m.view.Entries {
 		if d := now.Sub(m.heard[e.Name].at); e.Name != m.settings.Name && d > deadAfter {
+			m.promised[e.Name] = now
 			silence = append(silence, peer.Silence{For: d, Name: e.Name})
 		}
 	}
--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -97,7 +97,9 @@
 // Peer records another entry's report, in an answer to a message sent at
 // sentAt.
 func (t *Tracker) Peer(sentAt time.Time, report PeerReport) {
-	t.contact[report.Name] = later(t.contact[report.Name], sentAt)
+	if report.Version <= t.version { // One that is ahead may have seen this entry fenced.
+		t.contact[report.Name] = later(t.contact[report.Name], sentAt)
+	}
 	if report.HasProof {
 		t.Passed(sentAt, report.Version, report.Age)
 	}
--- a/view/owner.go
+++ b/view/owner.go
@@ -67,7 +67,7 @@
 		if !ok || seen[owner] {
 			continue
 		}
-		ceased := v.EntrySets[i+1].ceased(v.Has(owner), settle)
+		ceased := v.EntrySets[i+1].ceased(settle)
 		if !id.Time().After(ceased.Add(skew)) {
 			seen[owner] = true
 			former = append(former, owner)
@@ -76,18 +76,18 @@
 	return former
 }
 
-// ceased returns when an entry that owned jobs before the set came into force
-// had ceased to accept them. One that is still in the view may do so until the
-// change has reached it. One that has left, or was replaced by its successor,
-// had ceased before.
-func (s EntrySet) ceased(present bool, settle time.Duration) time.Time {
+// ceased returns when an entry that owned jobs before the set came into force,
+// and no longer did after, had ceased to accept them. An entry that was fenced
+// had done so before, and so had one that its successor replaced. Any other was
+// alive at the change, and may have accepted jobs until the change reached it.
+func (s EntrySet) ceased(settle time.Duration) time.Time {
 	switch {
-	case present:
-		return s.Since.Add(settle)
 	case s.Cause == OpFence && !s.Ceased.IsZero():
 		return s.Ceased
+	case s.Cause == OpJoin:
+		return s.Since
 	}
-	return s.Since
+	return s.Since.Add(settle)
 }
 
 // UnsettledSets returns the entry sets that must confirm v before it counts as
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -183,3 +183,24 @@
 		}
 	})
 }
+
+// An entry whose zone was taken out may accept jobs under the view before until
+// the change reaches it, also if it dies later.
+func TestFormerOwnerThatDiedAfterItsZoneWasTakenOut(t *testing.T) {
+	const settle, skew = 3 * time.Second, time.Second
+	v := apply(t, &view.View{}, append(active("e1", "west"), active("e2", "east")...)...)
+	takenOut := start.Add(time.Minute)
+	v, err := v.Apply(view.Change{Name: "west", Operation: view.OpTakeOutZone}, takenOut, retention)
+	qt.Assert(t, err, qt.IsNil)
+	e1 := pollenfront.EntryRef{Incarnation: 1, Name: "e1"}
+	fence := view.Change{Operation: view.OpFence, Ref: e1, Silent: takenOut.Add(10 * time.Second)}
+	v, err = v.Apply(fence, takenOut.Add(12*time.Second), retention)
+	qt.Assert(t, err, qt.IsNil)
+	self := pollenfront.EntryRef{Incarnation: 1, Name: "e2"}
+	for n := range 20 {
+		id := idAt(takenOut.Add(2500 * time.Millisecond))[:35] + pollenfront.JobID(fmt.Sprintf("%x", n%16))
+		owner, _ := v.OwnerAt(id, 4)
+		former := v.FormerOwners(id, self, settle, skew)
+		qt.Assert(t, len(former) == 1, qt.Equals, owner == e1, qt.Commentf("owner %v, former %v", owner, former))
+	}
+}
