--- a/standin/gapcmd.go
+++ b/standin/gapcmd.go
@@ -49,7 +49,11 @@
 		}
 		outcomes[c.describe(r, started[r.Job])]++
 	}
-	fmt.Printf("first start of a moved job %v after the kill\n", first.Sub(c.Killed).Round(time.Millisecond))
+	if first.IsZero() {
+		fmt.Println("no moved job started under its own ID")
+	} else {
+		fmt.Printf("first start of a moved job %v after the kill\n", first.Sub(c.Killed).Round(time.Millisecond))
+	}
 	var names []string
 	for name := range outcomes {
 		names = append(names, name)
