Remove dead and derived state; make the ID of an own change once

Found on reading the whole change: Dispatcher.Busy and Self, job.work, AnswerJob.Took, flight.since and the kind recorded-not-in-force had no reader; a server's count of own tasks was the length of its list; four callers of giveUp checked what it now checks itself. An entry that announced its own join or leave made a new change ID for each retry, so a change whose answer was lost through all eight tries could not be read back: the ID is made once, as for operators' changes. Behaviour is otherwise the same, no test was touched.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -96,7 +96,7 @@
 		}
 		late := finish.Sub(j.Deadline)
 		reason := refusal.New(refusal.CannotFinish, "the job would finish %v after its deadline", late.Round(time.Millisecond))
-		effects = append(effects, d.giveUp(now, j, reason.After(max(minRetryAfter, late)))...)
+		effects = append(effects, d.giveUp(j, reason.After(max(minRetryAfter, late)))...)
 	}
 	return effects
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -89,7 +89,7 @@
 	case Submit:
 		effects = d.submit(now, e)
 	case Cancel:
-		effects = d.cancel(now, e)
+		effects = d.cancel(e)
 	case TaskEnded:
 		effects = d.taskEnded(now, e)
 	case ServerSeen:
@@ -101,7 +101,7 @@
 	case ViewChanged:
 		d.setView(now, e.View)
 	case Fenced:
-		effects = d.fenced(now, e)
+		effects = d.fenced(e)
 	case Learned:
 		d.learned(e)
 	case Tick:
@@ -110,17 +110,6 @@
 	return append(effects, d.place(now)...)
 }
 
-// Busy returns the number of jobs without an answer.
-func (d *Dispatcher) Busy() int {
-	busy := 0
-	for _, j := range d.jobs {
-		if !j.answered {
-			busy++
-		}
-	}
-	return busy
-}
-
 // Estimates returns what was learned of run times, for an entry that joins.
 func (d *Dispatcher) Estimates() estimate.Snapshot {
 	return d.estimator.Snapshot()
@@ -134,11 +123,6 @@
 	}
 }
 
-// Self returns the entry that the dispatcher works for.
-func (d *Dispatcher) Self() pollenfront.EntryRef {
-	return d.self
-}
-
 // submit admits a job or answers it with a refusal.
 func (d *Dispatcher) submit(now time.Time, e Submit) []Effect {
 	j := newJob(e, now)
@@ -152,7 +136,6 @@
 		return []Effect{AnswerJob{Answer: j.givenUp(err)}}
 	}
 	d.counts.Accepted++
-	j.work = d.workOf(j.Kind, j.queued)
 	j.key = now.Add(urgency * d.ideal(j, f))
 	d.jobs[j.ID] = j
 	t := d.team(j.Team)
@@ -183,38 +166,42 @@
 		start := ledger.Start{Attempt: r.Attempt, Ref: r.Ref}
 		effects = append(effects, StartTask{Join: true, Server: r.Server, Start: start})
 	}
-	if e.Unaccounted != "" && len(j.queued) > 0 && !j.answered {
+	if e.Unaccounted != "" && len(j.queued) > 0 {
 		reason := refusal.New(refusal.OutcomeUnknown, "a former owner may have started tasks on %s, which can't be asked", e.Unaccounted)
-		effects = append(effects, d.giveUp(now, j, reason)...)
+		effects = append(effects, d.giveUp(j, reason)...)
 	}
 	return effects
 }
 
 // cancel gives a job up on the caller's request.
-func (d *Dispatcher) cancel(now time.Time, e Cancel) []Effect {
+func (d *Dispatcher) cancel(e Cancel) []Effect {
 	j, ok := d.jobs[e.Job]
-	if !ok || j.answered {
+	if !ok {
 		return nil
 	}
-	return d.giveUp(now, j, refusal.New(refusal.Cancelled, "the caller cancelled the job"))
+	return d.giveUp(j, refusal.New(refusal.Cancelled, "the caller cancelled the job"))
 }
 
 // fenced gives up the jobs that need another start, and goes on as the new
 // incarnation.
-func (d *Dispatcher) fenced(now time.Time, e Fenced) []Effect {
+func (d *Dispatcher) fenced(e Fenced) []Effect {
 	var effects []Effect
 	for _, j := range d.jobs {
-		if !j.answered && len(j.queued) > 0 {
+		if len(j.queued) > 0 {
 			reason := refusal.New(refusal.OutcomeUnknown, "the entry was fenced, and another one may run the job")
-			effects = append(effects, d.giveUp(now, j, reason)...)
+			effects = append(effects, d.giveUp(j, reason)...)
 		}
 	}
 	d.self = e.Self
 	return effects
 }
 
-// giveUp answers a job at once and takes its unstarted tasks back.
-func (d *Dispatcher) giveUp(now time.Time, j *job, reason *refusal.Error) []Effect {
+// giveUp answers a job at once and takes its unstarted tasks back. It does
+// nothing if the job is answered already.
+func (d *Dispatcher) giveUp(j *job, reason *refusal.Error) []Effect {
+	if j.answered {
+		return nil
+	}
 	answer := j.givenUp(reason)
 	for len(j.queued) > 0 {
 		t := j.queued[0]
@@ -229,17 +216,17 @@
 			effects = append(effects, WithdrawTask{Ref: pollenfront.TaskRef{Job: j.ID, Task: t.Name}, Server: t.server})
 		}
 	}
-	return append(effects, d.answer(now, j, answer)...)
+	return append(effects, d.answer(j, answer)...)
 }
 
 // answer gives a job its one answer.
-func (d *Dispatcher) answer(now time.Time, j *job, answer pollenfront.Answer) []Effect {
+func (d *Dispatcher) answer(j *job, answer pollenfront.Answer) []Effect {
 	j.answered = true
 	t := d.team(j.Team)
 	t.inFlight -= len(j.tasks)
 	d.counts.answered(answer.Status)
 	d.forgetIfDone(j)
-	return []Effect{AnswerJob{Answer: answer, Took: now.Sub(j.arrived)}}
+	return []Effect{AnswerJob{Answer: answer}}
 }
 
 // forgetIfDone drops a job that is answered and has no attempt under way.
@@ -308,7 +295,7 @@
 }
 
 // tick gives up the jobs whose deadline has passed or can't be met any more,
-// takes queued tasks back from stragglers, and forgets lost servers.
+// and takes queued tasks back from stragglers.
 func (d *Dispatcher) tick(now time.Time) []Effect {
 	var effects []Effect
 	for _, j := range d.jobs {
@@ -317,7 +304,7 @@
 		}
 		if now.After(j.Deadline) {
 			reason := refusal.New(refusal.CannotFinish, "the deadline passed with %d of %d tasks done", j.succeeds, len(j.tasks))
-			effects = append(effects, d.giveUp(now, j, reason)...)
+			effects = append(effects, d.giveUp(j, reason)...)
 			continue
 		}
 		effects = append(effects, d.takeBack(now, j)...)
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -124,7 +124,7 @@
 		Gone:     s.gone,
 		Name:     s.Name,
 		Others:   s.load.Others,
-		Own:      s.own,
+		Own:      s.own(),
 		Seen:     now.Sub(s.seen).Round(time.Millisecond).String(),
 		Slots:    s.Slots,
 		Slowness: d.estimator.Slowness(s.Name),
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/estimate"
 	"github.com/pollenfront/pollenfront/ledger"
@@ -106,7 +104,6 @@
 // An AnswerJob is the final answer to a job. There is one for each job.
 type AnswerJob struct {
 	Answer pollenfront.Answer
-	Took   time.Duration
 }
 
 func (StartTask) effect()    {}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -62,7 +62,6 @@
 	started  bool // Whether a task may have started.
 	succeeds int
 	tasks    map[string]*task
-	work     time.Duration // Expected run time of all tasks on the reference server.
 }
 
 // newJob returns a job whose tasks are all queued, the longest declared first.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -157,7 +157,7 @@
 		s := &p.servers[i]
 		expected := time.Duration(base * s.slowness)
 		c := pollenfront.Candidate{
-			Expected: expected, Name: s.Name, Others: s.load.Others, Own: s.own, Room: s.room, Wait: p.wait(s, urgent),
+			Expected: expected, Name: s.Name, Others: s.load.Others, Own: s.own(), Room: s.room, Wait: p.wait(s, urgent),
 		}
 		if urgent {
 			c.Room += s.extra
@@ -170,7 +170,7 @@
 
 // wait returns the time until a slot of a server is free for a task.
 func (p *pass) wait(s *passServer, urgent bool) time.Duration {
-	if s.next == nil && s.own+s.load.Others < s.Slots {
+	if s.next == nil && s.own()+s.load.Others < s.Slots {
 		return 0
 	}
 	p.reckon(s)
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -38,8 +38,7 @@
 	fullUntil    time.Time // No sends until then, after a refusal.
 	gone         bool
 	load         pollenfront.Load
-	own          int // Tasks sent and not ended.
-	ownTasks     []*task
+	ownTasks     []*task // Sent and not ended.
 	probePause   time.Duration
 	probesPassed int
 	rampFrom     time.Time // Instant of the first announcement or of the return of its zone.
@@ -65,15 +64,18 @@
 	return !s.gone && now.Sub(s.seen) <= silenceLimit
 }
 
+// own returns the number of tasks that were sent and have not ended.
+func (s *server) own() int {
+	return len(s.ownTasks)
+}
+
 // sent records that a task was sent to the server.
 func (s *server) sent(t *task) {
-	s.own++
 	s.ownTasks = append(s.ownTasks, t)
 }
 
 // ended records that an attempt ended.
 func (s *server) ended(t *task) {
-	s.own--
 	s.ownTasks = slices.DeleteFunc(s.ownTasks, func(other *task) bool { return other == t })
 }
 
@@ -110,14 +112,14 @@
 		return s.probeRoom(now)
 	}
 	if s.untried {
-		return 1 - s.own
+		return 1 - s.own()
 	}
 	allowed := s.Slots + depth
 	if ramping := now.Sub(s.rampFrom); ramping < rampTime {
 		share := rampFirst + (1-rampFirst)*float64(ramping)/float64(rampTime)
 		allowed = max(1, int(float64(s.Slots)*share))
 	}
-	return allowed - s.own - s.load.Others
+	return allowed - s.own() - s.load.Others
 }
 
 // ejected reports whether the server is ejected or on probation.
@@ -158,7 +160,7 @@
 	if now.Before(s.ejectedUntil) {
 		return 0
 	}
-	return 1 - s.own
+	return 1 - s.own()
 }
 
 // succeeded takes in a success.
--- a/dispatch/settle.go
+++ b/dispatch/settle.go
@@ -33,27 +33,21 @@
 	t.outcome = outcome
 	switch outcome.State {
 	case pollenfront.OutcomeSucceeded:
-		return d.settleSuccess(now, j, t, s)
+		return d.settleSuccess(j, t, s)
 	case pollenfront.OutcomeNotStarted:
 		return d.settleNotStarted(now, j, t, s)
 	case pollenfront.OutcomeFailed:
 		d.settleFailure(now, s)
 		t.state, j.started = taskFailed, true
-		if j.answered {
-			return nil
-		}
-		return d.giveUp(now, j, refusal.New(refusal.TaskFailed, "task %s failed on %s: %s", t.Name, t.server.Name, outcome.Detail))
+		return d.giveUp(j, refusal.New(refusal.TaskFailed, "task %s failed on %s: %s", t.Name, t.server.Name, outcome.Detail))
 	default:
 		t.state, j.started = taskFailed, true
-		if j.answered {
-			return nil
-		}
-		return d.giveUp(now, j, refusal.New(refusal.OutcomeUnknown, "task %s was lost on %s: %s", t.Name, t.server.Name, outcome.Detail))
+		return d.giveUp(j, refusal.New(refusal.OutcomeUnknown, "task %s was lost on %s: %s", t.Name, t.server.Name, outcome.Detail))
 	}
 }
 
 // settleSuccess takes in a result, and completes the job with the last one.
-func (d *Dispatcher) settleSuccess(now time.Time, j *job, t *task, s *server) []Effect {
+func (d *Dispatcher) settleSuccess(j *job, t *task, s *server) []Effect {
 	t.state, j.started = taskSucceeded, true
 	j.succeeds++
 	d.estimator.Observe(t.server.Name, j.Kind, time.Duration(t.outcome.RunTime))
@@ -64,7 +58,7 @@
 	if j.answered || j.succeeds < len(j.tasks) {
 		return nil
 	}
-	return d.answer(now, j, j.complete())
+	return d.answer(j, j.complete())
 }
 
 // settleFailure counts a failure against the server.
@@ -98,14 +92,14 @@
 	}
 	if kind := refusal.Kind(t.outcome.Reason); kind == refusal.Fenced || kind == refusal.NotOwner {
 		t.state = taskDropped
-		return d.giveUp(now, j, refusal.New(refusal.OutcomeUnknown, "another entry owns the job by now: %s", t.outcome.Detail))
+		return d.giveUp(j, refusal.New(refusal.OutcomeUnknown, "another entry owns the job by now: %s", t.outcome.Detail))
 	}
 	d.requeue(j, t)
 	if t.refusals < maxTaskRefusals {
 		return nil
 	}
 	reason := refusal.New(refusal.Overloaded, "%d attempts to start task %s were refused, the last one since %s", t.refusals, t.Name, t.outcome.Detail)
-	return d.giveUp(now, j, reason.After(refusedRetryAfter))
+	return d.giveUp(j, reason.After(refusedRetryAfter))
 }
 
 // learnRefusal stops sends to a server that refused an attempt, for longer the
--- a/entry/internal/members/change.go
+++ b/entry/internal/members/change.go
@@ -56,11 +56,11 @@
 // Join adds this entry to the view, and waits for the table as long as ctx
 // allows.
 func (m *Members) Join(ctx context.Context) error {
+	m.mutex.Lock()
+	self := m.self
+	m.mutex.Unlock()
+	change := view.Change{By: self.Name, Entry: self, ID: newChangeID(), Operation: view.OpJoin}
 	for {
-		m.mutex.Lock()
-		self := m.self
-		m.mutex.Unlock()
-		change := view.Change{By: self.Name, Entry: self, ID: newChangeID(), Operation: view.OpJoin}
 		_, err := m.write(ctx, change, m.table)
 		if err == nil {
 			m.mutex.Lock()
@@ -99,8 +99,8 @@
 // announce writes a change of this entry's own state and waits until it is
 // accepted.
 func (m *Members) announce(ctx context.Context, operation view.Operation) error {
+	change := view.Change{By: m.settings.Name, ID: newChangeID(), Operation: operation, Ref: m.Self()}
 	for {
-		change := view.Change{By: m.settings.Name, ID: newChangeID(), Operation: operation, Ref: m.Self()}
 		version, err := m.write(ctx, change, m.table)
 		if err == nil {
 			m.waitAccepted(ctx, version)
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -62,7 +62,6 @@
 	cancelled   bool
 	done        chan struct{}
 	err         error // Set instead of answer if the job was not accepted.
-	since       time.Time
 	submissions []string
 }
 
@@ -139,7 +138,7 @@
 			o.mutex.Unlock()
 			return pollenfront.Answer{}, err
 		}
-		f = &flight{done: make(chan struct{}), since: time.Now()}
+		f = &flight{done: make(chan struct{})}
 		o.flights[job.ID] = f
 		go o.accept(job, f, version)
 	}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -47,7 +47,6 @@
 	OverQuota        Kind = "over-quota"
 	Overloaded       Kind = "overloaded"
 	OwnerLost        Kind = "owner-lost"
-	RecordedNotYet   Kind = "recorded-not-in-force"
 	ServerFull       Kind = "server-full"
 	ServerRetired    Kind = "server-retired"
 	StaleView        Kind = "stale-view"
@@ -91,7 +90,6 @@
 	OverQuota:        {"submit again when earlier jobs have finished", http.StatusTooManyRequests},
 	Overloaded:       {"submit again after the stated time", http.StatusServiceUnavailable},
 	OwnerLost:        {"submit again at once under a new ID from POST /v1/job-ids", http.StatusServiceUnavailable},
-	RecordedNotYet:   {"watch the version until every zone confirms it", http.StatusAccepted},
 	ServerFull:       {"the task is placed elsewhere", http.StatusServiceUnavailable},
 	ServerRetired:    {"the task is placed elsewhere", http.StatusServiceUnavailable},
 	StaleView:        {"wait until the process can prove that its view is current", http.StatusServiceUnavailable},
