--- /dev/null
+++ b/agent/internal/work/work.go
@@ -0,0 +1,287 @@
+// Package work drives the agent's executor: it passes on what entries order
+// and what the backend server says, and carries out what the executor decides.
+//
+// # Usage
+//
+//	w := work.New(self, server, registry, logger)
+//	err := w.Run(ctx)
+package work
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/executor"
+	"github.com/pollenfront/pollenfront/program"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Limits on calls to the backend server, which is on the same machine.
+const (
+	holdMargin   = 250 * time.Millisecond // Beyond the wait of a hold.
+	holdPause    = 50 * time.Millisecond  // After a hold that failed.
+	orderTimeout = 150 * time.Millisecond
+)
+
+// A Server is a backend server whose incarnation can be named.
+type Server interface {
+	pollenfront.BackendServer
+
+	// SetInstance names the incarnation that orders are meant for.
+	SetInstance(id string)
+}
+
+// Work is the work of an agent.
+type Work struct {
+	executor *executor.Executor
+	links    map[string]*entryLink // By entry.
+	logger   *zap.Logger
+	metrics  *metrics
+	mu       sync.Mutex
+	self     tasklink.Hello
+	server   Server
+	started  time.Duration
+}
+
+// New returns the work of the agent that self describes. Its orders carry
+// fencing tokens from the incarnation upwards.
+func New(self tasklink.Hello, server Server, registry *prometheus.Registry, logger *zap.Logger) *Work {
+	return &Work{
+		executor: executor.New(self.Service, self.Zone, self.Incarnation),
+		links:    make(map[string]*entryLink),
+		logger:   logger,
+		metrics:  newMetrics(registry),
+		self:     self,
+		server:   server,
+		started:  bootclock.Now(),
+	}
+}
+
+// Run holds the lease and lets time pass until ctx ends.
+func (w *Work) Run(ctx context.Context) error {
+	go w.hold(ctx)
+	ticker := time.NewTicker(executor.TickInterval)
+	defer ticker.Stop()
+	updated := bootclock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		now := bootclock.Now()
+		w.apply(now, func() executor.Effects { return w.executor.Tick(now) })
+		if now-updated >= executor.UpdateInterval-executor.TickInterval/2 {
+			updated = now
+			w.updateAll(now)
+		}
+	}
+}
+
+// apply applies an event and carries out its effects.
+func (w *Work) apply(now time.Duration, event func() executor.Effects) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.perform(now, event())
+}
+
+// perform carries out what the executor decided. The caller holds mu.
+func (w *Work) perform(now time.Duration, effects executor.Effects) {
+	for _, order := range effects.Starts {
+		w.metrics.starts.Inc()
+		go w.start(order)
+	}
+	for _, order := range effects.Stops {
+		w.metrics.stops.Inc()
+		go w.stop(order)
+	}
+	for _, name := range effects.Notify {
+		w.update(now, name)
+	}
+}
+
+// update sends an update to an entry. The caller holds mu.
+func (w *Work) update(now time.Duration, name string) {
+	link, ok := w.links[name]
+	if !ok {
+		return
+	}
+	update, ok := w.executor.Update(now, name)
+	if !ok {
+		return
+	}
+	for _, end := range update.Ends {
+		w.metrics.ends.WithLabelValues(string(end.Ending)).Inc()
+		if end.Ending != pollenfront.EndingDone {
+			w.logger.Info("run ended", zap.String("request", end.Run.Job), zap.Int("task", end.Run.Index), zap.Int("run", end.Run.Number),
+				zap.String("ending", string(end.Ending)), zap.String("reason", end.Reason), zap.Float64("seconds", end.Seconds), zap.String("entry", name))
+		}
+	}
+	if err := link.Send(&update); err != nil {
+		link.Close() // Its reader reports the loss.
+	}
+}
+
+// updateAll sends an update to each entry.
+func (w *Work) updateAll(now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range w.links {
+		w.update(now, name)
+	}
+}
+
+// start orders the server to start a run.
+func (w *Work) start(order pollenfront.StartOrder) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	clock, err := w.server.Start(ctx, order)
+	outcome := startOutcome(err)
+	if outcome != executor.StartDone {
+		w.logger.Info("start not done", zap.String("request", order.Run.Job), zap.Int("task", order.Run.Index),
+			zap.Int("run", order.Run.Number), zap.Error(err))
+	}
+	now := bootclock.Now()
+	w.apply(now, func() executor.Effects { return w.executor.StartAnswered(now, order, clock, outcome) })
+}
+
+// startOutcome returns what an error of a start stands for.
+func startOutcome(err error) executor.StartError {
+	switch {
+	case err == nil:
+		return executor.StartDone
+	case errors.Is(err, pollenfront.ErrFenced):
+		return executor.StartFenced
+	case errors.Is(err, pollenfront.ErrLate):
+		return executor.StartLate
+	case errors.Is(err, pollenfront.ErrNoRoom):
+		return executor.StartNoRoom
+	case errors.Is(err, pollenfront.ErrRunPassed):
+		return executor.StartPassed
+	case errors.Is(err, pollenfront.ErrRejected):
+		return executor.StartRejected
+	case errors.Is(err, pollenfront.ErrReplaced):
+		return executor.StartReplaced
+	case errors.Is(err, pollenfront.ErrUnhealthy):
+		return executor.StartUnhealthy
+	}
+	return executor.StartUnknown
+}
+
+// stop orders the server to stop a run.
+func (w *Work) stop(order executor.StopOrder) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	clock, err := w.server.Stop(ctx, order.Run, order.Token)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fenced := errors.Is(err, pollenfront.ErrFenced)
+	if err != nil && !fenced {
+		w.logger.Info("stop not done", zap.String("request", order.Run.Job), zap.Int("task", order.Run.Index),
+			zap.Int("run", order.Run.Number), zap.Error(err))
+		return // The executor repeats it.
+	}
+	w.executor.StopAnswered(bootclock.Now(), order.Run, clock, fenced)
+}
+
+// hold holds the lease on what the server runs until ctx ends.
+func (w *Work) hold(ctx context.Context) {
+	reached := true
+	for ctx.Err() == nil {
+		err := w.holdOnce(ctx)
+		if (err == nil) != reached {
+			reached = err == nil
+			if reached {
+				w.logger.Info("backend server regained")
+			} else {
+				w.logger.Warn("backend server lost", zap.Error(err))
+			}
+		}
+		if err != nil {
+			program.Sleep(ctx, holdPause)
+		}
+	}
+}
+
+// holdOnce holds the lease once.
+func (w *Work) holdOnce(ctx context.Context) error {
+	w.mu.Lock()
+	sent := bootclock.Now()
+	order := w.executor.HoldOrder(sent)
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, order.Wait+holdMargin)
+	defer cancel()
+	reply, err := w.server.Hold(ctx, order)
+	switch {
+	case err == nil:
+		now := bootclock.Now()
+		w.apply(now, func() executor.Effects { return w.executor.Held(now, sent, &reply) })
+	case errors.Is(err, pollenfront.ErrReplaced):
+		w.server.SetInstance("") // Until it announces itself.
+	case errors.Is(err, pollenfront.ErrFenced):
+		w.mu.Lock()
+		w.executor.HoldFenced()
+		w.mu.Unlock()
+	}
+	return err
+}
+
+// Announced takes an announcement of the server.
+func (w *Work) Announced(a pollenfront.Announcement) {
+	now := bootclock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	former := w.executor.Report(now).State
+	effects, taken := w.executor.Announced(now, a)
+	if taken {
+		w.server.SetInstance(a.Instance)
+	}
+	if state := w.executor.Report(now).State; state != former {
+		w.logger.Info("backend server announced", zap.String("instance", a.Instance), zap.Uint64("life", a.Life), zap.Uint8("state", uint8(state)),
+			zap.Int("cpu", a.Capacity.CPU))
+	}
+	w.perform(now, effects)
+}
+
+// Gone takes the notice that the server ends.
+func (w *Work) Gone(instance string) {
+	w.logger.Info("backend server left", zap.String("instance", instance))
+	now := bootclock.Now()
+	w.apply(now, func() executor.Effects { return w.executor.Gone(now) })
+}
+
+// Ignored takes an announcement that can't be used.
+func (w *Work) Ignored(instance string, err error) {
+	w.metrics.ignored.Inc()
+	w.logger.Warn("announcement ignored", zap.String("instance", instance), zap.Error(err))
+}
+
+// Leave returns what is queued, and waits until nothing runs or ctx ends.
+func (w *Work) Leave(ctx context.Context) {
+	now := bootclock.Now()
+	w.apply(now, func() executor.Effects { return w.executor.Leave(now) })
+	for ctx.Err() == nil && !w.idle() {
+		program.Sleep(ctx, executor.TickInterval)
+	}
+}
+
+// idle reports whether nothing runs.
+func (w *Work) idle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.executor.Idle()
+}
+
+// Dump returns the state of the work for people to read.
+func (w *Work) Dump() any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.executor.Dump(bootclock.Now())
+}
--- /dev/null
+++ b/agent/serve.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/agent/internal/work"
+	"github.com/pollenfront/pollenfront/follow"
+	"github.com/pollenfront/pollenfront/observe"
+	"github.com/pollenfront/pollenfront/platform"
+	"github.com/pollenfront/pollenfront/program"
+	"github.com/pollenfront/pollenfront/settings"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Parameters of an agent.
+const (
+	// entriesWait is how long the store holds a question for changes among
+	// the entries.
+	entriesWait = 4 * time.Second
+	// headerTimeout bounds the time that the head of a request takes.
+	headerTimeout = 3 * time.Second
+	// stopMargin is kept free at the end of the time for a planned stop.
+	stopMargin = 500 * time.Millisecond
+)
+
+// A server is an agent on the users' platform.
+type server struct {
+	dials    map[string]context.CancelFunc // By address of an entry.
+	logger   *zap.Logger
+	process  *observe.Process
+	seeds    map[string]bool // Addresses of entries that are always dialled.
+	settings settings.ServeAgent
+	store    pollenfront.Store
+	work     *work.Work
+}
+
+// loadServer reads the settings of an agent on the users' platform and returns
+// what runs it until its context ends.
+func loadServer(file string) (func(context.Context) error, error) {
+	var s settings.ServeAgent
+	if err := settings.Load(program.SettingsPath(file), &s); err != nil {
+		return nil, err
+	}
+	process, err := observe.NewProcess("agent", s.Name, false)
+	if err != nil {
+		return nil, err
+	}
+	return newServer(s, process).run, nil
+}
+
+// newServer returns an agent.
+func newServer(s settings.ServeAgent, process *observe.Process) *server {
+	hello := tasklink.Hello{
+		Incarnation: uint64(time.Now().UnixMilli()), //nolint:gosec // After 1970.
+		Name:        s.Name, Service: s.Service, Version: tasklink.Version, Zone: s.Zone,
+	}
+	seeds := make(map[string]bool)
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil { // The settings were checked.
+			seeds[net.JoinHostPort(host, strconv.Itoa(s.LinkPort))] = true
+		}
+	}
+	return &server{
+		dials:    make(map[string]context.CancelFunc),
+		logger:   process.Logger,
+		process:  process,
+		seeds:    seeds,
+		settings: s,
+		store:    platform.NewStore(s.Store),
+		work:     work.New(hello, platform.NewBackendServer(s.Server), process.Registry, process.Logger),
+	}
+}
+
+// run runs the parts of the agent, which stop together.
+func (s *server) run(ctx context.Context) error {
+	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	var group run.Group
+	for _, part := range []func(context.Context) error{s.work.Run, s.followEntries} {
+		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
+	}
+	announcements := platform.NewAnnouncements(s.settings.Service, s.work)
+	program.AddServer(&group, &http.Server{Handler: announcements, ReadHeaderTimeout: headerTimeout}, s.settings.Announcements, s.logger)
+	router := mux.NewRouter()
+	s.process.Routes(router, s.work.Dump)
+	program.AddServer(&group, &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, s.settings.Metrics, s.logger)
+	program.OnHangup(&group, s.reload)
+	group.Add(func() error {
+		<-ctx.Done()
+		s.logger.Info("leaving")
+		leaveCtx, cancel := context.WithTimeout(partsCtx, time.Duration(s.settings.StopLimit)-stopMargin)
+		defer cancel()
+		s.work.Leave(leaveCtx)
+		return nil
+	}, func(error) {})
+
+	s.logger.Info("started", zap.String("zone", s.settings.Zone), zap.String("server", s.settings.Server))
+	err := group.Run()
+	s.logger.Info("stopped", zap.Error(err))
+	return err
+}
+
+// followEntries keeps links to all entries.
+func (s *server) followEntries(ctx context.Context) error {
+	s.dialAll(ctx, pollenfront.Entries{})
+	f := follow.Follower[pollenfront.Entries]{
+		Apply:  func(entries pollenfront.Entries) { s.dialAll(ctx, entries) },
+		Logger: s.logger,
+		Name:   "entries",
+		Read:   s.store.Entries,
+		Since: func(ctx context.Context, known pollenfront.Entries) (pollenfront.Entries, error) {
+			return s.store.EntriesSince(ctx, known, entriesWait)
+		},
+	}
+	return f.Run(ctx)
+}
+
+// dialAll dials the entries that are new and stops dialling those that are gone.
+func (s *server) dialAll(ctx context.Context, entries pollenfront.Entries) {
+	wanted := make(map[string]bool)
+	for address := range s.seeds {
+		wanted[address] = true
+	}
+	for _, record := range entries.Records {
+		wanted[record.Address] = true
+	}
+	for address := range wanted {
+		if _, ok := s.dials[address]; ok {
+			continue
+		}
+		dialCtx, cancel := context.WithCancel(ctx)
+		s.dials[address] = cancel
+		go s.work.Dial(dialCtx, address)
+	}
+	for address, cancel := range s.dials {
+		if !wanted[address] {
+			cancel()
+			delete(s.dials, address)
+		}
+	}
+}
+
+// reload checks the settings file and logs the outcome. Addresses can't change
+// while the process runs.
+func (s *server) reload() {
+	var next settings.ServeAgent
+	if err := settings.Load(program.SettingsPath(""), &next); err != nil {
+		s.logger.Warn("settings not reloaded", zap.Error(err))
+		return
+	}
+	s.logger.Info("settings reloaded")
+}
--- /dev/null
+++ b/entry/internal/jobs/jobs.go
@@ -0,0 +1,236 @@
+// Package jobs drives the entry's scheduler: it passes on what callers submit
+// and what agents report, and carries out what the scheduler decides.
+//
+// # Usage
+//
+//	j := jobs.New(name, zone, incarnation, registry, logger)
+//	conclusion := j.Submit(ctx, submission)
+package jobs
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/scheduler"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+var _ pollenfront.Jobs = &Jobs{}
+
+// Jobs are the jobs of an entry.
+type Jobs struct {
+	config    atomic.Pointer[pollenfront.Config]
+	links     map[string]*agentLink // By agent.
+	logger    *zap.Logger
+	metrics   *metrics
+	mu        sync.Mutex
+	scheduler *scheduler.Scheduler
+	self      tasklink.Hello
+	waiters   map[string]*waiter
+}
+
+// A waiter is a job with the callers that wait for it.
+type waiter struct {
+	arrived    time.Duration
+	callers    []chan pollenfront.Conclusion
+	submission pollenfront.Submission
+}
+
+// New returns the jobs of an entry.
+func New(self tasklink.Hello, registry *prometheus.Registry, logger *zap.Logger) *Jobs {
+	return &Jobs{
+		links:     make(map[string]*agentLink),
+		logger:    logger,
+		metrics:   newMetrics(registry),
+		scheduler: scheduler.New(self.Zone),
+		self:      self,
+		waiters:   make(map[string]*waiter),
+	}
+}
+
+// Config implements pollenfront.Jobs.
+func (j *Jobs) Config() *pollenfront.Config {
+	return j.config.Load()
+}
+
+// Pending implements pollenfront.Jobs.
+func (j *Jobs) Pending(route pollenfront.Route) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.scheduler.Pending(route.Name)
+}
+
+// Refuse implements pollenfront.Jobs.
+func (j *Jobs) Refuse(id, reason string) {
+	j.metrics.malformed.Inc()
+	j.logger.Info("request refused", zap.String("request", id), zap.String("reason", reason))
+}
+
+// Submit implements pollenfront.Jobs.
+func (j *Jobs) Submit(ctx context.Context, sub pollenfront.Submission) pollenfront.Conclusion {
+	caller := make(chan pollenfront.Conclusion, 1)
+	if err := j.enter(sub, caller); err != "" {
+		return pollenfront.Conclusion{ID: sub.ID, Reason: err, Verdict: pollenfront.VerdictConflict}
+	}
+	select {
+	case conclusion := <-caller:
+		return conclusion
+	case <-ctx.Done():
+		j.leave(sub.ID, caller)
+		return pollenfront.Conclusion{ID: sub.ID, Reason: "the caller has left", Verdict: pollenfront.VerdictUnknown}
+	}
+}
+
+// enter submits a job, or joins the caller to the same job if it is under way.
+// It returns why the job conflicts with another one, or "".
+func (j *Jobs) enter(sub pollenfront.Submission, caller chan pollenfront.Conclusion) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if w, ok := j.waiters[sub.ID]; ok {
+		if w.submission.Payload != sub.Payload || w.submission.Count != sub.Count || w.submission.Route.Name != sub.Route.Name {
+			return "another job with this ID is under way"
+		}
+		w.callers = append(w.callers, caller)
+		return ""
+	}
+	now := bootclock.Now()
+	j.waiters[sub.ID] = &waiter{arrived: now, callers: []chan pollenfront.Conclusion{caller}, submission: sub}
+	j.perform(now, j.scheduler.Submit(now, sub))
+	return ""
+}
+
+// leave notes that a caller has left.
+func (j *Jobs) leave(id string, caller chan pollenfront.Conclusion) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	w, ok := j.waiters[id]
+	if !ok {
+		return
+	}
+	for i, c := range w.callers {
+		if c == caller {
+			w.callers = append(w.callers[:i], w.callers[i+1:]...)
+			break
+		}
+	}
+	if len(w.callers) > 0 {
+		return
+	}
+	delete(j.waiters, id)
+	now := bootclock.Now()
+	j.metrics.left.Inc()
+	j.logger.Info("caller left", zap.String("request", id), zap.Duration("after", now-w.arrived))
+	j.perform(now, j.scheduler.Cancel(now, id))
+}
+
+// perform carries out what the scheduler decided. The caller holds mu.
+func (j *Jobs) perform(now time.Duration, effects *scheduler.Effects) {
+	for _, answer := range effects.Answers {
+		j.answer(now, answer)
+	}
+	for name, orders := range effects.Orders {
+		link, ok := j.links[name]
+		if !ok {
+			continue
+		}
+		if err := link.Send(orders); err != nil {
+			link.Close() // Its reader reports the loss.
+		}
+		j.scheduler.Sent(now, name)
+	}
+}
+
+// answer tells the callers of a job how it ended.
+func (j *Jobs) answer(now time.Duration, answer pollenfront.Conclusion) {
+	w, ok := j.waiters[answer.ID]
+	if !ok {
+		return
+	}
+	delete(j.waiters, answer.ID)
+	for _, caller := range w.callers {
+		caller <- answer
+	}
+	took := now - w.arrived
+	j.metrics.answered(w.submission.Route.Name, answer.Verdict, took)
+	if answer.Verdict != pollenfront.VerdictCompleted {
+		j.logger.Info("job answered", zap.String("request", answer.ID), zap.Stringer("verdict", answer.Verdict),
+			zap.String("reason", answer.Reason), zap.Duration("after", took))
+	}
+}
+
+// SetOrders puts the operators' orders in force.
+func (j *Jobs) SetOrders(orders pollenfront.Orders) {
+	if orders.Config != nil {
+		former := j.config.Swap(orders.Config)
+		if former == nil || former.Version != orders.Config.Version {
+			j.logger.Info("configuration in force", zap.Uint64("version", orders.Config.Version), zap.Int("routes", len(orders.Config.Routes)))
+		}
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	notice := tasklink.Notice{Version: orders.Version, ZonesOut: orders.ZonesOut}
+	j.perform(bootclock.Now(), j.scheduler.SetNotice(notice))
+}
+
+// SetEntries sets the number of entries that share the backend servers.
+func (j *Jobs) SetEntries(n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.scheduler.SetEntries(n)
+}
+
+// Run lets time pass for the jobs until ctx ends.
+func (j *Jobs) Run(ctx context.Context) error {
+	ticker := time.NewTicker(scheduler.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			j.tick()
+		}
+	}
+}
+
+// tick lets time pass.
+func (j *Jobs) tick() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := bootclock.Now()
+	j.perform(now, j.scheduler.Tick(now))
+	for _, agent := range j.scheduler.Silent(now) {
+		if link, ok := j.links[agent.Name]; ok {
+			j.logger.Warn("agent silent", zap.String("agent", agent.Name))
+			link.Close()
+		}
+	}
+}
+
+// Waiting returns the number of jobs that callers wait for.
+func (j *Jobs) Waiting() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.waiters)
+}
+
+// Ready reports whether jobs can be served.
+func (j *Jobs) Ready() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.config.Load() != nil && j.scheduler.Usable(bootclock.Now()) > 0
+}
+
+// Dump returns the state of the jobs for people to read.
+func (j *Jobs) Dump() any {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.scheduler.Dump(bootclock.Now())
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -15,6 +15,6 @@
 
 func main() {
 	os.Exit(program.Main(program.NewDaemon(
-		"Takes jobs, owns a share of them, and decides which backend server runs which task.", load,
+		"Takes jobs, owns a share of them, and decides which backend server runs which task.", load, loadServer,
 	), os.Args[1:]))
 }
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/entry/internal/jobs"
+	"github.com/pollenfront/pollenfront/follow"
+	"github.com/pollenfront/pollenfront/observe"
+	"github.com/pollenfront/pollenfront/platform"
+	"github.com/pollenfront/pollenfront/program"
+	"github.com/pollenfront/pollenfront/refusal"
+	"github.com/pollenfront/pollenfront/settings"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Parameters of an entry.
+const (
+	callersHeaderTimeout = 3 * time.Second
+	callersIdleTimeout   = 2 * time.Minute
+	// entriesWait is how long the store holds a question for changes among
+	// the entries, which come seldom.
+	entriesWait = 5 * time.Second
+	// ordersWait is how long the store holds a question for new orders. A
+	// connection that went silent is noticed soon after.
+	ordersWait = 700 * time.Millisecond
+	// registerTimeout bounds one attempt to register.
+	registerTimeout = time.Second
+	// stopMargin is kept free at the end of the time for a planned stop.
+	stopMargin = 400 * time.Millisecond
+	// takeOver is how long an entry that stops still takes jobs: the balancer
+	// needs two seconds to notice.
+	takeOver = 2200 * time.Millisecond
+)
+
+// A server is an entry on the users' platform.
+type server struct {
+	jobs     *jobs.Jobs
+	logger   *zap.Logger
+	process  *observe.Process
+	record   pollenfront.EntryRecord
+	settings settings.ServeEntry
+	stopping atomic.Bool
+	store    pollenfront.Store
+}
+
+// loadServer reads the settings of an entry on the users' platform and returns
+// what runs it until its context ends.
+func loadServer(file string) (func(context.Context) error, error) {
+	var s settings.ServeEntry
+	if err := settings.Load(program.SettingsPath(file), &s); err != nil {
+		return nil, err
+	}
+	process, err := observe.NewProcess("entry", s.Name, false)
+	if err != nil {
+		return nil, err
+	}
+	return newServer(s, process).run, nil
+}
+
+// newServer returns an entry.
+func newServer(s settings.ServeEntry, process *observe.Process) *server {
+	incarnation := uint64(time.Now().UnixMilli()) //nolint:gosec // After 1970.
+	hello := tasklink.Hello{Incarnation: incarnation, Name: s.Name, Version: tasklink.Version, Zone: s.Zone}
+	return &server{
+		jobs:     jobs.New(hello, process.Registry, process.Logger),
+		logger:   process.Logger,
+		process:  process,
+		record:   pollenfront.EntryRecord{Address: s.Links, Incarnation: incarnation, Name: s.Name},
+		settings: s,
+		store:    platform.NewStore(s.Store),
+	}
+}
+
+// run runs the parts of the entry, which stop together.
+func (s *server) run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.settings.Links)
+	if err != nil {
+		return refusal.Wrap(err, "listen for agents")
+	}
+	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	var group run.Group
+	group.Add(func() error { return s.jobs.Serve(listener) }, func(error) { _ = listener.Close() })
+	for _, part := range []func(context.Context) error{s.jobs.Run, s.followOrders, s.followEntries} {
+		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
+	}
+	callers := &http.Server{
+		Handler: s.closing(platform.NewCallers(s.jobs)), IdleTimeout: callersIdleTimeout, ReadHeaderTimeout: callersHeaderTimeout,
+	}
+	program.AddServer(&group, callers, s.settings.Callers, s.logger)
+	readiness := &http.Server{Handler: platform.NewReadiness(s.ready), ReadHeaderTimeout: callersHeaderTimeout}
+	program.AddServer(&group, readiness, s.settings.Readiness, s.logger)
+	router := mux.NewRouter()
+	s.process.Routes(router, s.jobs.Dump)
+	program.AddServer(&group, &http.Server{Handler: router, ReadHeaderTimeout: callersHeaderTimeout}, s.settings.Metrics, s.logger)
+	program.OnHangup(&group, s.reload)
+	group.Add(func() error {
+		<-ctx.Done()
+		s.leave(partsCtx)
+		return nil
+	}, func(error) {})
+
+	s.logger.Info("started", zap.String("zone", s.settings.Zone), zap.String("callers", s.settings.Callers), zap.Uint64("incarnation", s.record.Incarnation))
+	err = group.Run()
+	s.logger.Info("stopped", zap.Error(err))
+	return err
+}
+
+// ready reports whether the balancer may send new connections here.
+func (s *server) ready() bool {
+	return !s.stopping.Load() && s.jobs.Ready()
+}
+
+// closing asks callers to open their next connection elsewhere once the entry
+// is stopping.
+func (s *server) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// followOrders keeps the operators' orders in force.
+func (s *server) followOrders(ctx context.Context) error {
+	f := follow.Follower[pollenfront.Orders]{
+		Apply:  s.jobs.SetOrders,
+		Logger: s.logger,
+		Name:   "orders",
+		Read:   s.store.Orders,
+		Since: func(ctx context.Context, known pollenfront.Orders) (pollenfront.Orders, error) {
+			return s.store.OrdersSince(ctx, known, ordersWait)
+		},
+	}
+	return f.Run(ctx)
+}
+
+// followEntries keeps this entry registered, and counts the others.
+func (s *server) followEntries(ctx context.Context) error {
+	f := follow.Follower[pollenfront.Entries]{
+		Apply: func(entries pollenfront.Entries) {
+			s.jobs.SetEntries(len(entries.Records))
+			if entries.Records[s.record.Name] != s.record {
+				s.register(ctx)
+			}
+		},
+		Logger: s.logger,
+		Name:   "entries",
+		Read:   s.store.Entries,
+		Since: func(ctx context.Context, known pollenfront.Entries) (pollenfront.Entries, error) {
+			return s.store.EntriesSince(ctx, known, entriesWait)
+		},
+	}
+	return f.Run(ctx)
+}
+
+// register writes the record by which agents find this entry. A write that
+// fails is repeated when the next state of the entries is known.
+func (s *server) register(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	if err := s.store.Register(ctx, s.record); err != nil {
+		s.logger.Warn("could not register", zap.Error(err))
+	}
+}
+
+// reload checks the settings file and logs what differs. Addresses can't
+// change while the process runs.
+func (s *server) reload() {
+	var next settings.ServeEntry
+	if err := settings.Load(program.SettingsPath(""), &next); err != nil {
+		s.logger.Warn("settings not reloaded", zap.Error(err))
+		return
+	}
+	s.logger.Info("settings reloaded", zap.Bool("differ", next != s.settings))
+}
+
+// leave stops in a planned way: the balancer sends no more connections, jobs
+// that arrive meanwhile are served, and the entry ends when all are answered.
+func (s *server) leave(ctx context.Context) {
+	started := time.Now()
+	s.stopping.Store(true)
+	s.logger.Info("leaving", zap.Int("jobs", s.jobs.Waiting()))
+	program.Sleep(ctx, takeOver)
+	limit := time.Duration(s.settings.StopLimit) - stopMargin
+	for time.Since(started) < limit && s.jobs.Waiting() > 0 {
+		program.Sleep(ctx, 10*time.Millisecond)
+	}
+	s.logger.Info("left", zap.Int("jobs", s.jobs.Waiting()))
+}
--- /dev/null
+++ b/executor/dump.go
@@ -0,0 +1,44 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// A Dump is the state of an executor for people to read.
+type Dump struct {
+	Clean  bool            `json:"clean"`
+	Life   uint64          `json:"life"`
+	Report tasklink.Report `json:"report"`
+	Runs   []RunDump       `json:"runs"`
+	Token  uint64          `json:"token"`
+}
+
+// A RunDump is the state of a run.
+type RunDump struct {
+	Age     string `json:"age"`
+	Entry   string `json:"entry"`
+	Index   int    `json:"index"`
+	Job     string `json:"job"`
+	Number  int    `json:"number"`
+	Percent int    `json:"percent"`
+	State   string `json:"state"`
+}
+
+// String returns the state as dumps name it.
+func (s runState) String() string {
+	return [...]string{"queued", "starting", "running", "stopping"}[s]
+}
+
+// Dump returns the state of the executor.
+func (x *Executor) Dump(now time.Duration) Dump {
+	d := Dump{Clean: x.clean, Life: x.server.life, Report: x.Report(now), Token: x.token}
+	for _, r := range x.runs {
+		d.Runs = append(d.Runs, RunDump{
+			Age: (now - r.sent).String(), Entry: r.entry.Name, Index: r.id.Index, Job: r.id.Job, Number: r.id.Number,
+			Percent: r.percent, State: r.state.String(),
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/executor/executor.go
@@ -0,0 +1,387 @@
+// Package executor is the agent's state machine: it decides in which order the
+// tasks that entries have ordered start on the backend server beside the
+// agent, keeps the server's lease, and ends every run whose entry is silent.
+//
+// It answers these load patterns: several entries that find the same room free
+// (the tasks wait here, the most urgent first), a server that hangs, fails or
+// forgets, orders that are carried out late, and an entry or an agent that
+// dies, freezes or is cut off. In all of them a run ends within SilenceLimit
+// and Lease of the moment at which its entry was last heard.
+//
+// # Usage
+//
+// The driver passes every message to a method and carries out the effects that
+// it returns. All instants are those of one clock that counts suspensions:
+//
+//	effects := x.Ordered(now, entry, orders)
+//	for _, order := range effects.Starts { … }
+//
+// An Executor is not safe for concurrent use.
+package executor
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Parameters of the executor.
+const (
+	// HoldWait is how long a Hold waits for an ending, and so the longest
+	// time between two extensions of the lease.
+	HoldWait = 150 * time.Millisecond
+	// Lease is how long the server runs on without the agent.
+	Lease = 600 * time.Millisecond
+	// SilenceLimit is how long the runs of a silent entry go on. Together
+	// with Lease it stays below the time after which a caller resubmits.
+	SilenceLimit = 600 * time.Millisecond
+	// TickInterval is the time between two Ticks.
+	TickInterval = 50 * time.Millisecond
+	// UpdateInterval is the longest time between two updates to an entry.
+	UpdateInterval = 150 * time.Millisecond
+
+	// clockDrift bounds by how much a server's clock may be slow.
+	clockDrift = 1.03
+	// lapseMargin covers the time that the server takes to end its runs.
+	lapseMargin = 30 * time.Millisecond
+	// maxOrderAge is the age of an order's echo from which it is refused. An
+	// entry has given up an agent by the time at which such an order arrives.
+	maxOrderAge = 500 * time.Millisecond
+	// memory is how long endings are kept for an entry that is not linked.
+	memory = 3 * time.Second
+	// noRoomPause is how long nothing starts after the server had no room
+	// although room was expected.
+	noRoomPause = 10 * time.Millisecond
+	// maxLease is the longest lease that a server grants.
+	maxLease = time.Second
+	// maxNoRoom is how often a task is tried before its entry places it elsewhere.
+	maxNoRoom = 5
+	// priorities is the number of priorities that are told apart.
+	priorities = 3
+	// stopRetry is the time after which an unanswered stop is repeated.
+	stopRetry = 150 * time.Millisecond
+)
+
+// An EntryRef names one incarnation of an entry.
+type EntryRef = pollenfront.EntryRef
+
+// Effects are what the driver must do.
+type Effects struct {
+	Notify []string // Entries that must get an update at once.
+	Starts []pollenfront.StartOrder
+	Stops  []StopOrder
+}
+
+// A StopOrder tells the server to stop a run.
+type StopOrder struct {
+	Run   pollenfront.RunID
+	Token uint64
+}
+
+// An Executor holds the state of an agent.
+type Executor struct {
+	clean   bool // Whether the server lists no run that the executor does not know.
+	entries map[string]*entry
+	leaving bool
+	measure measure
+	notice  tasklink.Notice
+	queue   []*run // The most urgent first.
+	resume  time.Duration
+	runs    map[pollenfront.TaskID]*run
+	server  server
+	service string
+	token   uint64
+	woken   time.Duration // When the last Tick was.
+	zone    string
+}
+
+// An entry is an entry that has linked to the agent.
+type entry struct {
+	EntryRef
+
+	ends       []tasklink.End // Not sent yet.
+	echo       time.Duration  // The newest instant at which the entry is known to have heard the agent.
+	lastNumber uint64
+	linked     bool
+	past       []pastEnd
+	silent     bool
+}
+
+// A pastEnd is an ending that is kept for a while.
+type pastEnd struct {
+	at  time.Duration
+	end tasklink.End
+}
+
+// New returns an Executor for the agent of a service's backend server in a
+// zone. Its orders carry fencing tokens from token upwards, which must be
+// higher than those of earlier incarnations.
+func New(service, zone string, token uint64) *Executor {
+	return &Executor{
+		entries: make(map[string]*entry),
+		measure: newMeasure(),
+		runs:    make(map[pollenfront.TaskID]*run),
+		service: service,
+		token:   token,
+		zone:    zone,
+	}
+}
+
+// EntryLinked notes that an entry has linked, and returns the runs of it that
+// the agent knows.
+func (x *Executor) EntryLinked(now time.Duration, ref EntryRef) ([]tasklink.RunState, Effects) {
+	var fx Effects
+	e, ok := x.entries[ref.Name]
+	if ok && e.Incarnation != ref.Incarnation {
+		x.endAll(now, e, "its entry was restarted", &fx)
+		ok = false
+	}
+	if !ok {
+		e = &entry{EntryRef: ref}
+		x.entries[ref.Name] = e
+	}
+	e.echo, e.lastNumber, e.linked, e.silent, e.ends = now, 0, true, false, nil
+	return x.states(e), fx
+}
+
+// EntryUnlinked notes that the link to an entry is lost. Its runs go on until
+// the entry has been silent for SilenceLimit.
+func (x *Executor) EntryUnlinked(ref EntryRef) {
+	if e, ok := x.entries[ref.Name]; ok && e.EntryRef == ref {
+		e.linked = false
+	}
+}
+
+// states returns the runs of an entry that the agent knows.
+func (x *Executor) states(e *entry) []tasklink.RunState {
+	var states []tasklink.RunState
+	for _, r := range x.runs {
+		if r.entry == e {
+			states = append(states, tasklink.RunState{Run: r.id})
+		}
+	}
+	for _, p := range e.past {
+		states = append(states, tasklink.RunState{Run: p.end.Run, Ending: p.end.Ending, Reason: p.end.Reason})
+	}
+	return states
+}
+
+// Ordered takes the orders of an entry.
+func (x *Executor) Ordered(now time.Duration, ref EntryRef, orders *tasklink.Orders) Effects {
+	var fx Effects
+	e, ok := x.entries[ref.Name]
+	if !ok || e.EntryRef != ref {
+		return fx
+	}
+	echo := time.Duration(orders.Echo)
+	if echo > e.echo {
+		e.echo = echo
+		e.silent = e.silent && now-echo > SilenceLimit
+	}
+	x.learnNotice(orders.Notice)
+	for i := range orders.Starts {
+		x.accept(now, e, &orders.Starts[i], now-echo > maxOrderAge, &fx)
+	}
+	for _, id := range orders.Stops {
+		if r, ok := x.runs[id.TaskID]; ok && r.entry == e && r.id.Number <= id.Number {
+			x.stop(now, r, "its entry stopped it", &fx)
+		}
+	}
+	x.startQueued(now, &fx)
+	return fx
+}
+
+// learnNotice takes over a newer list of the zones that are out of service.
+func (x *Executor) learnNotice(n tasklink.Notice) {
+	if n.Version > x.notice.Version {
+		x.notice = n
+	}
+}
+
+// accept queues the runs of a start order, or refuses them.
+func (x *Executor) accept(now time.Duration, e *entry, s *tasklink.Start, stale bool, fx *Effects) {
+	refusal := x.refusal(s, stale)
+	for _, t := range s.Tasks {
+		id := pollenfront.RunID{Number: t.Run, TaskID: pollenfront.TaskID{Index: t.Index, Job: s.Job, Step: s.Step}}
+		e.lastNumber = max(e.lastNumber, t.Number)
+		reason := refusal
+		if _, active := x.runs[id.TaskID]; active && reason == "" {
+			reason = "an earlier run of the task has not ended"
+		}
+		if reason != "" {
+			x.tell(now, e, tasklink.End{Run: id, Ending: pollenfront.EndingNotStarted, Reason: reason}, fx)
+			continue
+		}
+		x.enqueue(&run{
+			entry: e, expected: time.Duration(s.Expected), id: id, need: s.Need, payload: s.Payload,
+			priority: min(max(s.Priority, 0), priorities-1), urgent: now + time.Duration(s.Urgency),
+		})
+	}
+}
+
+// refusal returns why no run of a start order may start, or "".
+func (x *Executor) refusal(s *tasklink.Start, stale bool) string {
+	switch {
+	case stale:
+		return "the order was delayed"
+	case s.Service != x.service:
+		return "the server belongs to another service"
+	case x.state() == tasklink.StateAway:
+		return "the server has not announced itself"
+	case x.state() == tasklink.StateDraining:
+		return "the server takes no new tasks"
+	case !x.server.capacity.Holds(s.Need):
+		return "the server is too small for the task"
+	}
+	return ""
+}
+
+// state returns whether the server may be sent tasks.
+func (x *Executor) state() tasklink.State {
+	switch {
+	case !x.server.known:
+		return tasklink.StateAway
+	case x.leaving || x.server.draining || x.zoneOut():
+		return tasklink.StateDraining
+	}
+	return tasklink.StateReady
+}
+
+// zoneOut reports whether the zone of the server is out of service.
+func (x *Executor) zoneOut() bool {
+	for _, zone := range x.notice.ZonesOut {
+		if zone == x.server.zone || zone == x.zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Leave returns what is queued to the entries and refuses new tasks.
+func (x *Executor) Leave(now time.Duration) Effects {
+	var fx Effects
+	x.leaving = true
+	x.returnQueued(now, "the agent is leaving", &fx)
+	x.notifyAll(&fx)
+	return fx
+}
+
+// Idle reports whether nothing runs or may run.
+func (x *Executor) Idle() bool {
+	return len(x.runs) == 0
+}
+
+// tell reports an ending to an entry.
+func (x *Executor) tell(now time.Duration, e *entry, end tasklink.End, fx *Effects) {
+	e.past = append(e.past, pastEnd{at: now, end: end})
+	if e.linked {
+		e.ends = append(e.ends, end)
+		fx.notify(e.Name)
+	}
+}
+
+// notify adds an entry to those that must get an update.
+func (fx *Effects) notify(name string) {
+	for _, n := range fx.Notify {
+		if n == name {
+			return
+		}
+	}
+	fx.Notify = append(fx.Notify, name)
+}
+
+// notifyAll tells all entries the state of the server.
+func (x *Executor) notifyAll(fx *Effects) {
+	for name, e := range x.entries {
+		if e.linked {
+			fx.notify(name)
+		}
+	}
+}
+
+// Tick ends what has run out of time.
+func (x *Executor) Tick(now time.Duration) Effects {
+	var fx Effects
+	x.woken = now
+	for name, e := range x.entries {
+		if now-e.echo > SilenceLimit && !e.silent {
+			e.silent = true
+			x.endAll(now, e, "its entry is silent", &fx)
+		}
+		for len(e.past) > 0 && now-e.past[0].at > memory {
+			e.past = e.past[1:]
+		}
+		if !e.linked && len(e.past) == 0 && !x.owns(e) && now-e.echo > memory {
+			delete(x.entries, name)
+		}
+	}
+	if now > x.server.lapse {
+		x.lapse(now, &fx)
+	}
+	x.repeatStops(now, &fx)
+	x.startQueued(now, &fx)
+	return fx
+}
+
+// owns reports whether an entry has a run here.
+func (x *Executor) owns(e *entry) bool {
+	for _, r := range x.runs {
+		if r.entry == e {
+			return true
+		}
+	}
+	return false
+}
+
+// endAll ends all runs of an entry.
+func (x *Executor) endAll(now time.Duration, e *entry, reason string, fx *Effects) {
+	for _, r := range x.runs {
+		if r.entry == e {
+			x.stop(now, r, reason, fx)
+		}
+	}
+}
+
+// lapse ends the runs whose lease has certainly lapsed.
+func (x *Executor) lapse(now time.Duration, fx *Effects) {
+	ended := false
+	for _, r := range x.runs {
+		if r.state != queued {
+			x.end(now, r, pollenfront.EndingLost, "the lease has lapsed", fx)
+			ended = true
+		}
+	}
+	if ended {
+		x.token++ // Orders that are still under way must not take effect.
+	}
+}
+
+// Update returns what an entry must be told.
+func (x *Executor) Update(now time.Duration, name string) (tasklink.Update, bool) {
+	e, ok := x.entries[name]
+	if !ok || !e.linked {
+		return tasklink.Update{}, false
+	}
+	u := tasklink.Update{Clock: int64(now), Ends: e.ends, LastNumber: e.lastNumber, Report: x.Report(now)}
+	e.ends = nil
+	return u, true
+}
+
+// Report describes the server.
+func (x *Executor) Report(now time.Duration) tasklink.Report {
+	free := x.free()
+	for _, r := range x.queue {
+		free = free.Sub(r.need)
+	}
+	return tasklink.Report{
+		Capacity:   x.server.capacity,
+		FailRate:   x.measure.failRate,
+		Free:       free,
+		Notice:     x.notice,
+		RunSeconds: x.measure.runTime.Seconds(),
+		Slowness:   x.slowness(now),
+		State:      x.state(),
+		Waits:      x.waits(now),
+	}
+}
--- /dev/null
+++ b/executor/run.go
@@ -0,0 +1,226 @@
+package executor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// A runState is the state of a run.
+type runState int
+
+// States of a run.
+const (
+	queued   runState = iota
+	starting          // The start is ordered and not answered.
+	running
+	stopping // A stop is ordered; the run may not have started.
+)
+
+// A run is a run of a task that has not ended.
+type run struct {
+	began    bool // Whether the server has said that it runs, or ran.
+	entry    *entry
+	expected time.Duration
+	fenced   time.Duration // When a stop was answered: from then on the run can't begin.
+	id       pollenfront.RunID
+	need     pollenfront.Room
+	noRoom   int
+	payload  string
+	percent  int
+	priority int
+	reason   string // Why the run is stopped.
+	sent     time.Duration
+	state    runState
+	stopSent time.Duration
+	urgent   time.Duration
+}
+
+// enqueue queues a run by its urgency.
+func (x *Executor) enqueue(r *run) {
+	x.runs[r.id.TaskID] = r
+	i, _ := slices.BinarySearchFunc(x.queue, r, func(a, b *run) int {
+		if a.urgent <= b.urgent {
+			return -1
+		}
+		return 1
+	})
+	x.queue = slices.Insert(x.queue, i, r)
+}
+
+// startQueued starts the queued runs for which there is room.
+func (x *Executor) startQueued(now time.Duration, fx *Effects) {
+	if x.state() != tasklink.StateReady {
+		x.returnQueued(now, "the server takes no new tasks", fx)
+		return
+	}
+	if now < x.resume || !x.server.clockKnown {
+		return
+	}
+	free := x.free()
+	for len(x.queue) > 0 && free.Holds(x.queue[0].need) {
+		r := x.queue[0]
+		x.queue = x.queue[1:]
+		free = free.Sub(r.need)
+		r.state, r.sent = starting, now
+		fx.Starts = append(fx.Starts, pollenfront.StartOrder{
+			Lease: x.lease(now), Payload: r.payload, Run: r.id, Token: x.token,
+		})
+	}
+}
+
+// returnQueued tells the entries that what is queued will not start.
+func (x *Executor) returnQueued(now time.Duration, reason string, fx *Effects) {
+	returned := x.queue
+	x.queue = nil
+	for _, r := range returned {
+		x.end(now, r, pollenfront.EndingNotStarted, reason, fx)
+	}
+}
+
+// free returns the room that no started run needs.
+func (x *Executor) free() pollenfront.Room {
+	free := x.server.capacity
+	for _, r := range x.runs {
+		if r.state != queued {
+			free = free.Sub(r.need)
+		}
+	}
+	return free
+}
+
+// stop ends a run as soon as possible.
+func (x *Executor) stop(now time.Duration, r *run, reason string, fx *Effects) {
+	switch r.state {
+	case queued:
+		x.queue = slices.DeleteFunc(x.queue, func(q *run) bool { return q == r })
+		x.end(now, r, pollenfront.EndingNotStarted, reason, fx)
+	case starting, running:
+		r.state, r.reason = stopping, reason
+		x.sendStop(now, r, fx)
+	case stopping:
+	}
+}
+
+// sendStop orders the server to stop a run.
+func (x *Executor) sendStop(now time.Duration, r *run, fx *Effects) {
+	r.stopSent = now
+	fx.Stops = append(fx.Stops, StopOrder{Run: r.id, Token: x.token})
+}
+
+// repeatStops repeats the stops that were not answered.
+func (x *Executor) repeatStops(now time.Duration, fx *Effects) {
+	for _, r := range x.runs {
+		if r.state == stopping && r.fenced == 0 && now-r.stopSent > stopRetry {
+			x.sendStop(now, r, fx)
+		}
+	}
+}
+
+// end forgets a run and tells its entry.
+func (x *Executor) end(now time.Duration, r *run, ending pollenfront.Ending, reason string, fx *Effects) {
+	delete(x.runs, r.id.TaskID)
+	if r.reason != "" {
+		reason = r.reason
+	}
+	end := tasklink.End{Run: r.id, Ending: ending, Passed: reason == string(StartPassed), Reason: reason}
+	if r.state != queued {
+		took := now - r.sent
+		end.Seconds = took.Seconds()
+		x.measure.add(ending, took, r.expected)
+	}
+	if x.entries[r.entry.Name] == r.entry {
+		x.tell(now, r.entry, end, fx)
+	}
+}
+
+// StartAnswered takes the server's answer to a start. err is nil if the server
+// has begun the run, and one of the errors of pollenfront.BackendServer if it
+// certainly has not.
+func (x *Executor) StartAnswered(now time.Duration, order pollenfront.StartOrder, clock time.Duration, err StartError) Effects {
+	var fx Effects
+	x.learnClock(now, clock)
+	r, ok := x.runs[order.Run.TaskID]
+	if !ok || r.id != order.Run || r.state == queued {
+		return fx
+	}
+	switch {
+	case err == StartUnknown:
+		x.stop(now, r, "the server did not answer the start", &fx)
+	case err == StartDone:
+		r.began = true
+		if r.state == starting {
+			r.state = running
+		}
+	case r.state == stopping:
+		x.end(now, r, pollenfront.EndingNotStarted, r.reason, &fx)
+	default:
+		x.startRefused(now, r, err, &fx)
+	}
+	x.startQueued(now, &fx)
+	return fx
+}
+
+// startRefused decides what becomes of a run that the server did not begin.
+func (x *Executor) startRefused(now time.Duration, r *run, err StartError, fx *Effects) {
+	switch err {
+	case StartNoRoom:
+		r.noRoom++
+		x.resume = now + noRoomPause
+		if r.noRoom <= maxNoRoom {
+			x.requeue(r)
+			return
+		}
+	case StartFenced:
+		x.token += fenceStep
+		x.requeue(r)
+		return
+	case StartUnhealthy:
+		x.measure.add(pollenfront.EndingFailed, 0, r.expected)
+	}
+	ending := pollenfront.EndingNotStarted
+	if err == StartRejected {
+		ending = pollenfront.EndingFailed
+	}
+	x.end(now, r, ending, string(err), fx)
+}
+
+// fenceStep is added to the token if the server knows a higher one, which an
+// earlier incarnation of this agent used while the clock was ahead.
+const fenceStep = 1 << 16
+
+// requeue puts a run that the server did not begin back into the queue.
+func (x *Executor) requeue(r *run) {
+	r.state = queued
+	x.enqueue(r)
+}
+
+// StopAnswered takes the server's answer to a stop.
+func (x *Executor) StopAnswered(now time.Duration, id pollenfront.RunID, clock time.Duration, fenced bool) {
+	x.learnClock(now, clock)
+	if fenced {
+		x.token += fenceStep
+		return
+	}
+	if r, ok := x.runs[id.TaskID]; ok && r.id == id && r.state == stopping {
+		r.fenced = now
+	}
+}
+
+// A StartError says what became of a start order.
+type StartError string
+
+// Outcomes of a start order.
+const (
+	StartDone      StartError = ""
+	StartFenced    StartError = "the server has seen a higher fencing token"
+	StartLate      StartError = "the start reached the server too late"
+	StartNoRoom    StartError = "the server had no room"
+	StartPassed    StartError = "the server has passed this run"
+	StartRejected  StartError = "the server does not accept the task"
+	StartReplaced  StartError = "another incarnation of the server answered"
+	StartUnhealthy StartError = "the server takes no orders now"
+	StartUnknown   StartError = "the server did not answer"
+)
--- /dev/null
+++ b/executor/server.go
@@ -0,0 +1,184 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// A server is what is known of the backend server.
+type server struct {
+	acknowledged uint64 // Endings that were taken note of.
+	capacity     pollenfront.Room
+	clock        time.Duration // The server's clock less the agent's.
+	clockKnown   bool
+	draining     bool
+	known        bool // Whether it has announced itself in its present life.
+	lapse        time.Duration
+	life         uint64
+	sequence     uint64
+	zone         string
+}
+
+// Announced takes an announcement of the server. It reports whether the
+// announcement was taken: a delayed one is passed over.
+func (x *Executor) Announced(now time.Duration, a pollenfront.Announcement) (fx Effects, taken bool) {
+	s := &x.server
+	if a.Life < s.life || a.Life == s.life && a.Sequence < s.sequence {
+		return fx, false
+	}
+	if a.Life > s.life {
+		x.reborn(now, a.Life, &fx)
+	}
+	before := x.state()
+	s.capacity, s.draining, s.known, s.sequence, s.zone = a.Capacity, a.Draining, true, a.Sequence, a.Zone
+	x.learnClock(now, a.Clock)
+	x.startQueued(now, &fx)
+	if x.state() != before {
+		x.notifyAll(&fx)
+	}
+	return fx, true
+}
+
+// Gone notes that the server has said that it ends.
+func (x *Executor) Gone(now time.Duration) Effects {
+	var fx Effects
+	x.loseRuns(now, "the server has left", &fx)
+	x.server.known = false
+	x.notifyAll(&fx)
+	return fx
+}
+
+// reborn forgets the server's former life.
+func (x *Executor) reborn(now time.Duration, life uint64, fx *Effects) {
+	x.loseRuns(now, "the server was restarted", fx)
+	if x.server.life != 0 {
+		x.token++ // Orders to the former life must not take effect.
+		x.server = server{}
+		x.measure = newMeasure()
+	}
+	x.server.life = life
+}
+
+// loseRuns ends all runs, since the server has forgotten them.
+func (x *Executor) loseRuns(now time.Duration, reason string, fx *Effects) {
+	for _, r := range x.runs {
+		if r.state != queued {
+			x.end(now, r, pollenfront.EndingLost, reason, fx)
+		}
+	}
+	x.returnQueued(now, reason, fx)
+}
+
+// learnClock takes a reading of the server's clock.
+func (x *Executor) learnClock(now, clock time.Duration) {
+	if clock > 0 {
+		x.server.clock, x.server.clockKnown = clock-now, true
+	}
+}
+
+// lease returns the instant on the server's clock to which an order of now
+// extends the lease.
+func (x *Executor) lease(now time.Duration) time.Duration {
+	x.server.lapse = max(x.server.lapse, now+time.Duration(float64(Lease)*clockDrift)+lapseMargin)
+	return now + x.server.clock + Lease
+}
+
+// HoldOrder returns the next order to hold the lease.
+func (x *Executor) HoldOrder(now time.Duration) pollenfront.HoldOrder {
+	order := pollenfront.HoldOrder{Acknowledged: x.server.acknowledged, Token: x.token, Wait: HoldWait}
+	if x.server.clockKnown {
+		order.Lease = x.lease(now)
+	}
+	return order
+}
+
+// Held takes the answer to a hold that was sent at an instant.
+func (x *Executor) Held(now, sent time.Duration, reply *pollenfront.HoldReply) Effects {
+	var fx Effects
+	if reply.Life < x.server.life {
+		return fx
+	}
+	if reply.Life > x.server.life {
+		x.reborn(now, reply.Life, &fx)
+	}
+	x.learnClock(now, reply.Clock)
+	for _, ended := range reply.Ended {
+		if ended.Number <= x.server.acknowledged {
+			continue
+		}
+		x.server.acknowledged = ended.Number
+		if r, ok := x.runs[ended.Run.TaskID]; ok && r.id == ended.Run && r.state != queued {
+			x.end(now, r, ended.Ending, "", &fx)
+		}
+	}
+	x.compare(now, sent, reply.Running, &fx)
+	x.startQueued(now, &fx)
+	return fx
+}
+
+// HoldFenced notes that the server knows a higher fencing token.
+func (x *Executor) HoldFenced() {
+	x.token += fenceStep
+}
+
+// compare compares what the server runs with what it should run.
+func (x *Executor) compare(now, sent time.Duration, listed []pollenfront.RunningRun, fx *Effects) {
+	present := make(map[pollenfront.RunID]bool, len(listed))
+	x.clean = true
+	for _, l := range listed {
+		present[l.Run] = true
+		r, ok := x.runs[l.Run.TaskID]
+		if !ok || r.id != l.Run || r.state == queued {
+			x.clean = false
+			fx.Stops = append(fx.Stops, StopOrder{Run: l.Run, Token: x.token})
+			continue
+		}
+		r.began, r.percent = true, l.Percent
+		if r.state == starting {
+			r.state = running
+		}
+	}
+	for _, r := range x.runs {
+		if present[r.id] {
+			continue
+		}
+		switch {
+		case r.state == running && r.sent < sent && r.began && r.listed(sent):
+			x.end(now, r, pollenfront.EndingLost, "the server does not know it any more", fx)
+		case r.state == stopping && r.fenced != 0 && r.fenced < sent:
+			x.end(now, r, r.stoppedEnding(), r.reason, fx)
+		}
+	}
+}
+
+// listed reports whether a hold sent at an instant must list a run that goes on.
+func (r *run) listed(sent time.Duration) bool {
+	return sent-r.sent > 2*HoldWait
+}
+
+// stoppedEnding returns how a stopped run that the server does not list ended.
+func (r *run) stoppedEnding() pollenfront.Ending {
+	if r.began {
+		return pollenfront.EndingStopped
+	}
+	return pollenfront.EndingNotStarted
+}
+
+// Clean reports whether nothing of an earlier incarnation of the agent runs on
+// the server: the server has listed no such run, or its lease has lapsed since
+// the executor was started.
+func (x *Executor) Clean(now, started time.Duration) bool {
+	return x.clean || now-started > time.Duration(float64(maxLease)*clockDrift)+lapseMargin
+}
+
+// Known reports whether the server has announced itself.
+func (x *Executor) Known() bool {
+	return x.server.known
+}
+
+// Notice returns the newest list of zones that are out of service.
+func (x *Executor) Notice() tasklink.Notice {
+	return x.notice
+}
--- /dev/null
+++ b/jobs.go
@@ -0,0 +1,19 @@
+package pollenfront
+
+import "context"
+
+// Jobs takes the jobs of callers.
+type Jobs interface {
+	// Config returns the configuration in force, or nil before the first.
+	Config() *Config
+
+	// Pending returns the number of a route's jobs that wait to start.
+	Pending(route Route) int
+
+	// Submit runs a job and returns how it ended. If ctx ends, the caller has
+	// left: the job's runs are stopped.
+	Submit(ctx context.Context, submission Submission) Conclusion
+
+	// Refuse notes that a request was refused by its form.
+	Refuse(id, reason string)
+}
--- a/program/daemon.go
+++ b/program/daemon.go
@@ -9,9 +9,11 @@
 type Daemon struct {
 	CheckSettings *SettingsFile `arg:"subcommand:check-settings" help:"check a settings file and name every fault"`
 	Run           *SettingsFile `arg:"subcommand:run" help:"run until SIGTERM, then leave in a planned way"`
+	Serve         *SettingsFile `arg:"subcommand:serve" help:"run on the users' platform until SIGTERM, then leave in a planned way"`
 
 	description string
 	load        Loader
+	serve       Loader
 }
 
 // A SettingsFile names a settings file.
@@ -24,13 +26,13 @@
 type Loader func(file string) (run func(ctx context.Context) error, err error)
 
 // NewDaemon returns the command line of a program.
-func NewDaemon(description string, load Loader) *Daemon {
-	return &Daemon{description: description, load: load}
+func NewDaemon(description string, load, serve Loader) *Daemon {
+	return &Daemon{description: description, load: load, serve: serve}
 }
 
 // Chosen implements Command.
 func (d *Daemon) Chosen() bool {
-	return d.CheckSettings != nil || d.Run != nil
+	return d.CheckSettings != nil || d.Run != nil || d.Serve != nil
 }
 
 // Description describes the program in its help.
@@ -43,7 +45,11 @@
 	if d.CheckSettings != nil {
 		return d.check(d.CheckSettings.File)
 	}
-	run, err := d.load(d.Run.File)
+	load, file := d.load, d.Run
+	if d.Serve != nil {
+		load, file = d.serve, d.Serve
+	}
+	run, err := load(file.File)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/program/serve.go
@@ -0,0 +1,75 @@
+package program
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+)
+
+// SettingsVariable names the environment variable that holds the path of the
+// settings file where the command line names none.
+const SettingsVariable = "POLLENFRONT_CONFIG"
+
+// SettingsPath returns the path of the settings file.
+func SettingsPath(flag string) string {
+	if flag != "" {
+		return flag
+	}
+	return os.Getenv(SettingsVariable)
+}
+
+// OnHangup adds a part to a run group that calls reload at each SIGHUP.
+func OnHangup(group *run.Group, reload func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	group.Add(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-hangups:
+				reload()
+			}
+		}
+	}, func(error) {
+		signal.Stop(hangups)
+		cancel()
+	})
+}
+
+// AddServer adds an HTTP server to a run group. It closes its listener and
+// idle connections when the group stops, and then waits for its requests.
+func AddServer(group *run.Group, server *http.Server, address string, logger *zap.Logger) {
+	server.ErrorLog, _ = zap.NewStdLogAt(logger, zap.DebugLevel)
+	group.Add(func() error {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		return server.Serve(listener)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			logger.Warn("requests were cut off", zap.String("address", address), zap.Error(err))
+		}
+	})
+}
+
+// Sleep waits for d or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/scheduler/agent.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// An agent is an agent that has linked to this entry.
+type agent struct {
+	pollenfront.ServerRef
+
+	echo    int64 // Its clock in the newest update.
+	heard   time.Duration
+	linked  bool
+	number  uint64 // Of the last start order.
+	report  tasklink.Report
+	sent    time.Duration
+	service string
+	tasks   map[pollenfront.RunID]*task
+	unseen  []unseenStart // Not reckoned with in the report.
+	zone    string
+}
+
+// An unseenStart is a start order that the agent has not reported on.
+type unseenStart struct {
+	need   pollenfront.Room
+	number uint64
+}
+
+// Linked notes that an agent has linked, and compares the runs that it knows
+// with those that were ordered.
+func (s *Scheduler) Linked(now time.Duration, hello *tasklink.Hello) *Effects {
+	fx := &Effects{}
+	a, ok := s.agents[hello.Name]
+	if !ok {
+		a = &agent{tasks: make(map[pollenfront.RunID]*task)}
+		s.agents[hello.Name] = a
+	}
+	a.ServerRef = pollenfront.ServerRef{Incarnation: hello.Incarnation, Name: hello.Name}
+	a.echo, a.heard, a.linked, a.number, a.unseen = 0, now, true, 0, nil
+	a.service, a.zone, a.report = hello.Service, hello.Zone, tasklink.Report{}
+	known := make(map[pollenfront.RunID]tasklink.RunState, len(hello.Runs))
+	for _, r := range hello.Runs {
+		known[r.Run] = r
+	}
+	for id, t := range a.tasks {
+		switch r, ok := known[id]; {
+		case !ok && a.mayHaveRun(t):
+			s.ended(now, t, pollenfront.EndingLost, false, fx)
+		case !ok:
+			s.ended(now, t, pollenfront.EndingNotStarted, false, fx)
+		case r.Ending != "":
+			s.ended(now, t, r.Ending, false, fx)
+		case t.stopped:
+			s.stop(t, fx)
+		}
+	}
+	s.place(now, fx)
+	return fx
+}
+
+// mayHaveRun reports whether a task that the agent does not know may have
+// started: in an earlier incarnation of the agent, which has ended all runs.
+func (a *agent) mayHaveRun(t *task) bool {
+	return t.incarnation != a.Incarnation
+}
+
+// Unlinked notes that the link to an agent is lost.
+func (s *Scheduler) Unlinked(name string, incarnation uint64) {
+	if a, ok := s.agents[name]; ok && a.Incarnation == incarnation {
+		a.linked = false
+	}
+}
+
+// Updated takes an update from an agent.
+func (s *Scheduler) Updated(now time.Duration, name string, u *tasklink.Update) *Effects {
+	fx := &Effects{}
+	a, ok := s.agents[name]
+	if !ok || !a.linked {
+		return fx
+	}
+	a.echo, a.heard, a.report = u.Clock, now, u.Report
+	for len(a.unseen) > 0 && a.unseen[0].number <= u.LastNumber {
+		a.unseen = a.unseen[1:]
+	}
+	if u.Report.Notice.Version > s.notice.Version {
+		s.notice = u.Report.Notice
+	}
+	for i := range u.Ends {
+		end := &u.Ends[i]
+		if t, ok := a.tasks[end.Run]; ok {
+			s.ended(now, t, end.Ending, end.Passed, fx)
+		}
+	}
+	s.place(now, fx)
+	return fx
+}
+
+// tickAgent gives up the runs of an agent that was silent for too long.
+func (s *Scheduler) tickAgent(now time.Duration, a *agent, fx *Effects) {
+	if now-a.heard <= LossLimit {
+		return
+	}
+	for _, t := range a.tasks {
+		s.ended(now, t, pollenfront.EndingLost, false, fx)
+	}
+	if !a.linked {
+		delete(s.agents, a.Name)
+	}
+}
+
+// Silent returns the agents whose links must be closed, since they were silent
+// for so long that their runs were given up.
+func (s *Scheduler) Silent(now time.Duration) []pollenfront.ServerRef {
+	var silent []pollenfront.ServerRef
+	for _, a := range s.agents {
+		if a.linked && now-a.heard > LossLimit {
+			silent = append(silent, a.ServerRef)
+		}
+	}
+	return silent
+}
+
+// usable reports whether an agent may be sent tasks.
+func (s *Scheduler) usable(now time.Duration, a *agent) bool {
+	if !a.linked || a.report.State != tasklink.StateReady || now-a.heard > SuspicionLimit {
+		return false
+	}
+	for _, zone := range s.notice.ZonesOut {
+		if zone == a.zone {
+			return false
+		}
+	}
+	return true
+}
+
+// Usable returns the number of agents that may be sent tasks.
+func (s *Scheduler) Usable(now time.Duration) int {
+	n := 0
+	for _, a := range s.agents {
+		if s.usable(now, a) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/scheduler/job.go
@@ -0,0 +1,233 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+)
+
+// Parameters of jobs.
+const (
+	// answerMargin is kept between a caller's limit and the last moment of an answer.
+	answerMargin = 30 * time.Millisecond
+	// lateFactor is the multiple of a job's time for being in time, up to
+	// which a late answer is still of use.
+	lateFactor = 3
+	// overhead is the time of a job that is spent outside its tasks' runs.
+	overhead = 15 * time.Millisecond
+	// patience is the multiple of its expected run time after which a run is
+	// taken back from its server, and patienceFloor is added to it.
+	patience      = 3
+	patienceFloor = 120 * time.Millisecond
+	// passedStep is added to the number of a run if the server has passed it,
+	// as it has when an earlier submission of the job ran there.
+	passedStep = 8
+)
+
+// A taskState is the state of a task.
+type taskState int
+
+// States of a task.
+const (
+	taskWaiting taskState = iota
+	taskSent
+	taskDone
+)
+
+// A task is a task of a job.
+type task struct {
+	agent       *agent
+	avoid       *agent // Where it failed or hung last.
+	expected    time.Duration
+	failures    int
+	incarnation uint64 // Of the agent that it was sent to.
+	job         *job
+	run         pollenfront.RunID
+	sent        time.Duration
+	state       taskState
+	stopped     bool // Whether the run was told to stop.
+}
+
+// A job is a job that has not ended.
+type job struct {
+	pollenfront.Submission
+
+	answered bool
+	arrived  time.Duration
+	began    bool          // Whether a task has, or may have, started.
+	deadline time.Duration // When the caller stops waiting.
+	done     int
+	due      time.Duration // Until when an answer is in time.
+	ending   bool
+	expected time.Duration // Run time of a task on a server of slowness 1.
+	key      time.Duration // Latest start with which the job is in time.
+	late     time.Duration // Until when a late answer is of use.
+	reason   string        // Why it is ending.
+	sentAny  bool
+	tasks    []*task
+	toPlace  int
+}
+
+// newJob returns a job that arrived at an instant.
+func newJob(now time.Duration, sub pollenfront.Submission) *job {
+	limit := time.Duration(sub.Route.Stretch*float64(sub.Estimate)) + sub.Route.LatencyTarget
+	j := &job{
+		Submission: sub,
+		arrived:    now,
+		deadline:   now + sub.TimeLimit - answerMargin,
+		due:        now + limit,
+		expected:   sub.Estimate,
+		key:        now + limit - sub.Estimate - overhead,
+		late:       now + lateFactor*limit,
+		toPlace:    sub.Count,
+	}
+	j.tasks = make([]*task, sub.Count)
+	for i := range j.tasks {
+		id := pollenfront.TaskID{Index: i, Job: sub.ID, Step: sub.Step}
+		j.tasks[i] = &task{job: j, run: pollenfront.RunID{TaskID: id}}
+	}
+	return j
+}
+
+// conclude answers a job once.
+func (j *job) conclude(v pollenfront.Verdict, reason string, retryAfter time.Duration, fx *Effects) {
+	if j.answered {
+		return
+	}
+	j.answered = true
+	fx.answer(pollenfront.Conclusion{ID: j.ID, Reason: reason, RetryAfter: retryAfter, Verdict: v})
+}
+
+// wait puts a job with tasks to be placed into the queue.
+func (s *Scheduler) wait(j *job) {
+	i, _ := slices.BinarySearchFunc(s.waiting, j, func(a, b *job) int {
+		if a.key <= b.key {
+			return -1
+		}
+		return 1
+	})
+	s.waiting = slices.Insert(s.waiting, i, j)
+}
+
+// unwait takes a job out of the queue.
+func (s *Scheduler) unwait(j *job) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *job) bool { return w == j })
+}
+
+// refuse ends a job of which nothing was sent.
+func (s *Scheduler) refuse(j *job, reason string, retryAfter time.Duration, fx *Effects) {
+	j.conclude(pollenfront.VerdictRefused, reason, retryAfter, fx)
+	s.unwait(j)
+	delete(s.jobs, j.ID)
+}
+
+// giveUp ends a job: what was sent is stopped, and the answer follows when the
+// agents have said whether anything was started.
+func (s *Scheduler) giveUp(now time.Duration, j *job, reason string, fx *Effects) {
+	if j.ending {
+		return
+	}
+	j.ending, j.reason = true, reason
+	s.unwait(j)
+	for _, t := range j.tasks {
+		if t.state == taskSent {
+			s.stop(t, fx)
+		}
+		if t.state == taskSent && now-t.agent.heard > SuspicionLimit {
+			j.conclude(pollenfront.VerdictUnknown, reason, 0, fx)
+		}
+	}
+	s.finish(j, fx)
+}
+
+// stop tells the agent of a task to stop it.
+func (s *Scheduler) stop(t *task, fx *Effects) {
+	t.stopped = true
+	if t.agent.linked {
+		o := fx.orders(s, t.agent)
+		o.Stops = append(o.Stops, t.run)
+	}
+}
+
+// finish answers and forgets a job that is ending, once nothing of it is left
+// with an agent.
+func (s *Scheduler) finish(j *job, fx *Effects) {
+	if !j.ending {
+		return
+	}
+	if j.began {
+		j.conclude(pollenfront.VerdictFailed, j.reason, 0, fx)
+	}
+	for _, t := range j.tasks {
+		if t.state == taskSent {
+			return
+		}
+	}
+	j.conclude(pollenfront.VerdictRefused, j.reason, refusedRetryAfter, fx)
+	delete(s.jobs, j.ID)
+}
+
+// tickJob ends a job whose time is over, and takes tasks back from servers
+// that take far too long.
+func (s *Scheduler) tickJob(now time.Duration, j *job, fx *Effects) {
+	if j.ending {
+		return
+	}
+	if now > j.deadline {
+		s.giveUp(now, j, "the caller's time limit has passed", fx)
+		return
+	}
+	for _, t := range j.tasks {
+		if t.state == taskSent && !t.stopped && now-t.sent > patience*t.expected+patienceFloor && s.helps(now, t) {
+			t.avoid = t.agent
+			s.stop(t, fx)
+		}
+	}
+}
+
+// helps reports whether a task that is taken back could still be of use.
+func (s *Scheduler) helps(now time.Duration, t *task) bool {
+	return now+2*t.job.expected < min(t.job.deadline, t.job.late+t.job.expected)
+}
+
+// ended takes the ending of a run.
+func (s *Scheduler) ended(now time.Duration, t *task, ending pollenfront.Ending, passed bool, fx *Effects) {
+	j := t.job
+	delete(t.agent.tasks, t.run)
+	from := t.agent
+	t.agent, t.state, t.stopped = nil, taskWaiting, false
+	if ending != pollenfront.EndingNotStarted {
+		j.began = true
+	}
+	if passed {
+		t.run.Number += passedStep
+	}
+	switch ending {
+	case pollenfront.EndingDone:
+		t.state = taskDone
+		j.done++
+		if j.done == len(j.tasks) && !j.ending {
+			j.conclude(pollenfront.VerdictCompleted, "", 0, fx)
+			delete(s.jobs, j.ID)
+			return
+		}
+	case pollenfront.EndingFailed:
+		t.failures++
+		t.avoid = from
+		if t.failures >= max(1, j.Route.MaxAttempts) {
+			s.giveUp(now, j, "a task has failed too often", fx)
+		}
+	case pollenfront.EndingLost, pollenfront.EndingNotStarted, pollenfront.EndingStopped:
+	}
+	if j.ending {
+		s.finish(j, fx)
+		return
+	}
+	if t.state == taskWaiting {
+		j.toPlace++
+		if j.toPlace == 1 {
+			s.wait(j)
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,250 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Parameters of placing.
+const (
+	// crossZoneCost is what a server in another zone is taken to cost in time.
+	crossZoneCost = 3 * time.Millisecond
+	// ejectRate is the share of failed runs from which a server gets tasks
+	// only if no other one will do.
+	ejectRate = 0.3
+	// ejectCost is added to the expected time on such a server.
+	ejectCost = 10 * time.Second
+	// failCost is what a failed run costs, as a multiple of its run time.
+	failCost = 4
+	// maxAgentWait is the longest wait at an agent for which a task is sent
+	// to it. It covers the way there, so that no room stays free meanwhile.
+	maxAgentWait = 25 * time.Millisecond
+	// minRetryAfter is the least time after which a refused caller may come back.
+	minRetryAfter = 500 * time.Millisecond
+	// refusedRetryAfter is stated where nothing tells a better time.
+	refusedRetryAfter = time.Second
+)
+
+// A candidate is a server during one placing pass.
+type candidate struct {
+	*agent
+
+	free  pollenfront.Room
+	queue int // Thousandths of a core of what is placed beyond the free room.
+}
+
+// place sends the tasks of waiting jobs to servers, the most urgent job first.
+// A job whose best servers are full stays queued, and later jobs may use what
+// it does not want. Jobs that can't be in time any more are refused.
+func (s *Scheduler) place(now time.Duration, fx *Effects) {
+	if len(s.waiting) == 0 {
+		return
+	}
+	candidates := s.candidates(now)
+	placed := 0
+	blocked := false
+	for _, j := range s.waiting {
+		if j.key < now && !j.sentAny && blocked {
+			continue
+		}
+		if s.placeJob(now, j, candidates, fx) {
+			placed++
+		} else {
+			blocked = true
+		}
+	}
+	if placed > 0 {
+		kept := s.waiting[:0]
+		for _, j := range s.waiting {
+			if j.toPlace > 0 {
+				kept = append(kept, j)
+			}
+		}
+		clear(s.waiting[len(kept):])
+		s.waiting = kept
+	}
+	s.shed(now, fx)
+}
+
+// candidates lists the servers that may be sent tasks.
+func (s *Scheduler) candidates(now time.Duration) []candidate {
+	list := make([]candidate, 0, len(s.agents))
+	for _, a := range s.agents {
+		if !s.usable(now, a) {
+			continue
+		}
+		c := candidate{agent: a, free: a.report.Free}
+		for _, u := range a.unseen {
+			c.free = c.free.Sub(u.need)
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// wait returns the time until a task would start on a server.
+func (c *candidate) wait(j *job) time.Duration {
+	if c.free.Holds(j.Need) && c.queue == 0 {
+		return 0
+	}
+	w := time.Duration(0)
+	if p := min(max(j.Route.Priority, 0), len(c.report.Waits)-1); p >= 0 {
+		w = time.Duration(c.report.Waits[p]) * time.Millisecond
+	}
+	lacking := max(0, j.Need.CPU-c.free.CPU)
+	if c.report.Free.CPU < 0 {
+		lacking -= -c.report.Free.CPU // The reported wait covers it.
+	}
+	share := float64(max(0, lacking)) / float64(max(1, c.report.Capacity.CPU))
+	return w + time.Duration(share*c.report.RunSeconds*float64(time.Second)) + time.Millisecond
+}
+
+// cost returns the expected time until a server has finished a task.
+func (s *Scheduler) cost(c *candidate, t *task) (cost, wait time.Duration) {
+	wait = c.wait(t.job)
+	run := time.Duration(float64(t.job.expected) * c.report.Slowness)
+	cost = wait + run + time.Duration(failCost*c.report.FailRate*float64(run))
+	if c.zone != s.local {
+		cost += crossZoneCost
+	}
+	if c.report.FailRate > ejectRate || t.avoid == c.agent {
+		cost += ejectCost
+	}
+	return cost, wait
+}
+
+// placeJob sends all waiting tasks of a job, or none if one would have to wait
+// for too long.
+func (s *Scheduler) placeJob(now time.Duration, j *job, candidates []candidate, fx *Effects) bool {
+	chosen := make([]int, 0, j.toPlace)
+	undo := func() {
+		for _, i := range chosen {
+			candidates[i].free = candidates[i].free.Add(j.Need)
+		}
+	}
+	for _, t := range j.tasks {
+		if t.state != taskWaiting {
+			continue
+		}
+		best, bestCost, bestWait := -1, time.Duration(0), time.Duration(0)
+		for i := range candidates {
+			c := &candidates[i]
+			if c.service != j.Route.Service || !c.report.Capacity.Holds(j.Need) {
+				continue
+			}
+			if cost, wait := s.cost(c, t); best < 0 || cost < bestCost {
+				best, bestCost, bestWait = i, cost, wait
+			}
+		}
+		if best < 0 || bestWait > maxAgentWait {
+			undo()
+			return false
+		}
+		chosen = append(chosen, best)
+		candidates[best].free = candidates[best].free.Sub(j.Need)
+	}
+	s.send(now, j, candidates, chosen, fx)
+	return true
+}
+
+// send orders the waiting tasks of a job from the chosen servers.
+func (s *Scheduler) send(now time.Duration, j *job, candidates []candidate, chosen []int, fx *Effects) {
+	next := 0
+	starts := make(map[*agent]int, len(chosen))
+	for _, t := range j.tasks {
+		if t.state != taskWaiting {
+			continue
+		}
+		a := candidates[chosen[next]].agent
+		next++
+		a.number++
+		t.run.Number++
+		t.agent, t.state, t.sent, t.incarnation = a, taskSent, now, a.Incarnation
+		t.expected = time.Duration(float64(j.expected) * max(1, a.report.Slowness))
+		a.tasks[t.run] = t
+		a.unseen = append(a.unseen, unseenStart{need: j.Need, number: a.number})
+		o := fx.orders(s, a)
+		i, ok := starts[a]
+		if !ok {
+			i = len(o.Starts)
+			starts[a] = i
+			o.Starts = append(o.Starts, tasklink.Start{
+				Expected: int64(j.expected), Job: j.ID, Need: j.Need, Payload: j.Payload, Priority: j.Route.Priority,
+				Service: a.service, Step: j.Step, Urgency: int64(j.key - now),
+			})
+		}
+		o.Starts[i].Tasks = append(o.Starts[i].Tasks, tasklink.StartTask{Index: t.run.Index, Number: a.number, Run: t.run.Number})
+	}
+	j.toPlace, j.sentAny = 0, true
+}
+
+// hopeless returns why no server could ever run a job, or "".
+func (s *Scheduler) hopeless(j *job) string {
+	if j.Count == 0 {
+		return ""
+	}
+	found := false
+	for _, a := range s.agents {
+		if a.service != j.Route.Service || a.report.State == tasklink.StateAway {
+			continue
+		}
+		found = true
+		if a.report.Capacity.Holds(j.Need) {
+			return ""
+		}
+	}
+	if found {
+		return "no backend server is large enough for the job's tasks"
+	}
+	return "no backend server of the service is known"
+}
+
+// admit refuses a job that was not placed and whose turn will come too late.
+func (s *Scheduler) admit(now time.Duration, j *job, fx *Effects) {
+	if j.toPlace == 0 || j.sentAny || j.ending {
+		return
+	}
+	if drain := s.drain(now, j.Route.Service, j); now+drain > j.key {
+		s.refuse(j, fmt.Sprintf("the job would start in %v and be late", drain.Round(time.Millisecond)), max(minRetryAfter, drain), fx)
+	}
+}
+
+// drain returns the time until this entry's share of a service's servers has
+// worked off the jobs that are served before one, or all if it is nil.
+func (s *Scheduler) drain(now time.Duration, service string, before *job) time.Duration {
+	capacity := 0.0
+	for _, a := range s.agents {
+		if a.service == service && s.usable(now, a) {
+			capacity += float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1)
+		}
+	}
+	if capacity == 0 {
+		return refusedRetryAfter
+	}
+	work := 0.0
+	for _, w := range s.waiting {
+		if w == before {
+			break
+		}
+		work += float64(w.Need.CPU) * float64(w.toPlace) * float64(w.expected)
+	}
+	return time.Duration(work * float64(s.entries) / capacity)
+}
+
+// shed refuses the jobs that have waited until they can't be in time.
+func (s *Scheduler) shed(now time.Duration, fx *Effects) {
+	for i := 0; i < len(s.waiting); {
+		j := s.waiting[i]
+		if j.key >= now {
+			return
+		}
+		if j.sentAny {
+			i++
+			continue
+		}
+		s.refuse(j, "the job has waited until it would be late", max(minRetryAfter, s.drain(now, j.Route.Service, nil)), fx)
+	}
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,204 @@
+// Package scheduler is the entry's state machine: it admits jobs, decides in
+// which order they wait, places their tasks on backend servers, takes tasks
+// back from servers that are lost, and gives each job one answer.
+//
+// A job belongs to the entry that took it, for as long as its caller waits. It
+// may run again from the start, here or elsewhere, once every earlier run has
+// ended; two runs of a task at the same time are never ordered.
+//
+// It answers these load patterns: bursts of small jobs and of large ones, a
+// zone's worth of room gone at once, slow, failing and hung servers, waves of
+// callers that leave, and jobs that can't be done. Jobs wait in the order of
+// the latest start with which they are in time. A job that can't be in time is
+// refused as soon as that is known.
+//
+// # Usage
+//
+// The driver passes every message to a method and carries out the effects that
+// it returns. All instants are those of one clock that counts suspensions:
+//
+//	effects := s.Submit(now, submission)
+//	for _, answer := range effects.Answers { … }
+//
+// A Scheduler is not safe for concurrent use.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Parameters of the scheduler.
+const (
+	// LossLimit is the silence of an agent after which none of this entry's
+	// runs is left on its server: the agent has stopped them by then, or the
+	// server's lease has lapsed.
+	LossLimit = 1300 * time.Millisecond
+	// OrdersInterval is the longest time between two orders to an agent.
+	OrdersInterval = 120 * time.Millisecond
+	// SuspicionLimit is the silence of an agent from which it gets no tasks.
+	SuspicionLimit = 350 * time.Millisecond
+	// TickInterval is the time between two Ticks.
+	TickInterval = 40 * time.Millisecond
+
+	// suspensionLimit is the time between two Ticks from which this process
+	// was suspended, and its callers have gone elsewhere.
+	suspensionLimit = 1100 * time.Millisecond
+)
+
+// Effects are what the driver must do.
+type Effects struct {
+	Answers []pollenfront.Conclusion
+	Orders  map[string]*tasklink.Orders // By agent.
+}
+
+// A Scheduler holds the jobs of an entry.
+type Scheduler struct {
+	agents  map[string]*agent
+	entries int
+	jobs    map[string]*job
+	local   string // Zone of this entry.
+	notice  tasklink.Notice
+	ticked  time.Duration
+	waiting []*job // With tasks to be placed, the one with the earliest latest start first.
+}
+
+// New returns the scheduler of an entry in a zone.
+func New(zone string) *Scheduler {
+	return &Scheduler{agents: make(map[string]*agent), entries: 1, jobs: make(map[string]*job), local: zone}
+}
+
+// SetEntries sets the number of entries that share the servers.
+func (s *Scheduler) SetEntries(n int) {
+	s.entries = max(1, n)
+}
+
+// Jobs returns the number of jobs that have not ended.
+func (s *Scheduler) Jobs() int {
+	return len(s.jobs)
+}
+
+// Pending returns the number of jobs of a route of which no task was sent.
+func (s *Scheduler) Pending(route string) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.Route.Name == route && !j.sentAny {
+			n++
+		}
+	}
+	return n
+}
+
+// Submit takes a job.
+func (s *Scheduler) Submit(now time.Duration, sub pollenfront.Submission) *Effects {
+	fx := &Effects{}
+	if _, ok := s.jobs[sub.ID]; ok {
+		fx.answer(pollenfront.Conclusion{ID: sub.ID, Verdict: pollenfront.VerdictUnknown, Reason: "runs of an earlier submission of the job are being ended"})
+		return fx
+	}
+	j := newJob(now, sub)
+	s.jobs[sub.ID] = j
+	if reason := s.hopeless(j); reason != "" {
+		s.refuse(j, reason, refusedRetryAfter, fx)
+		return fx
+	}
+	s.wait(j)
+	s.place(now, fx)
+	s.admit(now, j, fx)
+	return fx
+}
+
+// Running reports whether the job has not ended.
+func (s *Scheduler) Running(id string) bool {
+	_, ok := s.jobs[id]
+	return ok
+}
+
+// Cancel gives up a job whose caller has left. There will be no answer.
+func (s *Scheduler) Cancel(now time.Duration, id string) *Effects {
+	fx := &Effects{}
+	if j, ok := s.jobs[id]; ok {
+		j.answered = true
+		s.giveUp(now, j, "the caller has left", fx)
+		s.place(now, fx)
+	}
+	return fx
+}
+
+// SetNotice takes a newer list of the zones that are out of service.
+func (s *Scheduler) SetNotice(n tasklink.Notice) *Effects {
+	fx := &Effects{}
+	if n.Version > s.notice.Version {
+		s.notice = n
+		for _, a := range s.agents {
+			if a.linked {
+				fx.orders(s, a)
+			}
+		}
+	}
+	return fx
+}
+
+// Notice returns the newest list of the zones that are out of service.
+func (s *Scheduler) Notice() tasklink.Notice {
+	return s.notice
+}
+
+// Tick ends what has run out of time and keeps the links alive.
+func (s *Scheduler) Tick(now time.Duration) *Effects {
+	fx := &Effects{}
+	if s.ticked > 0 && now-s.ticked > suspensionLimit {
+		s.resume(now, fx)
+	}
+	s.ticked = now
+	for _, a := range s.agents {
+		s.tickAgent(now, a, fx)
+	}
+	for _, j := range s.jobs {
+		s.tickJob(now, j, fx)
+	}
+	s.place(now, fx)
+	for _, a := range s.agents {
+		if a.linked && now-a.sent >= OrdersInterval {
+			fx.orders(s, a)
+		}
+	}
+	return fx
+}
+
+// resume gives up the jobs of before a suspension.
+func (s *Scheduler) resume(now time.Duration, fx *Effects) {
+	for _, j := range s.jobs {
+		if !j.answered {
+			j.conclude(pollenfront.VerdictUnknown, "the entry was suspended", 0, fx)
+		}
+		s.giveUp(now, j, "the entry was suspended", fx)
+	}
+}
+
+// answer adds an answer.
+func (fx *Effects) answer(a pollenfront.Conclusion) {
+	fx.Answers = append(fx.Answers, a)
+}
+
+// orders returns the orders to an agent, to be filled in.
+func (fx *Effects) orders(s *Scheduler, a *agent) *tasklink.Orders {
+	o, ok := fx.Orders[a.Name]
+	if !ok {
+		if fx.Orders == nil {
+			fx.Orders = make(map[string]*tasklink.Orders)
+		}
+		o = &tasklink.Orders{Echo: a.echo, Notice: s.notice}
+		fx.Orders[a.Name] = o
+	}
+	return o
+}
+
+// Sent notes that orders were sent to an agent.
+func (s *Scheduler) Sent(now time.Duration, name string) {
+	if a, ok := s.agents[name]; ok {
+		a.sent = now
+	}
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,54 @@
+package pollenfront
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrHistoryGone means that changes since a version can't be listed any more.
+var ErrHistoryGone = errors.New("the store's history since the version is gone")
+
+// Orders are what the operators have ordered.
+type Orders struct {
+	Config   *Config // Nil before the first one.
+	Version  uint64  // Of the store.
+	ZonesOut []string
+}
+
+// An EntryRecord says where an entry takes the links of agents.
+type EntryRecord struct {
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+	Name        string `json:"name"`
+}
+
+// Entries are the entries that have registered.
+type Entries struct {
+	Records map[string]EntryRecord // By name.
+	Version uint64                 // Of the store.
+}
+
+// A Store keeps what must last: the operators' orders and where the entries
+// are. A call without an answer may have taken effect.
+type Store interface {
+	// Entries returns all records of entries.
+	Entries(ctx context.Context) (Entries, error)
+
+	// EntriesSince waits for a change to known and returns the new state. It
+	// returns the known state if nothing changes, and ErrHistoryGone if
+	// Entries must be called instead.
+	EntriesSince(ctx context.Context, known Entries, wait time.Duration) (Entries, error)
+
+	// Orders returns the operators' orders.
+	Orders(ctx context.Context) (Orders, error)
+
+	// OrdersSince is to Orders as EntriesSince is to Entries.
+	OrdersSince(ctx context.Context, known Orders, wait time.Duration) (Orders, error)
+
+	// Register writes the record of an entry.
+	Register(ctx context.Context, record EntryRecord) error
+
+	// Unregister removes the record of an entry.
+	Unregister(ctx context.Context, name string) error
+}
