Answer jobs that were given up as unknown, and learn slowness with less noise

It is answered as unknown now, and may be submitted again. Estimates are shrunk towards the mean of their route (measured: slope 0.42 to 0.68 of real against estimated run times within a kind), and what was learned of an idle server fades, so that it is tried again.

--- a/agent/internal/work/work.go
+++ b/agent/internal/work/work.go
@@ -25,9 +25,11 @@
 
 // Limits on calls to the backend server, which is on the same machine.
 const (
-	holdMargin   = 250 * time.Millisecond // Beyond the wait of a hold.
-	holdPause    = 50 * time.Millisecond  // After a hold that failed.
-	orderTimeout = 150 * time.Millisecond
+	holdMargin = 250 * time.Millisecond // Beyond the wait of a hold.
+	holdPause  = 50 * time.Millisecond  // After a hold that failed.
+	// stateInterval is the time between two lines of the log on the state.
+	stateInterval = 5 * time.Second
+	orderTimeout  = 150 * time.Millisecond
 )
 
 // A Server is a backend server whose incarnation can be named.
@@ -70,6 +72,7 @@
 	ticker := time.NewTicker(executor.TickInterval)
 	defer ticker.Stop()
 	updated := bootclock.Now()
+	logged := updated
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,6 +85,10 @@
 			updated = now
 			w.updateAll(now)
 		}
+		if now-logged >= stateInterval {
+			logged = now
+			w.logState(now)
+		}
 	}
 }
 
@@ -129,6 +136,15 @@
 	}
 }
 
+// logState logs what the agent believes of its server.
+func (w *Work) logState(now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.executor.Report(now)
+	w.logger.Info("state", zap.Uint8("state", uint8(r.State)), zap.Int("free-cpu", r.Free.CPU), zap.Int("cpu", r.Capacity.CPU), zap.Ints("waits-ms", r.Waits),
+		zap.Float64("slowness", r.Slowness), zap.Float64("fail-rate", r.FailRate), zap.Int("entries", len(w.links)))
+}
+
 // updateAll sends an update to each entry.
 func (w *Work) updateAll(now time.Duration) {
 	w.mu.Lock()
--- a/conclusion.go
+++ b/conclusion.go
@@ -8,9 +8,9 @@
 // Verdicts.
 const (
 	VerdictCompleted Verdict = iota // Every task succeeded.
-	VerdictFailed                   // The job ran, in whole or in part, and was not completed.
+	VerdictFailed                   // A task has failed as often as its route allows.
 	VerdictRefused                  // Nothing of this submission was started, and nothing will be.
-	VerdictUnknown                  // A task may have run, or may still do so for a moment.
+	VerdictUnknown                  // The job was given up, and a task may have run.
 	VerdictConflict                 // Another job with the same ID is under way.
 )
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -92,7 +92,6 @@
 	server  server
 	service string
 	token   uint64
-	woken   time.Duration // When the last Tick was.
 	zone    string
 }
 
@@ -303,7 +302,7 @@
 // Tick ends what has run out of time.
 func (x *Executor) Tick(now time.Duration) Effects {
 	var fx Effects
-	x.woken = now
+	x.measure.forget(now)
 	for name, e := range x.entries {
 		if now-e.echo > SilenceLimit && !e.silent {
 			e.silent = true
--- a/executor/measure.go
+++ b/executor/measure.go
@@ -10,15 +10,25 @@
 
 // Parameters of what is measured.
 const (
-	measureWeight = 0.08 // Of a new sample in a moving mean.
-	maxRatio      = 8.0  // Above it a run tells nothing more about its server.
-	typicalNeed   = 6000 // Thousandths of a core, of a task that a wait is stated for.
+	failWeight = 0.08 // Of a new run in the share of failed ones.
+	slowWeight = 0.04 // Of a new run in the slowness; estimates are far off.
+	// jumpRatio is the ratio of a run's slowness to the learned one from
+	// which the server has become slow, and jumpWeight such a run's weight.
+	jumpRatio  = 3.0
+	jumpWeight = 0.15
+	// forgetting is the weight of each TickInterval without a run in
+	// returning to the slowness and the share of failures of a new server.
+	forgetting  = 0.004
+	idleTime    = time.Second
+	maxRatio    = 8.0  // Above it a run tells nothing more about its server.
+	typicalNeed = 6000 // Thousandths of a core, of a task that a wait is stated for.
 )
 
 // A measure is what is learned of the server from the ends of its runs.
 type measure struct {
 	failRate float64
 	runTime  time.Duration
+	sampled  time.Duration // When the newest run ended.
 	slowness float64
 }
 
@@ -28,20 +38,41 @@
 }
 
 // add adds the ending of a run that took some time.
-func (m *measure) add(ending pollenfront.Ending, took, expected time.Duration) {
+func (m *measure) add(now time.Duration, ending pollenfront.Ending, took, expected time.Duration) {
 	switch ending {
 	case pollenfront.EndingDone:
-		m.failRate -= m.failRate * measureWeight
-		m.runTime += time.Duration(float64(took-m.runTime) * measureWeight)
+		m.sampled = now
+		m.failRate -= m.failRate * failWeight
+		m.runTime += time.Duration(float64(took-m.runTime) * slowWeight)
 		if expected > 0 {
-			m.slowness += (min(took.Seconds()/expected.Seconds(), maxRatio) - m.slowness) * measureWeight
+			m.addRatio(took.Seconds() / expected.Seconds())
 		}
 	case pollenfront.EndingFailed:
-		m.failRate += (1 - m.failRate) * measureWeight
+		m.sampled = now
+		m.failRate += (1 - m.failRate) * failWeight
 	case pollenfront.EndingLost, pollenfront.EndingNotStarted, pollenfront.EndingStopped:
 	}
 }
 
+// addRatio adds the slowness of one run.
+func (m *measure) addRatio(ratio float64) {
+	weight := slowWeight
+	if ratio > jumpRatio*m.slowness {
+		weight = jumpWeight
+	}
+	m.slowness += (min(ratio, maxRatio) - m.slowness) * weight
+}
+
+// forget lets what was learned fade while the server runs nothing, so that it
+// is tried again.
+func (m *measure) forget(now time.Duration) {
+	if now-m.sampled < idleTime {
+		return
+	}
+	m.slowness += (1 - m.slowness) * forgetting
+	m.failRate -= m.failRate * forgetting
+}
+
 // slowness returns the learned slowness, raised by runs that are overdue.
 func (x *Executor) slowness(now time.Duration) float64 {
 	s := x.measure.slowness
@@ -49,8 +80,8 @@
 		if r.state != running || r.expected <= 0 {
 			continue
 		}
-		if ratio := (now - r.sent).Seconds() / r.expected.Seconds(); ratio > 2*x.measure.slowness {
-			s += (min(ratio, maxRatio) - x.measure.slowness) * measureWeight
+		if ratio := (now - r.sent).Seconds() / r.expected.Seconds(); ratio > jumpRatio*x.measure.slowness {
+			s += (min(ratio, maxRatio) - x.measure.slowness) * jumpWeight
 		}
 	}
 	return s
--- a/executor/run.go
+++ b/executor/run.go
@@ -129,7 +129,7 @@
 	if r.state != queued {
 		took := now - r.sent
 		end.Seconds = took.Seconds()
-		x.measure.add(ending, took, r.expected)
+		x.measure.add(now, ending, took, r.expected)
 	}
 	if x.entries[r.entry.Name] == r.entry {
 		x.tell(now, r.entry, end, fx)
@@ -178,7 +178,7 @@
 		x.requeue(r)
 		return
 	case StartUnhealthy:
-		x.measure.add(pollenfront.EndingFailed, 0, r.expected)
+		x.measure.add(now, pollenfront.EndingFailed, 0, r.expected)
 	}
 	ending := pollenfront.EndingNotStarted
 	if err == StartRejected {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -61,6 +61,7 @@
 	due      time.Duration // Until when an answer is in time.
 	ending   bool
 	expected time.Duration // Run time of a task on a server of slowness 1.
+	failed   bool          // A task has failed as often as its route allows.
 	key      time.Duration // Latest start with which the job is in time.
 	late     time.Duration // Until when a late answer is of use.
 	reason   string        // Why it is ending.
@@ -69,16 +70,17 @@
 	toPlace  int
 }
 
-// newJob returns a job that arrived at an instant.
-func newJob(now time.Duration, sub pollenfront.Submission) *job {
-	limit := time.Duration(sub.Route.Stretch*float64(sub.Estimate)) + sub.Route.LatencyTarget
+// newJob returns a job that arrived at an instant, whose tasks are expected to
+// take some time.
+func newJob(now time.Duration, sub pollenfront.Submission, expected time.Duration) *job {
+	limit := time.Duration(sub.Route.Stretch*float64(expected)) + sub.Route.LatencyTarget
 	j := &job{
 		Submission: sub,
 		arrived:    now,
 		deadline:   now + sub.TimeLimit - answerMargin,
 		due:        now + limit,
-		expected:   sub.Estimate,
-		key:        now + limit - sub.Estimate - overhead,
+		expected:   expected,
+		key:        now + limit - expected - overhead,
 		late:       now + lateFactor*limit,
 		toPlace:    sub.Count,
 	}
@@ -156,8 +158,11 @@
 	if !j.ending {
 		return
 	}
-	if j.began {
+	switch {
+	case j.failed:
 		j.conclude(pollenfront.VerdictFailed, j.reason, 0, fx)
+	case j.began:
+		j.conclude(pollenfront.VerdictUnknown, j.reason, 0, fx)
 	}
 	for _, t := range j.tasks {
 		if t.state == taskSent {
@@ -216,6 +221,7 @@
 		t.failures++
 		t.avoid = from
 		if t.failures >= max(1, j.Route.MaxAttempts) {
+			j.failed = true
 			s.giveUp(now, j, "a task has failed too often", fx)
 		}
 	case pollenfront.EndingLost, pollenfront.EndingNotStarted, pollenfront.EndingStopped:
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -129,17 +129,8 @@
 		if t.state != taskWaiting {
 			continue
 		}
-		best, bestCost, bestWait := -1, time.Duration(0), time.Duration(0)
-		for i := range candidates {
-			c := &candidates[i]
-			if c.service != j.Route.Service || !c.report.Capacity.Holds(j.Need) {
-				continue
-			}
-			if cost, wait := s.cost(c, t); best < 0 || cost < bestCost {
-				best, bestCost, bestWait = i, cost, wait
-			}
-		}
-		if best < 0 || bestWait > maxAgentWait {
+		best := s.choose(now, candidates, t)
+		if best < 0 {
 			undo()
 			return false
 		}
@@ -150,6 +141,31 @@
 	return true
 }
 
+// choose returns the server for a task, or -1 if the task should wait: because
+// no server has room, or because those that have would finish it late and
+// another one, which is busy now, would not.
+func (s *Scheduler) choose(now time.Duration, candidates []candidate, t *task) int {
+	best, bestCost, soonest := -1, time.Duration(0), time.Duration(0)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.service != t.job.Route.Service || !c.report.Capacity.Holds(t.job.Need) {
+			continue
+		}
+		cost, wait := s.cost(c, t)
+		if soonest == 0 || cost < soonest {
+			soonest = cost
+		}
+		if wait <= maxAgentWait && (best < 0 || cost < bestCost) {
+			best, bestCost = i, cost
+		}
+	}
+	left := t.job.due - now - overhead
+	if best >= 0 && bestCost > left && soonest <= left {
+		return -1
+	}
+	return best
+}
+
 // send orders the waiting tasks of a job from the chosen servers.
 func (s *Scheduler) send(now time.Duration, j *job, candidates []candidate, chosen []int, fx *Effects) {
 	next := 0
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -56,18 +56,19 @@
 
 // A Scheduler holds the jobs of an entry.
 type Scheduler struct {
-	agents  map[string]*agent
-	entries int
-	jobs    map[string]*job
-	local   string // Zone of this entry.
-	notice  tasklink.Notice
-	ticked  time.Duration
-	waiting []*job // With tasks to be placed, the one with the earliest latest start first.
+	agents    map[string]*agent
+	entries   int
+	estimates estimates
+	jobs      map[string]*job
+	local     string // Zone of this entry.
+	notice    tasklink.Notice
+	ticked    time.Duration
+	waiting   []*job // With tasks to be placed, the one with the earliest latest start first.
 }
 
 // New returns the scheduler of an entry in a zone.
 func New(zone string) *Scheduler {
-	return &Scheduler{agents: make(map[string]*agent), entries: 1, jobs: make(map[string]*job), local: zone}
+	return &Scheduler{agents: make(map[string]*agent), entries: 1, estimates: make(estimates), jobs: make(map[string]*job), local: zone}
 }
 
 // SetEntries sets the number of entries that share the servers.
@@ -98,7 +99,7 @@
 		fx.answer(pollenfront.Conclusion{ID: sub.ID, Verdict: pollenfront.VerdictUnknown, Reason: "runs of an earlier submission of the job are being ended"})
 		return fx
 	}
-	j := newJob(now, sub)
+	j := newJob(now, sub, s.estimates.expect(sub.Route.Name, sub.Estimate))
 	s.jobs[sub.ID] = j
 	if reason := s.hopeless(j); reason != "" {
 		s.refuse(j, reason, refusedRetryAfter, fx)
