Return tasks to their entry when a server is full, and stop entries without cutting callers off

Cause 1: with eleven entries, all sent their tasks to the few fastest servers on the same stale reports; tasks waited up to 270 ms in agents' queues while two thirds of the servers were idle. An agent returns a task that would wait for more than 40 ms, with a fresh report.

--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -214,6 +214,14 @@
 	}
 }
 
+// Abandon gives up all jobs, since the entry ends.
+func (j *Jobs) Abandon() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := bootclock.Now()
+	j.perform(now, j.scheduler.Abandon(now, "the entry is stopping"))
+}
+
 // Waiting returns the number of jobs that callers wait for.
 func (j *Jobs) Waiting() int {
 	j.mu.Lock()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -24,6 +24,8 @@
 
 // Parameters of an entry.
 const (
+	// answerTime is the time to write the last answers of an entry that stops.
+	answerTime           = 100 * time.Millisecond
 	callersHeaderTimeout = 3 * time.Second
 	callersIdleTimeout   = 2 * time.Minute
 	// entriesWait is how long the store holds a question for changes among
@@ -105,7 +107,7 @@
 	program.OnHangup(&group, s.reload)
 	group.Add(func() error {
 		<-ctx.Done()
-		s.leave(partsCtx)
+		s.leave(partsCtx, callers)
 		return nil
 	}, func(error) {})
 
@@ -185,16 +187,20 @@
 	s.logger.Info("settings reloaded", zap.Bool("differ", next != s.settings))
 }
 
-// leave stops in a planned way: the balancer sends no more connections, jobs
-// that arrive meanwhile are served, and the entry ends when all are answered.
-func (s *server) leave(ctx context.Context) {
-	started := time.Now()
+// leave stops in a planned way. The balancer sends no more connections, and
+// jobs that arrive until it has noticed are served. Then the entry closes its
+// listener, and ends when all its jobs are answered. Jobs that are still under
+// way near the end of the time for a stop are given up.
+func (s *server) leave(ctx context.Context, callers *http.Server) {
 	s.stopping.Store(true)
 	s.logger.Info("leaving", zap.Int("jobs", s.jobs.Waiting()))
-	program.Sleep(ctx, takeOver)
-	limit := time.Duration(s.settings.StopLimit) - stopMargin
-	for time.Since(started) < limit && s.jobs.Waiting() > 0 {
-		program.Sleep(ctx, 10*time.Millisecond)
+	limitCtx, cancel := context.WithTimeout(ctx, time.Duration(s.settings.StopLimit)-stopMargin)
+	defer cancel()
+	program.Sleep(limitCtx, takeOver)
+	err := callers.Shutdown(limitCtx)
+	if err != nil {
+		s.jobs.Abandon()
+		program.Sleep(ctx, answerTime)
 	}
-	s.logger.Info("left", zap.Int("jobs", s.jobs.Waiting()))
+	s.logger.Info("left", zap.Int("jobs", s.jobs.Waiting()), zap.Error(err))
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -55,6 +55,9 @@
 	noRoomPause = 10 * time.Millisecond
 	// maxLease is the longest lease that a server grants.
 	maxLease = time.Second
+	// maxWait is the longest time that a task is expected to wait here. Its
+	// entry, which did not know what others had sent, places it elsewhere.
+	maxWait = 40 * time.Millisecond
 	// maxNoRoom is how often a task is tried before its entry places it elsewhere.
 	maxNoRoom = 5
 	// priorities is the number of priorities that are told apart.
@@ -208,6 +211,9 @@
 		if _, active := x.runs[id.TaskID]; active && reason == "" {
 			reason = "an earlier run of the task has not ended"
 		}
+		if reason == "" && x.full(now, s) {
+			reason = "the server is full"
+		}
 		if reason != "" {
 			x.tell(now, e, tasklink.End{Run: id, Ending: pollenfront.EndingNotStarted, Reason: reason}, fx)
 			continue
@@ -219,6 +225,18 @@
 	}
 }
 
+// full reports whether a task of a start order would wait for too long.
+func (x *Executor) full(now time.Duration, s *tasklink.Start) bool {
+	free := x.free()
+	for _, r := range x.queue {
+		free = free.Sub(r.need)
+	}
+	if free.Holds(s.Need) {
+		return false
+	}
+	return x.waits(now)[min(max(s.Priority, 0), priorities-1)] > int(maxWait/time.Millisecond)
+}
+
 // refusal returns why no run of a start order may start, or "".
 func (x *Executor) refusal(s *tasklink.Start, stale bool) string {
 	switch {
--- a/program/serve.go
+++ b/program/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -45,17 +46,25 @@
 	})
 }
 
-// AddServer adds an HTTP server to a run group. It closes its listener and
-// idle connections when the group stops, and then waits for its requests.
+// AddServer adds an HTTP server to a run group, which ends if the server can't
+// listen. When the group stops, the server closes its listener and its idle
+// connections and waits for its requests. If it was shut down before, the group
+// goes on.
 func AddServer(group *run.Group, server *http.Server, address string, logger *zap.Logger) {
 	server.ErrorLog, _ = zap.NewStdLogAt(logger, zap.DebugLevel)
+	stopped := make(chan struct{})
 	group.Add(func() error {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return err
 		}
-		return server.Serve(listener)
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-stopped
+		return nil
 	}, func(error) {
+		close(stopped)
 		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
 		if err := server.Shutdown(ctx); err != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -151,7 +151,7 @@
 func (s *Scheduler) Tick(now time.Duration) *Effects {
 	fx := &Effects{}
 	if s.ticked > 0 && now-s.ticked > suspensionLimit {
-		s.resume(now, fx)
+		s.abandon(now, "the entry was suspended", fx)
 	}
 	s.ticked = now
 	for _, a := range s.agents {
@@ -169,13 +169,20 @@
 	return fx
 }
 
-// resume gives up the jobs of before a suspension.
-func (s *Scheduler) resume(now time.Duration, fx *Effects) {
+// Abandon gives up all jobs for a reason and answers them at once.
+func (s *Scheduler) Abandon(now time.Duration, reason string) *Effects {
+	fx := &Effects{}
+	s.abandon(now, reason, fx)
+	return fx
+}
+
+// abandon gives up all jobs. Those of which nothing was sent are refused.
+func (s *Scheduler) abandon(now time.Duration, reason string, fx *Effects) {
 	for _, j := range s.jobs {
-		if !j.answered {
-			j.conclude(pollenfront.VerdictUnknown, "the entry was suspended", 0, fx)
+		if j.sentAny {
+			j.conclude(pollenfront.VerdictUnknown, reason, 0, fx)
 		}
-		s.giveUp(now, j, "the entry was suspended", fx)
+		s.giveUp(now, j, reason, fx)
 	}
 }
 
