Replay fleets in virtual time, and keep runs of a restarted server apart

Package replay plays schedulers, executors and models of servers under load and faults, the same seed with the same result.

--- a/conclusion.go
+++ b/conclusion.go
@@ -36,5 +36,16 @@
 	ID         string
 	Reason     string
 	RetryAfter time.Duration // Of a refusal: when the caller may come back.
+	Trace      Trace
 	Verdict    Verdict
 }
+
+// A Trace tells what took a submission's time.
+type Trace struct {
+	Due      time.Duration // Time after its arrival until which it was in time.
+	Expected time.Duration // Run time of a task on a server of slowness 1.
+	LastRun  time.Duration // Of the task that ended last.
+	LastSent time.Duration // Time after the arrival at which that task was sent to a server.
+	Runs     int           // Ordered for all its tasks.
+	Server   string        // That ran the task that ended last.
+}
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -159,9 +159,12 @@
 	}
 	took := now - w.arrived
 	j.metrics.answered(w.submission.Route.Name, answer.Verdict, took)
-	if answer.Verdict != pollenfront.VerdictCompleted {
+	if answer.Verdict != pollenfront.VerdictCompleted || took > answer.Trace.Due {
+		trace := answer.Trace
 		j.logger.Info("job answered", zap.String("request", answer.ID), zap.Stringer("verdict", answer.Verdict),
-			zap.String("reason", answer.Reason), zap.Duration("after", took))
+			zap.String("reason", answer.Reason), zap.Duration("after", took), zap.Duration("due", trace.Due),
+			zap.Duration("expected", trace.Expected), zap.Int("tasks", w.submission.Count), zap.Int("runs", trace.Runs),
+			zap.String("last-server", trace.Server), zap.Duration("last-sent", trace.LastSent), zap.Duration("last-run", trace.LastRun))
 	}
 }
 
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -34,7 +34,7 @@
 // Dump returns the state of the executor.
 func (x *Executor) Dump(now time.Duration) Dump {
 	d := Dump{Clean: x.clean, Life: x.server.life, Report: x.Report(now), Token: x.token}
-	for _, r := range x.runs {
+	for _, r := range x.order {
 		d.Runs = append(d.Runs, RunDump{
 			Age: (now - r.sent).String(), Entry: r.entry.Name, Index: r.id.Index, Job: r.id.Job, Number: r.id.Number,
 			Percent: r.percent, State: r.state.String(),
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -20,6 +20,8 @@
 package executor
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -91,6 +93,7 @@
 	notice  tasklink.Notice
 	queue   []*run // The most urgent first.
 	resume  time.Duration
+	order   []*run // All runs, in the order in which they were accepted.
 	runs    map[pollenfront.TaskID]*run
 	server  server
 	service string
@@ -158,7 +161,7 @@
 // states returns the runs of an entry that the agent knows.
 func (x *Executor) states(e *entry) []tasklink.RunState {
 	var states []tasklink.RunState
-	for _, r := range x.runs {
+	for _, r := range x.order {
 		if r.entry == e {
 			states = append(states, tasklink.RunState{Run: r.id})
 		}
@@ -218,10 +221,13 @@
 			x.tell(now, e, tasklink.End{Run: id, Ending: pollenfront.EndingNotStarted, Reason: reason}, fx)
 			continue
 		}
-		x.enqueue(&run{
+		r := &run{
 			entry: e, expected: time.Duration(s.Expected), id: id, need: s.Need, payload: s.Payload,
 			priority: min(max(s.Priority, 0), priorities-1), urgent: now + time.Duration(s.Urgency),
-		})
+		}
+		x.runs[id.TaskID] = r
+		x.order = append(x.order, r)
+		x.enqueue(r)
 	}
 }
 
@@ -310,8 +316,8 @@
 
 // notifyAll tells all entries the state of the server.
 func (x *Executor) notifyAll(fx *Effects) {
-	for name, e := range x.entries {
-		if e.linked {
+	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
+		if x.entries[name].linked {
 			fx.notify(name)
 		}
 	}
@@ -321,7 +327,8 @@
 func (x *Executor) Tick(now time.Duration) Effects {
 	var fx Effects
 	x.measure.forget(now)
-	for name, e := range x.entries {
+	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
+		e := x.entries[name]
 		if now-e.echo > SilenceLimit && !e.silent {
 			e.silent = true
 			x.endAll(now, e, "its entry is silent", &fx)
@@ -343,7 +350,7 @@
 
 // owns reports whether an entry has a run here.
 func (x *Executor) owns(e *entry) bool {
-	for _, r := range x.runs {
+	for _, r := range x.order {
 		if r.entry == e {
 			return true
 		}
@@ -353,7 +360,7 @@
 
 // endAll ends all runs of an entry.
 func (x *Executor) endAll(now time.Duration, e *entry, reason string, fx *Effects) {
-	for _, r := range x.runs {
+	for _, r := range slices.Clone(x.order) {
 		if r.entry == e {
 			x.stop(now, r, reason, fx)
 		}
@@ -363,7 +370,7 @@
 // lapse ends the runs whose lease has certainly lapsed.
 func (x *Executor) lapse(now time.Duration, fx *Effects) {
 	ended := false
-	for _, r := range x.runs {
+	for _, r := range slices.Clone(x.order) {
 		if r.state != queued {
 			x.end(now, r, pollenfront.EndingLost, "the lease has lapsed", fx)
 			ended = true
--- a/executor/measure.go
+++ b/executor/measure.go
@@ -76,7 +76,7 @@
 // slowness returns the learned slowness, raised by runs that are overdue.
 func (x *Executor) slowness(now time.Duration) float64 {
 	s := x.measure.slowness
-	for _, r := range x.runs {
+	for _, r := range x.order {
 		if r.state != running || r.expected <= 0 {
 			continue
 		}
@@ -107,7 +107,7 @@
 		cpu int
 	}
 	var releases []release
-	for _, r := range x.runs {
+	for _, r := range x.order {
 		if r.state != queued {
 			releases = append(releases, release{at: x.remaining(now, r), cpu: r.need.CPU})
 		}
--- a/executor/run.go
+++ b/executor/run.go
@@ -40,7 +40,6 @@
 
 // enqueue queues a run by its urgency.
 func (x *Executor) enqueue(r *run) {
-	x.runs[r.id.TaskID] = r
 	i, _ := slices.BinarySearchFunc(x.queue, r, func(a, b *run) int {
 		if a.urgent <= b.urgent {
 			return -1
@@ -83,7 +82,7 @@
 // free returns the room that no started run needs.
 func (x *Executor) free() pollenfront.Room {
 	free := x.server.capacity
-	for _, r := range x.runs {
+	for _, r := range x.order {
 		if r.state != queued {
 			free = free.Sub(r.need)
 		}
@@ -112,7 +111,7 @@
 
 // repeatStops repeats the stops that were not answered.
 func (x *Executor) repeatStops(now time.Duration, fx *Effects) {
-	for _, r := range x.runs {
+	for _, r := range x.order {
 		if r.state == stopping && r.fenced == 0 && now-r.stopSent > stopRetry {
 			x.sendStop(now, r, fx)
 		}
@@ -122,6 +121,7 @@
 // end forgets a run and tells its entry.
 func (x *Executor) end(now time.Duration, r *run, ending pollenfront.Ending, reason string, fx *Effects) {
 	delete(x.runs, r.id.TaskID)
+	x.order = slices.DeleteFunc(x.order, func(o *run) bool { return o == r })
 	if r.reason != "" {
 		reason = r.reason
 	}
--- a/executor/server.go
+++ b/executor/server.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -45,25 +46,37 @@
 func (x *Executor) Gone(now time.Duration) Effects {
 	var fx Effects
 	x.loseRuns(now, "the server has left", &fx)
+	x.token++
 	x.server.known = false
 	x.notifyAll(&fx)
 	return fx
 }
 
-// reborn forgets the server's former life.
+// reborn forgets the server's former life. Orders that were under way may have
+// reached either life, so every run is stopped in the new one before its entry
+// is told that it has ended.
 func (x *Executor) reborn(now time.Duration, life uint64, fx *Effects) {
-	x.loseRuns(now, "the server was restarted", fx)
-	if x.server.life != 0 {
-		x.token++ // Orders to the former life must not take effect.
-		x.server = server{}
-		x.measure = newMeasure()
+	former := x.server
+	x.server = server{lapse: former.lapse, life: life}
+	if former.life == 0 {
+		return
+	}
+	x.token++
+	x.measure = newMeasure()
+	x.returnQueued(now, "the server was restarted", fx)
+	for _, r := range slices.Clone(x.order) {
+		r.fenced = 0
+		if r.state == stopping {
+			x.sendStop(now, r, fx)
+			continue
+		}
+		x.stop(now, r, "the server was restarted", fx)
 	}
-	x.server.life = life
 }
 
 // loseRuns ends all runs, since the server has forgotten them.
 func (x *Executor) loseRuns(now time.Duration, reason string, fx *Effects) {
-	for _, r := range x.runs {
+	for _, r := range slices.Clone(x.order) {
 		if r.state != queued {
 			x.end(now, r, pollenfront.EndingLost, reason, fx)
 		}
@@ -140,7 +153,7 @@
 			r.state = running
 		}
 	}
-	for _, r := range x.runs {
+	for _, r := range slices.Clone(x.order) {
 		if present[r.id] {
 			continue
 		}
--- /dev/null
+++ b/replay/entry.go
@@ -0,0 +1,143 @@
+package replay
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/scheduler"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Names of the only service and zone.
+const (
+	service = "service"
+	zone    = "zone"
+)
+
+// An entryNode is an entry.
+type entryNode struct {
+	node
+
+	incarnation uint64
+	index       int
+	links       map[string]entryLink // By agent.
+	name        string
+	scheduler   *scheduler.Scheduler
+	waiting     map[string]int // Attempts of jobs that wait here.
+}
+
+// An entryLink is the entry's side of a link.
+type entryLink struct {
+	epoch       uint64
+	incarnation uint64 // Of the agent.
+}
+
+// newEntryNode returns an entry that starts now.
+func newEntryNode(f *Fleet, i int) *entryNode {
+	e := &entryNode{node: node{fleet: f}, index: i, name: fmt.Sprintf("entry-%d", i)}
+	e.start()
+	return e
+}
+
+// start starts the entry.
+func (e *entryNode) start() {
+	e.up = true
+	e.incarnation = uint64(e.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
+	e.scheduler = scheduler.New(zone)
+	e.scheduler.SetEntries(e.fleet.settings.Entries)
+	e.links = make(map[string]entryLink)
+	e.waiting = make(map[string]int)
+	e.tick()
+}
+
+// kill kills the entry and starts it again after a time. Its callers submit
+// their jobs again elsewhere.
+func (e *entryNode) kill(d time.Duration) {
+	e.up = false
+	e.generation++
+	for _, a := range e.fleet.agents {
+		epoch := a.links[e.index]
+		e.fleet.deliver(e.index, a, func() { e.fleet.closeAgentSide(e.index, a, epoch) })
+	}
+	for _, id := range slices.Sorted(maps.Keys(e.waiting)) {
+		e.fleet.resend(id, e.waiting[id])
+	}
+	e.fleet.after(d, e.start)
+}
+
+// tick lets time pass.
+func (e *entryNode) tick() {
+	e.perform(e.scheduler.Tick(e.fleet.now))
+	for _, ref := range e.scheduler.Silent(e.fleet.now) {
+		for _, a := range e.fleet.agents {
+			if link, ok := e.links[a.name]; ok && a.name == ref.Name {
+				delete(e.links, a.name)
+				e.scheduler.Unlinked(ref.Name, ref.Incarnation)
+				e.fleet.deliver(e.index, a, func() { e.fleet.closeAgentSide(e.index, a, link.epoch) })
+			}
+		}
+	}
+	e.later(scheduler.TickInterval, e.tick)
+}
+
+// perform carries out what the scheduler decided.
+func (e *entryNode) perform(fx *scheduler.Effects) {
+	for _, answer := range fx.Answers {
+		attempt, ok := e.waiting[answer.ID]
+		if !ok {
+			continue
+		}
+		delete(e.waiting, answer.ID)
+		e.fleet.after(clientWay, func() { e.fleet.answered(answer, attempt) })
+	}
+	for _, a := range e.fleet.agents {
+		orders, ok := fx.Orders[a.name]
+		if !ok {
+			continue
+		}
+		e.scheduler.Sent(e.fleet.now, a.name)
+		if e.links[a.name].epoch != 0 {
+			e.send(a, orders)
+		}
+	}
+}
+
+// send sends orders to an agent.
+func (e *entryNode) send(a *agentNode, orders *tasklink.Orders) {
+	ref := pollenfront.EntryRef{Incarnation: e.incarnation, Name: e.name}
+	generation, epoch := a.generation, e.links[a.name].epoch
+	e.fleet.deliver(e.index, a, func() {
+		a.do(generation, func() {
+			if a.links[e.index] == epoch {
+				a.heard[e.index] = e.fleet.now
+				a.perform(a.executor.Ordered(e.fleet.now, ref, orders))
+			}
+		})
+	})
+}
+
+// submit submits a job of a caller.
+func (e *entryNode) submit(j *clientJob, attempt int) {
+	e.do(e.generation, func() {
+		e.waiting[j.id] = attempt
+		e.perform(e.scheduler.Submit(e.fleet.now, pollenfront.Submission{
+			Count: j.tasks, Estimate: j.estimate, ID: j.id, Need: j.need, TimeLimit: j.limit,
+			Route: pollenfront.Route{
+				LatencyTarget: j.kind.Target, MaxAttempts: 3, Name: j.kind.Name, Priority: j.kind.Priority, Service: service, Stretch: stretch,
+			},
+		}))
+	})
+}
+
+// leave notes that a caller has left.
+func (e *entryNode) leave(id string) {
+	e.do(e.generation, func() {
+		if _, ok := e.waiting[id]; ok {
+			delete(e.waiting, id)
+			e.perform(e.scheduler.Cancel(e.fleet.now, id))
+		}
+	})
+}
--- /dev/null
+++ b/replay/fault.go
@@ -0,0 +1,143 @@
+package replay
+
+import "time"
+
+// deliver delivers a message between an entry and an agent. While these can't
+// reach each other it is held up, as are those that follow it.
+func (f *Fleet) deliver(entry int, a *agentNode, receive func()) {
+	pair := [2]int{entry, a.index}
+	f.after(f.settings.CrossWay, func() {
+		if f.cut[pair] > 0 {
+			f.held[pair] = append(f.held[pair], receive)
+			return
+		}
+		receive()
+	})
+}
+
+// isCut reports whether an entry and an agent can't reach each other.
+func (f *Fleet) isCut(entry int, a *agentNode) bool {
+	return f.cut[[2]int{entry, a.index}] > 0
+}
+
+// closeEntrySide closes the entry's side of a link when it notices.
+func (f *Fleet) closeEntrySide(entry int, a *agentNode, epoch uint64) {
+	e := f.entries[entry]
+	generation := e.generation
+	f.deliver(entry, a, func() {
+		e.do(generation, func() {
+			if link, ok := e.links[a.name]; ok && link.epoch == epoch {
+				delete(e.links, a.name)
+				e.scheduler.Unlinked(a.name, link.incarnation)
+			}
+		})
+	})
+}
+
+// closeAgentSide closes the agent's side of a link, and lets it dial again.
+func (f *Fleet) closeAgentSide(entry int, a *agentNode, epoch uint64) {
+	a.do(a.generation, func() {
+		if a.links[entry] != epoch {
+			return
+		}
+		delete(a.links, entry)
+		a.executor.EntryUnlinked(a.refs[entry])
+		a.later(redialDelay, func() { a.dial(entry) })
+	})
+}
+
+// ResetLink resets the link between an entry and an agent.
+func (f *Fleet) ResetLink(at time.Duration, entry, agent int) {
+	f.at(at, func() {
+		a := f.agents[agent]
+		if epoch, ok := a.links[entry]; ok {
+			f.closeEntrySide(entry, a, epoch)
+			f.closeAgentSide(entry, a, epoch)
+		}
+	})
+}
+
+// KillEntry kills an entry and starts it again after some time.
+func (f *Fleet) KillEntry(at time.Duration, entry int, down time.Duration) {
+	f.at(at, func() {
+		if f.entries[entry].up {
+			f.entries[entry].kill(down)
+		}
+	})
+}
+
+// KillAgent kills an agent and starts it again after some time.
+func (f *Fleet) KillAgent(at time.Duration, agent int, down time.Duration) {
+	f.at(at, func() {
+		if f.agents[agent].up {
+			f.agents[agent].kill(down)
+		}
+	})
+}
+
+// SuspendEntry suspends an entry for some time.
+func (f *Fleet) SuspendEntry(at time.Duration, entry int, d time.Duration) {
+	f.at(at, func() { f.entries[entry].suspend(d) })
+}
+
+// SuspendAgent suspends an agent, and not its server, for some time.
+func (f *Fleet) SuspendAgent(at time.Duration, agent int, d time.Duration) {
+	f.at(at, func() { f.agents[agent].suspend(d) })
+}
+
+// CrashServer crashes a server, which starts again after some time.
+func (f *Fleet) CrashServer(at time.Duration, agent int, down time.Duration) {
+	f.at(at, func() {
+		s := f.agents[agent].server
+		s.crash()
+		s.dark = true
+		f.after(down, func() { s.dark = false })
+	})
+}
+
+// HangServer lets what a server starts in some time make no progress.
+func (f *Fleet) HangServer(at time.Duration, agent int, d time.Duration) {
+	f.at(at, func() {
+		s := f.agents[agent].server
+		s.hanging = true
+		f.after(d, func() { s.hanging = false })
+	})
+}
+
+// FailServer lets a server fail all that it runs for some time.
+func (f *Fleet) FailServer(at time.Duration, agent int, d time.Duration) {
+	f.at(at, func() {
+		s := f.agents[agent].server
+		s.failing = true
+		f.after(d, func() { s.failing = false })
+	})
+}
+
+// SlowServer multiplies the run times of a server for some time.
+func (f *Fleet) SlowServer(at time.Duration, agent int, times float64, d time.Duration) {
+	f.at(at, func() {
+		s := f.agents[agent].server
+		s.speed *= times
+		f.after(d, func() { s.speed /= times })
+	})
+}
+
+// Cut cuts an entry off from an agent for some time. What they send meanwhile
+// arrives afterwards, if its link is still open.
+func (f *Fleet) Cut(at time.Duration, entry, agent int, d time.Duration) {
+	pair := [2]int{entry, agent}
+	f.at(at, func() {
+		f.cut[pair]++
+		f.after(d, func() {
+			f.cut[pair]--
+			if f.cut[pair] > 0 {
+				return
+			}
+			held := f.held[pair]
+			f.held[pair] = nil
+			for _, receive := range held {
+				receive()
+			}
+		})
+	})
+}
--- /dev/null
+++ b/replay/fleet.go
@@ -0,0 +1,161 @@
+// Package replay plays a fleet in virtual time: schedulers, executors and
+// models of backend servers, joined by a model of the network. It replays load
+// patterns and faults, checks what must always hold, and counts how callers
+// were served. The same settings and seed give the same result.
+//
+// # Usage
+//
+//	fleet := replay.NewFleet(replay.Settings{Agents: 11, Entries: 3, Seed: 1})
+//	fleet.Load(replay.Mix, 0, 10*time.Second, 1)
+//	fleet.KillEntry(2*time.Second, 0, time.Second)
+//	result := fleet.Run(12 * time.Second)
+package replay
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+)
+
+// Settings describe a fleet.
+type Settings struct {
+	Agents   int
+	CrossWay time.Duration // One way between processes on different machines.
+	Entries  int
+	LateRate float64 // Share of orders to servers that are not answered and carried out later.
+	Seed     uint64
+	Speeds   []float64 // Run times as multiples of the real work, in turn.
+}
+
+// Parameters of the model.
+const (
+	callDelay     = time.Millisecond // Of a call from an agent to its server, one way.
+	clientWay     = time.Millisecond
+	laterMin      = 2 * time.Second // After which an order that was not answered is carried out.
+	laterSpread   = 10 * time.Second
+	redialDelay   = 80 * time.Millisecond
+	resendDelay   = 1300 * time.Millisecond
+	serverCPU     = 64000 // Thousandths of a core.
+	serverMemory  = 131072
+	announcements = 1500 * time.Millisecond
+)
+
+// A Fleet is a fleet in virtual time.
+type Fleet struct {
+	active   map[pollenfront.TaskID]*serverRun
+	agents   []*agentNode
+	cut      map[[2]int]int // Pairs of entry and agent that can't reach each other, by how many faults.
+	entries  []*entryNode
+	events   events
+	held     map[[2]int][]func() // What a cut holds up.
+	jobs     map[string]*clientJob
+	now      time.Duration
+	random   *rand.Rand
+	result   Result
+	sequence uint64
+	settings Settings
+}
+
+// A Result is how a fleet served its callers.
+type Result struct {
+	InTime     map[string]int // By kind.
+	Late       map[string]int
+	Refused    map[string]int
+	Starts     int
+	Submitted  map[string]int
+	Unknown    map[string]int
+	Violations []string
+}
+
+// Share returns the share of a kind's jobs that were answered in time.
+func (r *Result) Share(kind string) float64 {
+	return float64(r.InTime[kind]) / max(1, float64(r.Submitted[kind]))
+}
+
+// NewFleet returns a fleet whose servers announce themselves at the start.
+func NewFleet(s Settings) *Fleet {
+	s.CrossWay = cmp.Or(s.CrossWay, time.Millisecond)
+	if len(s.Speeds) == 0 {
+		s.Speeds = []float64{1}
+	}
+	f := &Fleet{
+		active: make(map[pollenfront.TaskID]*serverRun), cut: make(map[[2]int]int), held: make(map[[2]int][]func()), jobs: make(map[string]*clientJob),
+		now: time.Second, random: rand.New(rand.NewPCG(s.Seed, 1)), settings: s, //nolint:gosec // A model needs a seed.
+		result: Result{
+			InTime: make(map[string]int), Late: make(map[string]int), Refused: make(map[string]int),
+			Submitted: make(map[string]int), Unknown: make(map[string]int),
+		},
+	}
+	for i := range s.Entries {
+		f.entries = append(f.entries, newEntryNode(f, i))
+	}
+	for i := range s.Agents {
+		f.agents = append(f.agents, newAgentNode(f, i, s.Speeds[i%len(s.Speeds)]))
+	}
+	return f
+}
+
+// Run lets virtual time pass and returns what happened.
+func (f *Fleet) Run(until time.Duration) Result {
+	until += time.Second // The clock starts at one second.
+	for len(f.events) > 0 && f.events[0].at <= until {
+		e := heap.Pop(&f.events).(event) //nolint:forcetypeassert,errcheck // The heap holds events.
+		f.now = e.at
+		e.do()
+	}
+	return f.result
+}
+
+// after calls do after a time.
+func (f *Fleet) after(d time.Duration, do func()) {
+	f.sequence++
+	heap.Push(&f.events, event{at: f.now + d, do: do, order: f.sequence})
+}
+
+// at calls do at an instant after the start.
+func (f *Fleet) at(instant time.Duration, do func()) {
+	f.after(instant+time.Second-f.now, do)
+}
+
+// violated notes that something that must always hold did not.
+func (f *Fleet) violated(format string, args ...any) {
+	f.result.Violations = append(f.result.Violations, fmt.Sprintf("%v: ", f.now-time.Second)+fmt.Sprintf(format, args...))
+}
+
+// An event happens at an instant.
+type event struct {
+	at    time.Duration
+	do    func()
+	order uint64 // Of events at the same instant.
+}
+
+// events is a heap of events.
+type events []event
+
+// Len implements heap.Interface.
+func (e events) Len() int { return len(e) }
+
+// Less implements heap.Interface.
+func (e events) Less(i, j int) bool {
+	if e[i].at == e[j].at {
+		return e[i].order < e[j].order
+	}
+	return e[i].at < e[j].at
+}
+
+// Swap implements heap.Interface.
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) } //nolint:forcetypeassert,errcheck // The heap holds events.
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
--- /dev/null
+++ b/replay/server.go
@@ -0,0 +1,198 @@
+package replay
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+)
+
+// A serverNode is a model of a backend server.
+type serverNode struct {
+	acknowledged uint64
+	dark         bool // It neither answers nor runs anything.
+	ended        []pollenfront.EndedRun
+	failing      bool // It fails all that it starts.
+	fleet        *Fleet
+	hanging      bool // What runs makes no progress.
+	lease        time.Duration
+	life         uint64
+	number       uint64
+	passed       map[pollenfront.TaskID]int // The highest run that was ended or stopped.
+	room         pollenfront.Room
+	runs         map[pollenfront.TaskID]*serverRun
+	speed        float64
+	token        uint64
+	waiter       func() // Answers the hold that waits for an ending.
+}
+
+// A serverRun is a run on a server.
+type serverRun struct {
+	number int // Of the start, in the whole fleet.
+	over   bool
+	run    pollenfront.RunID
+	server *serverNode
+}
+
+// newServerNode returns a server with all its room free.
+func newServerNode(f *Fleet, speed float64) *serverNode {
+	return &serverNode{
+		fleet: f, life: 1, passed: make(map[pollenfront.TaskID]int), room: pollenfront.Room{CPU: serverCPU, Memory: serverMemory},
+		runs: make(map[pollenfront.TaskID]*serverRun), speed: speed,
+	}
+}
+
+// start carries out an order to start a run.
+func (s *serverNode) start(order pollenfront.StartOrder) error {
+	f := s.fleet
+	id := order.Run.TaskID
+	job := f.jobs[id.Job]
+	switch {
+	case order.Token < s.token:
+		return pollenfront.ErrFenced
+	case order.Lease <= f.now:
+		return pollenfront.ErrLate
+	case order.Run.Number <= s.passed[id]:
+		return pollenfront.ErrRunPassed
+	case s.runs[id] != nil:
+		return nil
+	case !s.free().Holds(job.need):
+		return pollenfront.ErrNoRoom
+	}
+	s.token = order.Token
+	s.extend(order.Lease)
+	r := &serverRun{run: order.Run, server: s}
+	s.runs[id] = r
+	f.result.Starts++
+	r.number = f.result.Starts
+	job.started = true
+	if other := f.active[id]; other != nil {
+		f.violated("task %v runs twice", id)
+	}
+	f.active[id] = r
+	if s.hanging {
+		return nil
+	}
+	ending := pollenfront.EndingDone
+	if s.failing || job.poison {
+		ending = pollenfront.EndingFailed
+	}
+	f.after(time.Duration(float64(job.work)*s.speed), func() { s.end(r, ending) })
+	return nil
+}
+
+// free returns the room that nothing uses.
+func (s *serverNode) free() pollenfront.Room {
+	free := s.room
+	for id := range s.runs {
+		free = free.Sub(s.fleet.jobs[id.Job].need)
+	}
+	return free
+}
+
+// extend extends the lease, and ends everything if it lapses.
+func (s *serverNode) extend(lease time.Duration) {
+	if lease <= s.lease {
+		return
+	}
+	s.lease = lease
+	s.fleet.after(lease-s.fleet.now, func() {
+		if s.fleet.now < s.lease {
+			return
+		}
+		s.endAll()
+	})
+}
+
+// end ends a run once.
+func (s *serverNode) end(r *serverRun, ending pollenfront.Ending) {
+	if r.over {
+		return
+	}
+	r.over = true
+	id := r.run.TaskID
+	delete(s.runs, id)
+	if s.fleet.active[id] == r {
+		delete(s.fleet.active, id)
+	}
+	s.passed[id] = max(s.passed[id], r.run.Number)
+	s.number++
+	s.ended = append(s.ended, pollenfront.EndedRun{Ending: ending, Number: s.number, Run: r.run})
+	if s.waiter != nil {
+		s.waiter()
+	}
+}
+
+// stop carries out an order to stop a run.
+func (s *serverNode) stop(run pollenfront.RunID, token uint64) error {
+	if token < s.token {
+		return pollenfront.ErrFenced
+	}
+	s.token = token
+	s.passed[run.TaskID] = max(s.passed[run.TaskID], run.Number)
+	if r := s.runs[run.TaskID]; r != nil && r.run.Number <= run.Number {
+		s.fleet.after(10*time.Millisecond, func() { s.end(r, pollenfront.EndingStopped) })
+	}
+	return nil
+}
+
+// reply returns the answer to a hold.
+func (s *serverNode) reply() *pollenfront.HoldReply {
+	reply := &pollenfront.HoldReply{Clock: s.fleet.now, Life: s.life}
+	for _, e := range s.ended {
+		if e.Number > s.acknowledged {
+			reply.Ended = append(reply.Ended, e)
+		}
+	}
+	for _, r := range s.inOrder() {
+		reply.Running = append(reply.Running, pollenfront.RunningRun{Run: r.run})
+	}
+	return reply
+}
+
+// hold carries out an order to hold the lease and answers it.
+func (s *serverNode) hold(order pollenfront.HoldOrder, answer func(*pollenfront.HoldReply, error)) {
+	if order.Token < s.token {
+		answer(nil, pollenfront.ErrFenced)
+		return
+	}
+	s.token = order.Token
+	s.acknowledged = max(s.acknowledged, order.Acknowledged)
+	s.extend(order.Lease)
+	reply := s.reply()
+	if len(reply.Ended) > 0 {
+		answer(reply, nil)
+		return
+	}
+	answered := false
+	once := func() {
+		if !answered {
+			answered = true
+			answer(s.reply(), nil)
+		}
+	}
+	s.waiter = once
+	s.fleet.after(order.Wait, once)
+}
+
+// inOrder returns the runs in the order in which they were started.
+func (s *serverNode) inOrder() []*serverRun {
+	return slices.SortedFunc(maps.Values(s.runs), func(a, b *serverRun) int { return cmp.Compare(a.number, b.number) })
+}
+
+// endAll ends all runs.
+func (s *serverNode) endAll() {
+	for _, r := range s.inOrder() {
+		s.end(r, pollenfront.EndingLost)
+	}
+}
+
+// crash ends a life of the server.
+func (s *serverNode) crash() {
+	s.endAll()
+	s.life++
+	s.token, s.number, s.acknowledged, s.ended, s.lease, s.waiter = 0, 0, 0, nil, 0, nil
+	clear(s.passed)
+}
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -35,8 +38,10 @@
 	fx := &Effects{}
 	a, ok := s.agents[hello.Name]
 	if !ok {
-		a = &agent{tasks: make(map[pollenfront.RunID]*task)}
+		a = &agent{ServerRef: pollenfront.ServerRef{Name: hello.Name}, tasks: make(map[pollenfront.RunID]*task)}
 		s.agents[hello.Name] = a
+		s.order = append(s.order, a)
+		slices.SortFunc(s.order, func(a, b *agent) int { return cmp.Compare(a.Name, b.Name) })
 	}
 	a.ServerRef = pollenfront.ServerRef{Incarnation: hello.Incarnation, Name: hello.Name}
 	a.echo, a.heard, a.linked, a.number, a.unseen = 0, now, true, 0, nil
@@ -45,14 +50,14 @@
 	for _, r := range hello.Runs {
 		known[r.Run] = r
 	}
-	for id, t := range a.tasks {
-		switch r, ok := known[id]; {
+	for _, t := range a.inOrder() {
+		switch r, ok := known[t.run]; {
 		case !ok && a.mayHaveRun(t):
-			s.ended(now, t, pollenfront.EndingLost, false, fx)
+			s.ended(now, t, tasklink.End{Ending: pollenfront.EndingLost}, fx)
 		case !ok:
-			s.ended(now, t, pollenfront.EndingNotStarted, false, fx)
+			s.ended(now, t, tasklink.End{Ending: pollenfront.EndingNotStarted}, fx)
 		case r.Ending != "":
-			s.ended(now, t, r.Ending, false, fx)
+			s.ended(now, t, tasklink.End{Ending: r.Ending}, fx)
 		case t.stopped:
 			s.stop(t, fx)
 		}
@@ -91,7 +96,7 @@
 	for i := range u.Ends {
 		end := &u.Ends[i]
 		if t, ok := a.tasks[end.Run]; ok {
-			s.ended(now, t, end.Ending, end.Passed, fx)
+			s.ended(now, t, *end, fx)
 		}
 	}
 	s.place(now, fx)
@@ -103,19 +108,28 @@
 	if now-a.heard <= LossLimit {
 		return
 	}
-	for _, t := range a.tasks {
-		s.ended(now, t, pollenfront.EndingLost, false, fx)
+	for _, t := range a.inOrder() {
+		s.ended(now, t, tasklink.End{Ending: pollenfront.EndingLost}, fx)
 	}
 	if !a.linked {
 		delete(s.agents, a.Name)
+		s.order = slices.DeleteFunc(s.order, func(o *agent) bool { return o == a })
 	}
 }
 
+// inOrder returns the tasks that are with an agent in the order in which they
+// were sent.
+func (a *agent) inOrder() []*task {
+	return slices.SortedFunc(maps.Values(a.tasks), func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.job.number, b.job.number), cmp.Compare(a.run.Index, b.run.Index))
+	})
+}
+
 // Silent returns the agents whose links must be closed, since they were silent
 // for so long that their runs were given up.
 func (s *Scheduler) Silent(now time.Duration) []pollenfront.ServerRef {
 	var silent []pollenfront.ServerRef
-	for _, a := range s.agents {
+	for _, a := range s.order {
 		if a.linked && now-a.heard > LossLimit {
 			silent = append(silent, a.ServerRef)
 		}
@@ -139,7 +153,7 @@
 // Usable returns the number of agents that may be sent tasks.
 func (s *Scheduler) Usable(now time.Duration) int {
 	n := 0
-	for _, a := range s.agents {
+	for _, a := range s.order {
 		if s.usable(now, a) {
 			n++
 		}
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -40,7 +40,7 @@
 // Dump returns the state of the scheduler.
 func (s *Scheduler) Dump(now time.Duration) Dump {
 	d := Dump{Entries: s.entries, Notice: s.notice}
-	for _, a := range s.agents {
+	for _, a := range s.order {
 		d.Agents = append(d.Agents, AgentDump{
 			Heard: (now - a.heard).String(), Linked: a.linked, Name: a.Name, Report: a.report, Runs: len(a.tasks),
 			Usable: s.usable(now, a), Zone: a.zone,
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
 )
 
 // Parameters of jobs.
@@ -64,10 +65,12 @@
 	failed   bool          // A task has failed as often as its route allows.
 	key      time.Duration // Latest start with which the job is in time.
 	late     time.Duration // Until when a late answer is of use.
+	number   uint64        // In the order of submission.
 	reason   string        // Why it is ending.
 	sentAny  bool
 	tasks    []*task
 	toPlace  int
+	trace    pollenfront.Trace
 }
 
 // newJob returns a job that arrived at an instant, whose tasks are expected to
@@ -98,7 +101,8 @@
 		return
 	}
 	j.answered = true
-	fx.answer(pollenfront.Conclusion{ID: j.ID, Reason: reason, RetryAfter: retryAfter, Verdict: v})
+	j.trace.Due, j.trace.Expected = j.due-j.arrived, j.expected
+	fx.answer(pollenfront.Conclusion{ID: j.ID, Reason: reason, RetryAfter: retryAfter, Trace: j.trace, Verdict: v})
 }
 
 // wait puts a job with tasks to be placed into the queue.
@@ -197,18 +201,19 @@
 }
 
 // ended takes the ending of a run.
-func (s *Scheduler) ended(now time.Duration, t *task, ending pollenfront.Ending, passed bool, fx *Effects) {
+func (s *Scheduler) ended(now time.Duration, t *task, end tasklink.End, fx *Effects) {
 	j := t.job
 	delete(t.agent.tasks, t.run)
 	from := t.agent
+	j.trace.Server, j.trace.LastSent, j.trace.LastRun = from.Name, t.sent-j.arrived, time.Duration(end.Seconds*float64(time.Second))
 	t.agent, t.state, t.stopped = nil, taskWaiting, false
-	if ending != pollenfront.EndingNotStarted {
+	if end.Ending != pollenfront.EndingNotStarted {
 		j.began = true
 	}
-	if passed {
+	if end.Passed {
 		t.run.Number += passedStep
 	}
-	switch ending {
+	switch end.Ending {
 	case pollenfront.EndingDone:
 		t.state = taskDone
 		j.done++
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -72,7 +72,7 @@
 // candidates lists the servers that may be sent tasks.
 func (s *Scheduler) candidates(now time.Duration) []candidate {
 	list := make([]candidate, 0, len(s.agents))
-	for _, a := range s.agents {
+	for _, a := range s.order {
 		if !s.usable(now, a) {
 			continue
 		}
@@ -178,6 +178,7 @@
 		next++
 		a.number++
 		t.run.Number++
+		j.trace.Runs++
 		t.agent, t.state, t.sent, t.incarnation = a, taskSent, now, a.Incarnation
 		t.expected = time.Duration(float64(j.expected) * max(1, a.report.Slowness))
 		a.tasks[t.run] = t
@@ -203,7 +204,7 @@
 		return ""
 	}
 	found := false
-	for _, a := range s.agents {
+	for _, a := range s.order {
 		if a.service != j.Route.Service || a.report.State == tasklink.StateAway {
 			continue
 		}
@@ -232,7 +233,7 @@
 // worked off the jobs that are served before one, or all if it is nil.
 func (s *Scheduler) drain(now time.Duration, service string, before *job) time.Duration {
 	capacity := 0.0
-	for _, a := range s.agents {
+	for _, a := range s.order {
 		if a.service == service && s.usable(now, a) {
 			capacity += float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1)
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,6 +24,9 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -62,6 +65,8 @@
 	jobs      map[string]*job
 	local     string // Zone of this entry.
 	notice    tasklink.Notice
+	order     []*agent // All agents, by name.
+	submitted uint64   // Counts the jobs.
 	ticked    time.Duration
 	waiting   []*job // With tasks to be placed, the one with the earliest latest start first.
 }
@@ -100,6 +105,8 @@
 		return fx
 	}
 	j := newJob(now, sub, s.estimates.expect(sub.Route.Name, sub.Estimate))
+	s.submitted++
+	j.number = s.submitted
 	s.jobs[sub.ID] = j
 	if reason := s.hopeless(j); reason != "" {
 		s.refuse(j, reason, refusedRetryAfter, fx)
@@ -133,7 +140,7 @@
 	fx := &Effects{}
 	if n.Version > s.notice.Version {
 		s.notice = n
-		for _, a := range s.agents {
+		for _, a := range s.order {
 			if a.linked {
 				fx.orders(s, a)
 			}
@@ -154,14 +161,14 @@
 		s.abandon(now, "the entry was suspended", fx)
 	}
 	s.ticked = now
-	for _, a := range s.agents {
+	for _, a := range slices.Clone(s.order) {
 		s.tickAgent(now, a, fx)
 	}
-	for _, j := range s.jobs {
+	for _, j := range s.inOrder() {
 		s.tickJob(now, j, fx)
 	}
 	s.place(now, fx)
-	for _, a := range s.agents {
+	for _, a := range s.order {
 		if a.linked && now-a.sent >= OrdersInterval {
 			fx.orders(s, a)
 		}
@@ -178,7 +185,7 @@
 
 // abandon gives up all jobs. Those of which nothing was sent are refused.
 func (s *Scheduler) abandon(now time.Duration, reason string, fx *Effects) {
-	for _, j := range s.jobs {
+	for _, j := range s.inOrder() {
 		if j.sentAny {
 			j.conclude(pollenfront.VerdictUnknown, reason, 0, fx)
 		}
@@ -186,6 +193,11 @@
 	}
 }
 
+// inOrder returns the jobs in the order in which they were submitted.
+func (s *Scheduler) inOrder() []*job {
+	return slices.SortedFunc(maps.Values(s.jobs), func(a, b *job) int { return cmp.Compare(a.number, b.number) })
+}
+
 // answer adds an answer.
 func (fx *Effects) answer(a pollenfront.Conclusion) {
 	fx.Answers = append(fx.Answers, a)
