Add stand-ins that speak the platform's calls and a fault soak of real programs

standin/store and standin/backendserver speak the platform's protocol with its faults. soak runs entries and agents as processes behind proxies, kills, suspends and stops them, breaks store, servers and links, and checks the promises from what callers and servers see. Calm: 2 jobs of one mixed queue refused; their run times were taken for the queue's mean. The trust in estimates now follows their variance.

--- a/entry/server.go
+++ b/entry/server.go
@@ -80,7 +80,7 @@
 		jobs:     jobs.New(hello, store, process.Registry, process.Logger),
 		logger:   process.Logger,
 		process:  process,
-		record:   pollenfront.EntryRecord{Address: s.Links, Incarnation: incarnation, Name: s.Name, Zone: s.Zone},
+		record:   pollenfront.EntryRecord{Address: s.Advertise, Incarnation: incarnation, Name: s.Name, Zone: s.Zone},
 		settings: s,
 		store:    store,
 	}
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -5,28 +5,43 @@
 	"time"
 )
 
-// Parameters of estimates.
+// Parameters of estimates, which are reckoned with as logarithms of seconds,
+// since they are off by a factor.
 const (
-	// estimateTrust is how much of a caller's estimate is believed. The rest
-	// is taken from the mean of its route.
-	estimateTrust = 0.45
-	// routeWeight is the weight of a new job in the mean of its route.
+	// errorVariance is the variance of callers' errors: mostly within half and
+	// double the real run time.
+	errorVariance = 0.16
+	// firstVariance is the variance of a route's estimates before any is known.
+	firstVariance = 0.29
+	minEstimate   = time.Millisecond
+	// routeWeight is the weight of a new job in what is known of its route.
 	routeWeight = 0.02
-	minEstimate = time.Millisecond
 )
 
-// estimates are the means of the callers' estimates, by route, as logarithms
-// of seconds. Estimates are far off by a factor, so their mean is geometric.
-type estimates map[string]float64
+// A routeEstimate is what is known of the callers' estimates of a route.
+type routeEstimate struct {
+	mean     float64
+	variance float64
+}
+
+// estimates are what is known of the callers' estimates, by route.
+type estimates map[string]*routeEstimate
 
 // expect returns the expected run time of a route's task on a server of
-// slowness 1, and learns from the caller's estimate.
+// slowness 1, and learns from the caller's estimate. The less the estimates of
+// a route differ, the more of the difference is error, and the nearer the
+// expected time is to their mean.
 func (e estimates) expect(route string, estimate time.Duration) time.Duration {
 	value := math.Log(max(estimate, minEstimate).Seconds())
-	mean, ok := e[route]
+	known, ok := e[route]
 	if !ok {
-		mean = value
+		known = &routeEstimate{mean: value, variance: firstVariance}
+		e[route] = known
 	}
-	e[route] = mean + (value-mean)*routeWeight
-	return time.Duration(math.Exp(mean+(value-mean)*estimateTrust) * float64(time.Second))
+	trust := max(0, known.variance-errorVariance) / known.variance
+	difference := value - known.mean
+	expected := known.mean + trust*difference
+	known.mean += difference * routeWeight
+	known.variance += (difference*difference - known.variance) * routeWeight
+	return time.Duration(math.Exp(expected) * float64(time.Second))
 }
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -4,6 +4,7 @@
 type Entry struct {
 	Process
 
+	Advertise string `toml:"advertise"` // Address by which agents reach links. Default: links.
 	Callers   string `toml:"callers"`   // Address for callers.
 	Links     string `toml:"links"`     // Address for the links of agents.
 	Readiness string `toml:"readiness"` // Address at which the balancer asks.
@@ -12,6 +13,10 @@
 // Check implements Checker.
 func (e *Entry) Check() []FaultError {
 	c := e.check()
+	if e.Advertise == "" {
+		e.Advertise = e.Links
+	}
+	c.address("advertise", e.Advertise)
 	c.address("callers", e.Callers)
 	c.address("links", e.Links)
 	c.address("readiness", e.Readiness)
--- /dev/null
+++ b/soak/internal/callers/callers.go
@@ -0,0 +1,159 @@
+// Package callers submits jobs to entries as callers of the users' platform do.
+//
+// # Usage
+//
+//	c := callers.New(entries, promises, seed)
+//	c.Run(ctx, 40)
+//	counts := c.Counts()
+package callers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pollenfront/pollenfront/soak/internal/promises"
+)
+
+// Parameters of callers.
+const (
+	attemptMargin = 200 * time.Millisecond
+	resendDelay   = 1300 * time.Millisecond
+)
+
+// Host and Prefix select the queue of the jobs, and Service runs them.
+const (
+	Host    = "swap.example"
+	Prefix  = "/lookup/"
+	Service = "lookup"
+)
+
+// A Kind is a kind of job.
+type kind struct {
+	tasks int
+	work  time.Duration
+}
+
+// kinds are the kinds of jobs, in the proportion in which they are submitted.
+var kinds = []kind{
+	{8, 60 * time.Millisecond}, {2, 200 * time.Millisecond}, {2, 200 * time.Millisecond}, {2, 200 * time.Millisecond}, {4, 900 * time.Millisecond},
+}
+
+// Counts are the jobs by how they ended.
+type Counts struct {
+	Completed int
+	Lost      int // No answer within the time limit.
+	Refused   int
+}
+
+// Callers submit jobs.
+type Callers struct {
+	client   *http.Client
+	counts   Counts
+	entries  []string
+	mu       sync.Mutex
+	next     uint64
+	promises *promises.Promises
+	random   *rand.Rand
+}
+
+// New returns callers of some entries.
+func New(entries []string, p *promises.Promises, seed uint64) *Callers {
+	return &Callers{
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, entries: entries, promises: p,
+		random: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // A load needs a seed.
+	}
+}
+
+// Run submits jobs at a rate until ctx ends, and waits for their answers.
+func (c *Callers) Run(ctx context.Context, perSecond float64) {
+	var group sync.WaitGroup
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		pause := time.Duration(c.random.ExpFloat64() / perSecond * float64(time.Second))
+		k := kinds[c.random.IntN(len(kinds))]
+		c.next++
+		id := fmt.Sprintf("%016x", c.next)
+		c.mu.Unlock()
+		time.Sleep(pause)
+		group.Go(func() { c.submit(id, k) })
+	}
+	group.Wait()
+}
+
+// Counts returns how the jobs ended, and begins to count anew.
+func (c *Callers) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := c.counts
+	c.counts = Counts{}
+	return counts
+}
+
+// submit submits a job, again and again as long as its outcome is not known.
+func (c *Callers) submit(id string, k kind) {
+	limit := time.Now().Add(1500*time.Millisecond + 3*k.work)
+	payload := fmt.Sprintf(`{"cpu":6000,"work":%q}`, k.work)
+	body, err := json.Marshal(map[string]any{
+		"best-effort": true, "spec": payload,
+		"steps": []map[string]any{{"count": k.tasks, "cpu": 6000, "mem-mb": 64, "estimate-ms": k.work.Milliseconds()}},
+	})
+	if err != nil {
+		return
+	}
+	for time.Now().Before(limit) {
+		c.promises.Submitted(id, k.tasks)
+		switch c.attempt(id, body, limit) {
+		case http.StatusOK:
+			c.promises.Completed(id)
+			c.count(func(n *Counts) { n.Completed++ })
+			return
+		case http.StatusServiceUnavailable:
+			c.promises.Refused(id)
+			c.count(func(n *Counts) { n.Refused++ })
+			return
+		}
+		time.Sleep(resendDelay)
+	}
+	c.count(func(n *Counts) { n.Lost++ })
+}
+
+// count counts an end.
+func (c *Callers) count(add func(*Counts)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	add(&c.counts)
+}
+
+// attempt submits a job once and returns the status of the answer, or 0.
+func (c *Callers) attempt(id string, body []byte, limit time.Time) int {
+	c.mu.Lock()
+	entry := c.entries[c.random.IntN(len(c.entries))]
+	c.mu.Unlock()
+	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(attemptMargin))
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+Prefix+id, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	request.Host = Host
+	request.GetBody = nil // The transport must not repeat it by itself.
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(time.Until(limit).Milliseconds(), 10))
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode == http.StatusOK && !bytes.Contains(answer, []byte(`"completed"`)) {
+		return 0
+	}
+	return response.StatusCode
+}
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,108 @@
+// Command soak runs entries and agents as separate processes on loopback,
+// injects faults from outside them, and checks what must always hold.
+//
+// # Usage
+//
+//	soak --seed 1 --for 20s          # a schedule of faults drawn from a seed
+//	soak --calm --for 10s            # the same fleet without faults
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/pollenfront/pollenfront/soak/internal/callers"
+	"github.com/pollenfront/pollenfront/soak/internal/fleet"
+)
+
+// options are the command line.
+type options struct {
+	Agents  int           `default:"6" help:"agents and backend servers"`
+	Bin     string        `default:"bin" help:"folder with the built programs"`
+	Calm    bool          `help:"no faults, and every job must be completed"`
+	Dir     string        `help:"folder for settings and logs [default: a new one]"`
+	Entries int           `default:"3" help:"entries"`
+	For     time.Duration `default:"20s" help:"time with faults"`
+	Octet   int           `default:"40" help:"second octet of the addresses in 127.0.0.0/8"`
+	Rate    float64       `default:"20" help:"jobs a second"`
+	Seed    uint64        `default:"1" help:"of the schedule of faults"`
+}
+
+// Times and shares of a run.
+const (
+	settleTime   = 3 * time.Second // Until the fleet is up, and has recovered.
+	finalTime    = 4 * time.Second // With load and without faults, at the end.
+	finalShare   = 0.9             // Of the jobs that must be completed then.
+	lingerTime   = 2 * time.Second // For runs to end.
+	lostInCalm   = 0
+	exitFailure  = 1
+	violationMax = 20 // Printed.
+)
+
+func main() {
+	var o options
+	arg.MustParse(&o)
+	violations, err := run(&o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(exitFailure)
+	}
+	for _, v := range violations[:min(len(violations), violationMax)] {
+		fmt.Println("violation:", v)
+	}
+	if len(violations) > 0 {
+		fmt.Printf("soak: 0 passed, 1 failed\n")
+		os.Exit(exitFailure)
+	}
+	fmt.Printf("soak: 1 passed, 0 failed\n")
+}
+
+// run runs a fleet and returns what did not hold.
+func run(o *options) ([]string, error) {
+	if o.Dir == "" {
+		dir, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return nil, err
+		}
+		o.Dir = dir
+	}
+	fmt.Printf("seed %d, %v, logs in %s\n", o.Seed, o.For, o.Dir)
+	f, err := fleet.Start(fleet.Options{Agents: o.Agents, Bin: o.Bin, Dir: o.Dir, Entries: o.Entries, Octet: o.Octet})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	time.Sleep(settleTime)
+	c := callers.New(f.Callers, f.Promises, o.Seed)
+	ctx, cancel := context.WithTimeout(context.Background(), o.For)
+	defer cancel()
+	if !o.Calm {
+		go injectFaults(ctx, f, o.Seed)
+	}
+	c.Run(ctx, o.Rate)
+	during := c.Counts()
+	time.Sleep(settleTime)
+	finalCtx, cancelFinal := context.WithTimeout(context.Background(), finalTime)
+	defer cancelFinal()
+	c.Run(finalCtx, o.Rate)
+	final := c.Counts()
+	time.Sleep(lingerTime)
+	fmt.Printf("during: %+v; afterwards: %+v; %d starts\n", during, final, f.Promises.Starts())
+	return append(f.Promises.Violations(), judge(o, during, final)...), nil
+}
+
+// judge returns what is wrong with how jobs ended.
+func judge(o *options, during, final callers.Counts) []string {
+	var violations []string
+	if all := final.Completed + final.Lost + final.Refused; float64(final.Completed) < finalShare*float64(all) || all == 0 {
+		violations = append(violations, fmt.Sprintf("after the faults %d of %d jobs were completed", final.Completed, all))
+	}
+	if o.Calm && (during.Lost > lostInCalm || during.Refused > 0) {
+		violations = append(violations, fmt.Sprintf("without faults: %+v", during))
+	}
+	return violations
+}
