Explain requests from logs, bound the logs, and test adapter and stand-ins against each other

Logs are written by one goroutine from a bounded buffer; at most 300 lines of one message a second; the whole course of one request in twenty is logged by every process. pollenctl explain puts the lines together; show asks an entry; take-out and return change the operators' orders. Found by the new tests: one row of the operators' table that could not be read kept every later order from coming into force; it is reported now and passed over. Before: the follower asked again for ever; after: the next order applies.

--- a/agent/internal/work/work.go
+++ b/agent/internal/work/work.go
@@ -19,6 +19,7 @@
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
 	"github.com/pollenfront/pollenfront/executor"
+	"github.com/pollenfront/pollenfront/observe"
 	"github.com/pollenfront/pollenfront/program"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
@@ -126,7 +127,7 @@
 	}
 	for _, end := range update.Ends {
 		w.metrics.ends.WithLabelValues(string(end.Ending)).Inc()
-		if end.Ending != pollenfront.EndingDone {
+		if end.Ending != pollenfront.EndingDone || observe.Sampled(end.Run.Job) {
 			w.logger.Info("run ended", zap.String("request", end.Run.Job), zap.Int("task", end.Run.Index), zap.Int("run", end.Run.Number),
 				zap.String("ending", string(end.Ending)), zap.String("reason", end.Reason), zap.Float64("seconds", end.Seconds), zap.String("entry", name))
 		}
@@ -158,11 +159,12 @@
 func (w *Work) start(order pollenfront.StartOrder) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
+	began := bootclock.Now()
 	clock, err := w.server.Start(ctx, order)
 	outcome := startOutcome(err)
-	if outcome != executor.StartDone {
-		w.logger.Info("start not done", zap.String("request", order.Run.Job), zap.Int("task", order.Run.Index),
-			zap.Int("run", order.Run.Number), zap.Error(err))
+	if outcome != executor.StartDone || observe.Sampled(order.Run.Job) {
+		w.logger.Info("start answered", zap.String("request", order.Run.Job), zap.Int("task", order.Run.Index),
+			zap.Int("run", order.Run.Number), zap.Duration("after", bootclock.Now()-began), zap.Error(err))
 	}
 	now := bootclock.Now()
 	w.apply(now, func() executor.Effects { return w.executor.StartAnswered(now, order, clock, outcome) })
--- a/agent/server.go
+++ b/agent/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -51,11 +52,7 @@
 	if err := settings.Load(file, &s); err != nil {
 		return nil, err
 	}
-	process, err := observe.NewProcess("agent", s.Name, false)
-	if err != nil {
-		return nil, err
-	}
-	return newServer(file, s, process).run, nil
+	return newServer(file, s, observe.NewProcess("agent", s.Name, os.Stdout)).run, nil
 }
 
 // newServer returns an agent.
@@ -109,6 +106,7 @@
 	s.logger.Info("started", zap.String("zone", s.settings.Zone), zap.String("server", s.settings.Server))
 	err := group.Run()
 	s.logger.Info("stopped", zap.Error(err))
+	_ = s.logger.Sync() // Nothing is left to report a failure to.
 	return err
 }
 
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -21,6 +21,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/observe"
 	"github.com/pollenfront/pollenfront/scheduler"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
@@ -129,6 +130,10 @@
 	}
 	now := bootclock.Now()
 	j.waiters[sub.ID] = &waiter{arrived: now, callers: []chan pollenfront.Conclusion{caller}, submission: sub}
+	if observe.Sampled(sub.ID) {
+		j.logger.Info("job taken", zap.String("request", sub.ID), zap.String("route", sub.Route.Name), zap.Uint64("config-version", j.configVersion()),
+			zap.Int("tasks", sub.Count), zap.Duration("estimate", sub.Estimate), zap.Duration("time-limit", sub.TimeLimit), zap.Int("cpu", sub.Need.CPU))
+	}
 	j.perform(now, j.scheduler.Submit(now, sub))
 	return true
 }
@@ -178,6 +183,9 @@
 	for _, answer := range effects.Answers {
 		j.answer(now, answer)
 	}
+	for i := range effects.Placements {
+		j.logPlacement(&effects.Placements[i])
+	}
 	for name, orders := range effects.Orders {
 		link, ok := j.links[name]
 		if !ok {
@@ -202,17 +210,43 @@
 	}
 	took := now - w.arrived
 	j.metrics.answered(w.submission.Route.Name, answer, took)
-	if answer.Verdict != pollenfront.VerdictCompleted || took > answer.Trace.Due {
-		trace := answer.Trace
-		j.logger.Info("job answered", zap.String("request", answer.ID), zap.Stringer("verdict", answer.Verdict),
-			zap.String("reason", string(answer.Reason)), zap.String("detail", answer.Detail), zap.Duration("after", took), zap.Duration("due", trace.Due),
-			zap.Duration("expected", trace.Expected), zap.Int("tasks", w.submission.Count), zap.Int("runs", trace.Runs),
-			zap.String("last-server", trace.Server), zap.Duration("last-sent", trace.LastSent), zap.Duration("last-run", trace.LastRun))
+	if answer.Verdict != pollenfront.VerdictCompleted || took > answer.Trace.Due || observe.Sampled(answer.ID) {
+		j.logAnswer(w, answer, took)
 	}
 }
 
+// configVersion returns the version of the configuration in force.
+func (j *Jobs) configVersion() uint64 {
+	if config := j.config.Load(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+// logPlacement logs why tasks were sent to a server, if the job is sampled or
+// they had been sent before.
+func (j *Jobs) logPlacement(p *scheduler.Placement) {
+	if p.Run == 1 && !observe.Sampled(p.Job) {
+		return
+	}
+	j.logger.Info("tasks placed", zap.String("request", p.Job), zap.String("server", p.Agent), zap.Int("tasks", p.Tasks), zap.Int("run", p.Run),
+		zap.Duration("waited", p.Waited), zap.Duration("report-age", p.ReportAge), zap.Int("free-cpu", p.Free), zap.Float64("slowness", p.Slowness))
+}
+
+// logAnswer logs how a job ended and what took its time.
+func (j *Jobs) logAnswer(w *waiter, answer pollenfront.Conclusion, took time.Duration) {
+	trace := answer.Trace
+	j.logger.Info("job answered", zap.String("request", answer.ID), zap.Stringer("verdict", answer.Verdict),
+		zap.String("reason", string(answer.Reason)), zap.String("detail", answer.Detail), zap.Duration("after", took), zap.Duration("due", trace.Due),
+		zap.Duration("expected", trace.Expected), zap.Int("tasks", w.submission.Count), zap.Int("runs", trace.Runs),
+		zap.String("last-server", trace.Server), zap.Duration("last-sent", trace.LastSent), zap.Duration("last-run", trace.LastRun))
+}
+
 // SetOrders puts the operators' orders in force.
 func (j *Jobs) SetOrders(orders pollenfront.Orders) {
+	for _, fault := range orders.Faults {
+		j.logger.Warn("order not readable, the former one stays in force", zap.String("fault", fault), zap.Uint64("store-version", orders.Version))
+	}
 	if orders.Config != nil {
 		former := j.config.Swap(orders.Config)
 		if former == nil {
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -63,11 +64,7 @@
 	if err := settings.Load(file, &s); err != nil {
 		return nil, err
 	}
-	process, err := observe.NewProcess("entry", s.Name, false)
-	if err != nil {
-		return nil, err
-	}
-	return newServer(file, s, process).run, nil
+	return newServer(file, s, observe.NewProcess("entry", s.Name, os.Stdout)).run, nil
 }
 
 // newServer returns an entry.
@@ -119,6 +116,7 @@
 	s.logger.Info("started", zap.String("zone", s.settings.Zone), zap.String("callers", s.settings.Callers), zap.Uint64("incarnation", s.record.Incarnation))
 	err = group.Run()
 	s.logger.Info("stopped", zap.Error(err))
+	_ = s.logger.Sync() // Nothing is left to report a failure to.
 	return err
 }
 
--- a/observe/process.go
+++ b/observe/process.go
@@ -3,14 +3,16 @@
 //
 // # Usage
 //
-//	p, err := observe.NewProcess("entry", name, debug)
+//	p := observe.NewProcess("entry", name, os.Stdout)
 //	p.Routes(router, func() any { return dump })
 package observe
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/pprof"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,26 +28,29 @@
 	Registry *prometheus.Registry
 }
 
-// NewProcess returns a Process of the given program and name. Debug lowers the
-// level of the log.
-func NewProcess(program, name string, debug bool) (*Process, error) {
-	config := zap.NewProductionConfig()
-	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.Sampling = nil
-	if debug {
-		config.Level = zap.NewAtomicLevelAt(zap.DebugLevel)
-	}
-	logger, err := config.Build(zap.WithCaller(false))
-	if err != nil {
-		return nil, err
-	}
+// maxLines bounds the lines of the log with one message in a second. What is
+// beyond is left out and counted.
+const maxLines = 300
+
+// NewProcess returns a Process of the given program and name, which logs to out.
+func NewProcess(program, name string, out io.Writer) *Process {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	writer := NewWriter(out, registry)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), writer, zap.InfoLevel)
+	left := zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+		if decision&zapcore.LogDropped != 0 {
+			writer.dropped.Inc()
+		}
+	})
+	logger := zap.New(zapcore.NewSamplerWithOptions(core, time.Second, maxLines, 0, left))
 	logger = logger.With(zap.String("program", program), zap.String("name", name))
-	return &Process{Logger: logger, Registry: registry}, nil
+	return &Process{Logger: logger, Registry: registry}
 }
 
 // Routes serves the metrics at /metrics, the dump that state returns at
@@ -59,16 +64,6 @@
 	router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
 }
 
-// ReadJSON reads the body of a request into value. If it can't, it answers with
-// status 400 and returns false.
-func ReadJSON(w http.ResponseWriter, r *http.Request, value any) bool {
-	if err := json.NewDecoder(r.Body).Decode(value); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
 // WriteJSON writes value as the body of a response.
 func WriteJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/operator.go
@@ -0,0 +1,10 @@
+package pollenfront
+
+import "context"
+
+// An Operator changes the operators' orders in the platform's store, with the
+// rights of whoever runs it.
+type Operator interface {
+	// SetZoneOut takes an availability zone out of service, or returns it.
+	SetZoneOut(ctx context.Context, zone string, out bool) error
+}
--- /dev/null
+++ b/pollenctl/command.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+
+	"github.com/pollenfront/pollenfront/program"
+)
+
+var _ program.Command = &command{}
+
+// A command is the command line of the program.
+type command struct {
+	Explain *explainCmd `arg:"subcommand:explain" help:"tell what became of a request, from logs"`
+	Return  *zoneCmd    `arg:"subcommand:return" help:"return an availability zone to service"`
+	Show    *showCmd    `arg:"subcommand:show" help:"show what an entry believes"`
+	TakeOut *zoneCmd    `arg:"subcommand:take-out" help:"take an availability zone out of service"`
+}
+
+// Description describes the program in its help.
+func (*command) Description() string {
+	return "Asks what a pollenfront installation does, explains requests, and takes zones out of service."
+}
+
+// Chosen implements program.Command.
+func (c *command) Chosen() bool {
+	return c.Explain != nil || c.Return != nil || c.Show != nil || c.TakeOut != nil
+}
+
+// Execute implements program.Command.
+func (c *command) Execute(ctx context.Context) error {
+	switch {
+	case c.Explain != nil:
+		return c.Explain.run()
+	case c.Return != nil:
+		return c.Return.run(ctx, false)
+	case c.Show != nil:
+		return c.Show.run(ctx)
+	default:
+		return c.TakeOut.run(ctx, true)
+	}
+}
--- /dev/null
+++ b/pollenctl/zonecmd.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"go.uber.org/zap"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/debuglog"
+	"github.com/pollenfront/pollenfront/dryrun"
+	"github.com/pollenfront/pollenfront/platform"
+)
+
+// A zoneCmd takes a zone out of service or returns it.
+type zoneCmd struct {
+	Debug  bool   `help:"log the calls to the store"`
+	DryRun bool   `arg:"--dry-run" help:"say what would be changed"`
+	Store  string `help:"address of the platform's store, required" placeholder:"IP:PORT"`
+	Zone   string `arg:"positional,required"`
+}
+
+// run carries the command out.
+func (z *zoneCmd) run(ctx context.Context, out bool) error {
+	if z.Store == "" {
+		return errors.New("--store is missing; name the address of the platform's store")
+	}
+	var operator pollenfront.Operator = platform.NewStore(z.Store)
+	if z.DryRun {
+		operator = dryrun.NewOperator(os.Stdout)
+	}
+	if z.Debug {
+		logger, err := zap.NewDevelopment()
+		if err != nil {
+			return err
+		}
+		operator = debuglog.NewOperator(operator, logger)
+	}
+	if err := operator.SetZoneOut(ctx, z.Zone, out); err != nil {
+		return fmt.Errorf("zone %s: %w", z.Zone, err)
+	}
+	return nil
+}
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -103,7 +103,7 @@
 func (f *Fleet) Run(until time.Duration) Result {
 	until += time.Second // The clock starts at one second.
 	for len(f.events) > 0 && f.events[0].at <= until {
-		e := heap.Pop(&f.events).(event) //nolint:forcetypeassert,errcheck // The heap holds events.
+		e := heap.Pop(&f.events).(event) // The heap holds events.
 		f.now = e.at
 		e.do()
 	}
@@ -151,7 +151,7 @@
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
 
 // Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) } //nolint:forcetypeassert,errcheck // The heap holds events.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) } // The heap holds events.
 
 // Pop implements heap.Interface.
 func (e *events) Pop() any {
--- a/scheduler/estimates_test.go
+++ b/scheduler/estimates_test.go
@@ -26,11 +26,11 @@
 			e := make(estimates)
 			var estimateError, expectedError float64
 			for range 2000 {
-				real := -1.6 + random.NormFloat64()*test.spread
-				estimate := real + random.NormFloat64()*0.4
+				actual := -1.6 + random.NormFloat64()*test.spread
+				estimate := actual + random.NormFloat64()*0.4
 				expected := e.expect("route", time.Duration(math.Exp(estimate)*float64(time.Second)))
-				estimateError += (estimate - real) * (estimate - real)
-				expectedError += math.Pow(math.Log(expected.Seconds())-real, 2)
+				estimateError += (estimate - actual) * (estimate - actual)
+				expectedError += math.Pow(math.Log(expected.Seconds())-actual, 2)
 			}
 			qt.Assert(t, math.Sqrt(expectedError/estimateError) < test.gain, qt.IsTrue)
 		})
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -191,7 +191,7 @@
 // send orders the waiting tasks of a job from the chosen servers.
 func (s *Scheduler) send(now time.Duration, j *job, candidates []candidate, chosen []int, fx *Effects) {
 	next := 0
-	starts := make(map[*agent]int, len(chosen))
+	starts, first := make(map[*agent]int, len(chosen)), make(map[*agent]int, len(chosen))
 	for _, t := range j.tasks {
 		if t.state != taskWaiting {
 			continue
@@ -210,11 +210,18 @@
 		if !ok {
 			i = len(o.Starts)
 			starts[a] = i
+			first[a] = len(fx.Placements)
+			fx.Placements = append(fx.Placements, Placement{
+				Agent: a.Name, Free: candidates[chosen[next-1]].free.CPU, Job: j.ID, ReportAge: now - a.heard, Slowness: a.report.Slowness, Waited: now - j.arrived,
+			})
 			o.Starts = append(o.Starts, tasklink.Start{
 				Expected: int64(j.expected), Job: j.ID, Need: j.Need, Once: j.Once, Payload: j.Payload, Priority: j.Route.Priority,
 				Service: a.service, Step: j.Step, Urgency: int64(j.key - now),
 			})
 		}
+		placement := &fx.Placements[first[a]]
+		placement.Tasks++
+		placement.Run = max(placement.Run, t.run.Number)
 		o.Starts[i].Tasks = append(o.Starts[i].Tasks, tasklink.StartTask{Index: t.run.Index, Number: a.number, Run: t.run.Number})
 	}
 	j.toPlace, j.sentAny = 0, true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -57,8 +57,21 @@
 
 // Effects are what the driver must do.
 type Effects struct {
-	Answers []pollenfront.Conclusion
-	Orders  map[string]*tasklink.Orders // By agent.
+	Answers    []pollenfront.Conclusion
+	Orders     map[string]*tasklink.Orders // By agent.
+	Placements []Placement
+}
+
+// A Placement tells why some tasks of a job were sent to a server.
+type Placement struct {
+	Agent     string
+	Free      int // Thousandths of a core that were free there, as far as known.
+	Job       string
+	ReportAge time.Duration // Age of what was known of the server.
+	Run       int           // The highest number among the runs.
+	Slowness  float64
+	Tasks     int
+	Waited    time.Duration // Since the job arrived.
 }
 
 // A Scheduler holds the jobs of an entry.
--- a/soak/internal/callers/callers.go
+++ b/soak/internal/callers/callers.go
@@ -28,22 +28,37 @@
 	resendDelay   = 1300 * time.Millisecond
 )
 
-// Host and Prefix select the queue of the jobs, and Service runs them.
+// Host is the host of all queues, and Service runs their jobs.
 const (
 	Host    = "swap.example"
-	Prefix  = "/lookup/"
 	Service = "lookup"
 )
 
-// A Kind is a kind of job.
-type kind struct {
-	tasks int
-	work  time.Duration
+// A Kind is a kind of job, with a queue of its own.
+type Kind struct {
+	Prefix   string // Of the paths of its jobs.
+	Priority int
+	share    float64
+	tasks    int
+	work     time.Duration
 }
 
-// kinds are the kinds of jobs, in the proportion in which they are submitted.
-var kinds = []kind{
-	{8, 60 * time.Millisecond}, {2, 200 * time.Millisecond}, {2, 200 * time.Millisecond}, {2, 200 * time.Millisecond}, {4, 900 * time.Millisecond},
+// Kinds are the kinds of jobs.
+var Kinds = []Kind{
+	{Prefix: "/lookup/", Priority: 0, share: 0.25, tasks: 8, work: 60 * time.Millisecond},
+	{Prefix: "/check/", Priority: 1, share: 0.6, tasks: 2, work: 200 * time.Millisecond},
+	{Prefix: "/trade/", Priority: 2, share: 0.15, tasks: 4, work: 900 * time.Millisecond},
+}
+
+// draw draws a kind by the shares.
+func draw(random *rand.Rand) Kind {
+	at := random.Float64()
+	for _, k := range Kinds {
+		if at -= k.share; at < 0 {
+			return k
+		}
+	}
+	return Kinds[0]
 }
 
 // Counts are the jobs by how they ended.
@@ -78,7 +93,7 @@
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		pause := time.Duration(c.random.ExpFloat64() / perSecond * float64(time.Second))
-		k := kinds[c.random.IntN(len(kinds))]
+		k := draw(c.random)
 		c.next++
 		id := fmt.Sprintf("%016x", c.next)
 		c.mu.Unlock()
@@ -98,7 +113,7 @@
 }
 
 // submit submits a job, again and again as long as its outcome is not known.
-func (c *Callers) submit(id string, k kind) {
+func (c *Callers) submit(id string, k Kind) {
 	limit := time.Now().Add(1500*time.Millisecond + 3*k.work)
 	payload := fmt.Sprintf(`{"cpu":6000,"work":%q}`, k.work)
 	body, err := json.Marshal(map[string]any{
@@ -110,7 +125,7 @@
 	}
 	for time.Now().Before(limit) {
 		c.promises.Submitted(id, k.tasks)
-		switch c.attempt(id, body, limit) {
+		switch c.attempt(k.Prefix+id, body, limit) {
 		case http.StatusOK:
 			c.promises.Completed(id)
 			c.count(func(n *Counts) { n.Completed++ })
@@ -133,13 +148,13 @@
 }
 
 // attempt submits a job once and returns the status of the answer, or 0.
-func (c *Callers) attempt(id string, body []byte, limit time.Time) int {
+func (c *Callers) attempt(path string, body []byte, limit time.Time) int {
 	c.mu.Lock()
 	entry := c.entries[c.random.IntN(len(c.entries))]
 	c.mu.Unlock()
 	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(attemptMargin))
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+Prefix+id, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+path, bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
--- a/soak/internal/fleet/fleet.go
+++ b/soak/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -103,12 +104,15 @@
 
 // Configure writes a version of the operators' configuration.
 func (f *Fleet) Configure(version int) {
+	var routes []map[string]any
+	for _, k := range callers.Kinds {
+		routes = append(routes, map[string]any{
+			"name": strings.Trim(k.Prefix, "/"), "host": callers.Host, "path-prefix": k.Prefix, "priority": k.Priority,
+			"service": callers.Service, "max-attempts": 3, "stretch": 1.6, "target-latency-ms": 60, "timeout-ms": 1500,
+		})
+	}
 	config := map[string]any{
-		"version": version, "services": []map[string]any{{"name": callers.Service}},
-		"routes": []map[string]any{{
-			"name": "lookups", "host": callers.Host, "path-prefix": callers.Prefix, "priority": 0, "service": callers.Service,
-			"max-attempts": 3, "stretch": 1.6, "target-latency-ms": 60, "timeout-ms": 1500,
-		}},
+		"version": version, "services": []map[string]any{{"name": callers.Service}}, "routes": routes,
 		"limits": map[string]any{"max-body-bytes": 262144},
 	}
 	text, err := json.Marshal(config)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -62,6 +62,10 @@
 
 // A Store is the stand-in.
 type Store struct {
+	// OperatorsMayWrite lets transactions write the operators' tables. It is
+	// set before the store serves.
+	OperatorsMayWrite bool
+
 	changed chan struct{} // Closed and replaced at each change.
 	fault   Fault
 	forgot  uint64 // Versions up to this one are no longer in the history.
@@ -182,12 +186,12 @@
 }
 
 // check returns what is wrong with a transaction.
-func (t *transaction) check() error {
+func (t *transaction) check(operatorsMayWrite bool) error {
 	if len(t.Expected)+len(t.Remove)+len(t.Writes) > maxEntries {
 		return errors.New("too many entries")
 	}
 	for _, w := range t.Writes {
-		if w.Table == "op" || w.Table == "servers" {
+		if (w.Table == "op" || w.Table == "servers") && !operatorsMayWrite {
 			return errors.New("the table can't be written")
 		}
 	}
@@ -201,7 +205,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if err := t.check(); err != nil {
+	if err := t.check(s.OperatorsMayWrite); err != nil {
 		http.Error(w, err.Error(), http.StatusForbidden)
 		return
 	}
--- /dev/null
+++ b/standin/store/store_test.go
@@ -0,0 +1,139 @@
+package store_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/platform"
+	"github.com/pollenfront/pollenfront/standin/store"
+)
+
+// newStore returns a stand-in and the client for it.
+func newStore(t *testing.T) (*store.Store, *platform.Store) {
+	t.Helper()
+	s := store.New(store.Rates{Reads: 1000, Writes: 1000})
+	server := httptest.NewServer(s)
+	t.Cleanup(server.CloseClientConnections)
+	return s, platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// config is a configuration in base64: version 7 with one route.
+const config = "eyJ2ZXJzaW9uIjo3LCJyb3V0ZXMiOlt7Im5hbWUiOiJyIiwiaG9zdCI6ImgiLCJwYXRoLXByZWZpeCI6Ii9wLyIsInNlcnZpY2UiOiJzIiwic3RyZXRjaCI6MS42fV19"
+
+func TestOrders(t *testing.T) {
+	c := qt.New(t)
+	s, client := newStore(t)
+	ctx := context.Background()
+	orders, err := client.Orders(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(orders.Config, qt.IsNil)
+
+	s.Put("op", "config", config)
+	s.Put("op", "evacuate/west", "e30=")
+	orders, err = client.OrdersSince(ctx, orders, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(orders.Config.Version, qt.Equals, uint64(7))
+	c.Assert(orders.ZonesOut, qt.DeepEquals, []string{"west"})
+	route, ok := orders.Config.Match("h", "/p/0011223344556677")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(route.Service, qt.Equals, "s")
+
+	s.Put("op", "config", "bm90IGpzb24=")
+	after, err := client.OrdersSince(ctx, orders, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(after.Faults, qt.HasLen, 1)
+	c.Assert(after.Faults[0], qt.Matches, "decode the configuration: .*")
+	c.Assert(after.Config, qt.DeepEquals, orders.Config)
+	c.Assert(after.Version > orders.Version, qt.IsTrue)
+
+	s.Put("op", "config", config)
+	s.Remove("op", "evacuate/west")
+	orders, err = client.Orders(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(orders.ZonesOut, qt.HasLen, 0)
+
+	s.Forget()
+	_, err = client.OrdersSince(ctx, pollenfront.Orders{Version: 1}, time.Second)
+	c.Assert(err, qt.ErrorIs, pollenfront.ErrHistoryGone)
+}
+
+func TestEntries(t *testing.T) {
+	c := qt.New(t)
+	s, client := newStore(t)
+	ctx := context.Background()
+	record := pollenfront.EntryRecord{Address: "127.0.0.1:1", Incarnation: 3, Name: "entry-1", Zone: "west"}
+	c.Assert(client.Register(ctx, record), qt.IsNil)
+	s.Put("pollenfront-entries", "other", "bm90IGpzb24=") // From another writer: it names no entry.
+	entries, err := client.Entries(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(entries.Records, qt.DeepEquals, map[string]pollenfront.EntryRecord{"entry-1": record})
+	c.Assert(client.Unregister(ctx, "entry-1"), qt.IsNil)
+	entries, err = client.EntriesSince(ctx, entries, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(entries.Records, qt.HasLen, 0)
+}
+
+func TestClaim(t *testing.T) {
+	c := qt.New(t)
+	s, client := newStore(t)
+	ctx := context.Background()
+	c.Assert(client.Claim(ctx, "0011223344556677"), qt.IsNil)
+	c.Assert(client.Claim(ctx, "0011223344556677"), qt.ErrorIs, pollenfront.ErrClaimed)
+	s.SetFault(store.Lost)
+	c.Assert(client.Claim(ctx, "8899aabbccddeeff"), qt.ErrorMatches, "call the store: .*")
+	s.SetFault(store.None)
+	c.Assert(client.Claim(ctx, "8899aabbccddeeff"), qt.ErrorIs, pollenfront.ErrClaimed)
+}
+
+func TestSetZoneOut(t *testing.T) {
+	c := qt.New(t)
+	s, client := newStore(t)
+	ctx := context.Background()
+	c.Assert(client.SetZoneOut(ctx, "west", true), qt.ErrorMatches, "the store does not let this process write .*")
+	s.OperatorsMayWrite = true
+	c.Assert(client.SetZoneOut(ctx, "west", true), qt.IsNil)
+	orders, err := client.Orders(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(orders.ZonesOut, qt.DeepEquals, []string{"west"})
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault store.Fault
+		want  string
+	}{
+		{name: "busy", fault: store.Busy, want: "the store answered with status 503"},
+		{name: "reset", fault: store.Reset, want: "call the store: .*"},
+		{name: "silent", fault: store.Silent, want: "call the store: .*deadline exceeded.*"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s, client := newStore(t)
+			s.SetFault(test.fault)
+			started := time.Now()
+			_, err := client.OrdersSince(context.Background(), pollenfront.Orders{}, 200*time.Millisecond)
+			c.Assert(err, qt.ErrorMatches, test.want)
+			c.Assert(time.Since(started) < 2*time.Second, qt.IsTrue)
+			s.SetFault(store.None)
+			_, err = client.Orders(context.Background())
+			c.Assert(err, qt.IsNil)
+		})
+	}
+}
+
+func TestRates(t *testing.T) {
+	c := qt.New(t)
+	s := store.New(store.Rates{Reads: 0, Writes: 1000})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	_, err := platform.NewStore(strings.TrimPrefix(server.URL, "http://")).Orders(context.Background())
+	c.Assert(err, qt.ErrorMatches, "the store answered with status 429")
+}
--- a/store.go
+++ b/store.go
@@ -14,8 +14,9 @@
 
 // Orders are what the operators have ordered.
 type Orders struct {
-	Config   *Config // Nil before the first one.
-	Version  uint64  // Of the store.
+	Config   *Config  // Nil before the first one.
+	Faults   []string // Of the newest changes: what could not be read, and leaves the former in force.
+	Version  uint64   // Of the store.
 	ZonesOut []string
 }
 
