--- a/executor/executor.go
+++ b/executor/executor.go
@@ -238,6 +238,7 @@
 		x.runs[id.TaskID] = r
 		x.order = append(x.order, r)
 		x.enqueue(r)
+		x.startQueued(now, fx) // The next task finds what room is left.
 	}
 }
 
--- /dev/null
+++ b/executor/executor_test.go
@@ -0,0 +1,222 @@
+package executor_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/executor"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// at is an instant, in milliseconds after the first.
+func at(ms int) time.Duration {
+	return time.Minute + time.Duration(ms)*time.Millisecond
+}
+
+// entry is the only entry of the tests.
+var entry = pollenfront.EntryRef{Incarnation: 1, Name: "entry-1"}
+
+// newExecutor returns an executor whose server has room for two tasks.
+func newExecutor() *executor.Executor {
+	x := executor.New("service", "west", 10)
+	x.Announced(at(0), pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 12000}, Clock: time.Second, Life: 1, Sequence: 1, Zone: "west"})
+	x.EntryLinked(at(0), entry)
+	return x
+}
+
+// order returns an order of tasks by their indexes.
+func order(echo time.Duration, indexes ...int) *tasklink.Orders {
+	s := tasklink.Start{Expected: int64(100 * time.Millisecond), Job: "0a", Need: pollenfront.Room{CPU: 6000}, Service: "service"}
+	for _, i := range indexes {
+		s.Tasks = append(s.Tasks, tasklink.StartTask{Index: i, Number: uint64(i + 1), Run: 1})
+	}
+	return &tasklink.Orders{Echo: int64(echo), Starts: []tasklink.Start{s}}
+}
+
+// runID returns the first run of a task.
+func runID(index int) pollenfront.RunID {
+	return pollenfront.RunID{Number: 1, TaskID: pollenfront.TaskID{Index: index, Job: "0a"}}
+}
+
+// started returns the tasks that effects start.
+func started(fx executor.Effects) []int {
+	indexes := []int{}
+	for _, s := range fx.Starts {
+		indexes = append(indexes, s.Run.Index)
+	}
+	return indexes
+}
+
+// ends returns the endings that wait for the entry, by task.
+func ends(x *executor.Executor, now time.Duration) map[int]pollenfront.Ending {
+	u, _ := x.Update(now, entry.Name)
+	all := make(map[int]pollenfront.Ending)
+	for _, end := range u.Ends {
+		all[end.Run.Index] = end.Ending
+	}
+	return all
+}
+
+func TestTasksWaitForRoom(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	short := order(at(0), 0, 1, 2)
+	short.Starts[0].Expected = int64(20 * time.Millisecond)
+	c.Assert(started(x.Ordered(at(0), entry, short)), qt.DeepEquals, []int{0, 1})
+	for i := range 2 {
+		x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(i)}, 0, executor.StartDone)
+	}
+	fx := x.Held(at(50), at(10), &pollenfront.HoldReply{Clock: time.Second, Life: 1, Ended: []pollenfront.EndedRun{
+		{Ending: pollenfront.EndingDone, Number: 1, Run: runID(0)},
+	}, Running: []pollenfront.RunningRun{{Run: runID(1)}}})
+	c.Assert(started(fx), qt.DeepEquals, []int{2})
+	c.Assert(ends(x, at(50)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingDone})
+	c.Assert(x.HoldOrder(at(60)).Acknowledged, qt.Equals, uint64(1))
+}
+
+// TestFullServer replays many entries that find the same server free: what
+// would wait for long goes back at once.
+func TestFullServer(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.Ordered(at(0), entry, order(at(0), 0, 1, 2, 3, 4, 5))
+	returned := ends(x, at(0))
+	c.Assert(len(returned) >= 3, qt.IsTrue, qt.Commentf("%v", returned))
+	for _, ending := range returned {
+		c.Assert(ending, qt.Equals, pollenfront.EndingNotStarted)
+	}
+}
+
+func TestOrdersThatAreRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(x *executor.Executor)
+		now    time.Duration
+	}{
+		{name: "an order that was delayed", now: at(600), before: func(*executor.Executor) {}},
+		{name: "a server that drains", now: at(1), before: func(x *executor.Executor) {
+			x.Announced(at(1), pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 12000}, Clock: time.Second, Draining: true, Life: 1, Sequence: 2, Zone: "west"})
+		}},
+		{name: "a server that has left", now: at(1), before: func(x *executor.Executor) { x.Gone(at(1)) }},
+		{name: "a zone out of service", now: at(1), before: func(x *executor.Executor) {
+			x.Ordered(at(1), entry, &tasklink.Orders{Echo: int64(at(1)), Notice: tasklink.Notice{Version: 2, ZonesOut: []string{"west"}}})
+		}},
+		{name: "an agent that leaves", now: at(1), before: func(x *executor.Executor) { x.Leave(at(1)) }},
+		{name: "a server that does not answer", now: at(1), before: func(x *executor.Executor) { x.HoldUnanswered(at(1)) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			x := newExecutor()
+			test.before(x)
+			c.Assert(started(x.Ordered(test.now, entry, order(at(0), 0))), qt.HasLen, 0)
+			c.Assert(ends(x, test.now), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingNotStarted})
+		})
+	}
+}
+
+func TestRunsThatAreStopped(t *testing.T) {
+	tests := []struct {
+		name    string
+		percent []int // Progress in holds at each 100 ms.
+		hear    bool  // Whether the entry is heard meanwhile.
+		stopped bool
+	}{
+		{name: "a run that goes on", percent: []int{40, 80}, hear: true},
+		{name: "a run that makes no progress", percent: []int{10, 10, 10, 10, 10, 10}, hear: true, stopped: true},
+		{name: "a run that is far too slow", percent: []int{1, 2, 3}, hear: true, stopped: true},
+		{name: "a run whose entry is silent", percent: []int{10, 20, 30, 40, 50, 60, 70, 80}, stopped: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			x := newExecutor()
+			x.Ordered(at(0), entry, order(at(0), 0))
+			x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, executor.StartDone)
+			stops := 0
+			for i, percent := range test.percent {
+				now := at(100 * (i + 1))
+				if test.hear {
+					x.Ordered(now, entry, &tasklink.Orders{Echo: int64(now)})
+				}
+				x.HoldOrder(now)
+				x.Held(now, now-time.Millisecond, &pollenfront.HoldReply{
+					Clock: time.Second, Life: 1, Running: []pollenfront.RunningRun{{Percent: percent, Run: runID(0)}},
+				})
+				stops += len(x.Tick(now).Stops)
+			}
+			c.Assert(stops > 0, qt.Equals, test.stopped)
+		})
+	}
+}
+
+// TestUnansweredStart checks that a start without an answer is fenced by a stop
+// before its entry is told, since it may still be carried out.
+func TestUnansweredStart(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.HoldOrder(at(0))
+	x.Ordered(at(0), entry, order(at(0), 0))
+	fx := x.StartAnswered(at(100), pollenfront.StartOrder{Run: runID(0)}, 0, executor.StartUnknown)
+	c.Assert(fx.Stops, qt.DeepEquals, []executor.StopOrder{{Run: runID(0), Token: 10}})
+	c.Assert(ends(x, at(100)), qt.HasLen, 0)
+	reply := &pollenfront.HoldReply{Clock: time.Second, Life: 1}
+	x.Held(at(110), at(90), reply)
+	c.Assert(ends(x, at(110)), qt.HasLen, 0)
+	x.StopAnswered(at(120), runID(0), 0, false)
+	x.Held(at(130), at(110), reply)
+	c.Assert(ends(x, at(130)), qt.HasLen, 0)
+	x.Held(at(140), at(125), reply)
+	c.Assert(ends(x, at(140)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingNotStarted})
+}
+
+// TestRestartedServer checks that runs which may have reached a server's new
+// life are stopped there before their entry is told.
+func TestRestartedServer(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.HoldOrder(at(0))
+	x.Ordered(at(0), entry, order(at(0), 0))
+	fx := x.Held(at(10), at(5), &pollenfront.HoldReply{Clock: time.Millisecond, Life: 2, Running: []pollenfront.RunningRun{{Run: runID(0)}}})
+	c.Assert(len(fx.Stops) > 0, qt.IsTrue)
+	c.Assert(fx.Stops[0].Token, qt.Equals, uint64(11))
+	c.Assert(ends(x, at(10)), qt.HasLen, 0)
+	x.Held(at(30), at(20), &pollenfront.HoldReply{Clock: time.Millisecond, Life: 2, Ended: []pollenfront.EndedRun{
+		{Ending: pollenfront.EndingStopped, Number: 1, Run: runID(0)},
+	}})
+	c.Assert(ends(x, at(30)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingStopped})
+}
+
+func TestLeaseLapses(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.HoldOrder(at(0))
+	x.Ordered(at(0), entry, order(at(0), 0))
+	x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, executor.StartDone)
+	x.Ordered(at(600), entry, &tasklink.Orders{Echo: int64(at(600))})
+	x.Tick(at(610))
+	c.Assert(ends(x, at(610)), qt.HasLen, 0)
+	x.Tick(at(660))
+	c.Assert(ends(x, at(660)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingLost})
+}
+
+// TestRelink checks that an entry learns after a lost link what became of its runs.
+func TestRelink(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.Ordered(at(0), entry, order(at(0), 0, 1))
+	x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, executor.StartDone)
+	x.EntryUnlinked(entry)
+	x.StartAnswered(at(2), pollenfront.StartOrder{Run: runID(1)}, 0, executor.StartRejected)
+	runs, _ := x.EntryLinked(at(3), entry)
+	c.Assert(runs, qt.DeepEquals, []tasklink.RunState{
+		{Run: runID(0)}, {Ending: pollenfront.EndingFailed, Reason: string(executor.StartRejected), Run: runID(1)},
+	})
+	later := pollenfront.EntryRef{Incarnation: 2, Name: entry.Name}
+	runs, fx := x.EntryLinked(at(4), later)
+	c.Assert(runs, qt.HasLen, 0)
+	c.Assert(fx.Stops, qt.HasLen, 1)
+}
