--- a/executor/executor.go
+++ b/executor/executor.go
@@ -39,7 +39,7 @@
 	// with Lease it stays below the time after which a caller resubmits.
 	SilenceLimit = 600 * time.Millisecond
 	// TickInterval is the time between two Ticks.
-	TickInterval = 50 * time.Millisecond
+	TickInterval = 25 * time.Millisecond
 	// UpdateInterval is the longest time between two updates to an entry.
 	UpdateInterval = 150 * time.Millisecond
 
@@ -232,7 +232,7 @@
 			continue
 		}
 		r := &run{
-			entry: e, expected: time.Duration(s.Expected), id: id, need: s.Need, once: s.Once, payload: s.Payload,
+			accepted: now, entry: e, expected: time.Duration(s.Expected), id: id, need: s.Need, once: s.Once, payload: s.Payload,
 			priority: min(max(s.Priority, 0), priorities-1), urgent: now + time.Duration(s.Urgency),
 		}
 		x.runs[id.TaskID] = r
@@ -354,6 +354,7 @@
 	if now > x.server.lapse {
 		x.lapse(now, &fx)
 	}
+	x.returnWaiting(now, &fx)
 	x.stopStuck(now, &fx)
 	x.repeatStops(now, &fx)
 	x.startQueued(now, &fx)
--- a/executor/measure.go
+++ b/executor/measure.go
@@ -18,7 +18,7 @@
 	jumpWeight = 0.15
 	// forgetting is the weight of each TickInterval without a run in
 	// returning to the slowness and the share of failures of a new server.
-	forgetting  = 0.004
+	forgetting  = 0.002
 	idleTime    = time.Second
 	maxRatio    = 8.0  // Above it a run tells nothing more about its server.
 	typicalNeed = 6000 // Thousandths of a core, of a task that a wait is stated for.
--- a/executor/run.go
+++ b/executor/run.go
@@ -21,6 +21,7 @@
 
 // A run is a run of a task that has not ended.
 type run struct {
+	accepted time.Duration
 	began    bool // Whether the server has said that it runs, or ran.
 	entry    *entry
 	expected time.Duration
@@ -72,6 +73,16 @@
 	}
 }
 
+// returnWaiting returns the tasks that have waited for longer than was expected
+// when they were accepted: by now another server may have room.
+func (x *Executor) returnWaiting(now time.Duration, fx *Effects) {
+	for _, r := range slices.Clone(x.queue) {
+		if now-r.accepted > maxWait {
+			x.stop(now, r, "it has waited too long", fx)
+		}
+	}
+}
+
 // returnQueued tells the entries that what is queued will not start.
 func (x *Executor) returnQueued(now time.Duration, reason string, fx *Effects) {
 	returned := x.queue
