--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -254,11 +254,26 @@
 		return
 	}
 	if drain := s.drain(now, j.Route.Service, j); now+drain > j.key {
-		detail := fmt.Sprintf("the job would start in %v", drain.Round(time.Millisecond))
+		detail := fmt.Sprintf("the job would start in %v; %s", drain.Round(time.Millisecond), s.situation(now))
 		s.refuse(j, pollenfront.ReasonOverloaded, detail, max(minRetryAfter, drain), fx)
 	}
 }
 
+// situation tells in what situation a job was refused.
+func (s *Scheduler) situation(now time.Duration) string {
+	free, oldest, usable := 0, time.Duration(0), 0
+	for _, a := range s.order {
+		if !s.usable(now, a) {
+			continue
+		}
+		usable++
+		free += max(0, a.report.Free.CPU)
+		oldest = max(oldest, now-a.heard)
+	}
+	return fmt.Sprintf("%d of %d servers usable, %d thousandths of a core free on them, %d jobs waiting, reports up to %v old",
+		usable, len(s.order), free, len(s.waiting), oldest.Round(time.Millisecond))
+}
+
 // drain returns the time until this entry's share of a service's servers has
 // worked off the jobs that are served before one, or all if it is nil.
 func (s *Scheduler) drain(now time.Duration, service string, before *job) time.Duration {
@@ -292,6 +307,6 @@
 			i++
 			continue
 		}
-		s.refuse(j, pollenfront.ReasonOverloaded, "the job has waited until it would be late", max(minRetryAfter, s.drain(now, j.Route.Service, nil)), fx)
+		s.refuse(j, pollenfront.ReasonOverloaded, "the job has waited until it would be late; "+s.situation(now), max(minRetryAfter, s.drain(now, j.Route.Service, nil)), fx)
 	}
 }
