Let a restarted agent recall what its server had announced

Cause: after all processes were killed, agents waited up to 1.5 s for their servers' next announcement before they knew their room. An agent now writes each change of what its server announces to the store, and its next incarnation uses it as soon as the server answers a hold in the same life.

--- a/agent/internal/work/work.go
+++ b/agent/internal/work/work.go
@@ -3,13 +3,14 @@
 //
 // # Usage
 //
-//	w := work.New(self, server, registry, logger)
+//	w := work.New(self, server, store, registry, logger)
 //	err := w.Run(ctx)
 package work
 
 import (
 	"context"
 	"errors"
+	"reflect"
 	"sync"
 	"time"
 
@@ -28,6 +29,10 @@
 const (
 	holdMargin = 250 * time.Millisecond // Beyond the wait of a hold.
 	holdPause  = 50 * time.Millisecond  // After a hold that failed.
+	// recallPause is the time between two attempts to read from the store.
+	recallPause = 200 * time.Millisecond
+	// rememberTimeout bounds one write to the store.
+	rememberTimeout = time.Second
 	// stateInterval is the time between two lines of the log on the state.
 	stateInterval = 5 * time.Second
 	orderTimeout  = 100 * time.Millisecond
@@ -51,11 +56,14 @@
 	self     tasklink.Hello
 	server   Server
 	started  time.Duration
+	store    pollenfront.Store
+	writing  bool                     // Whether written is about to change.
+	written  pollenfront.Announcement // The newest that the store has taken.
 }
 
 // New returns the work of the agent that self describes. Its orders carry
 // fencing tokens from the incarnation upwards.
-func New(self tasklink.Hello, server Server, registry *prometheus.Registry, logger *zap.Logger) *Work {
+func New(self tasklink.Hello, server Server, store pollenfront.Store, registry *prometheus.Registry, logger *zap.Logger) *Work {
 	return &Work{
 		executor: executor.New(self.Service, self.Zone, self.Incarnation),
 		links:    make(map[string]*entryLink),
@@ -64,6 +72,7 @@
 		self:     self,
 		server:   server,
 		started:  bootclock.Now(),
+		store:    store,
 	}
 }
 
@@ -263,6 +272,7 @@
 	effects, taken := w.executor.Announced(now, a)
 	if taken {
 		w.server.SetInstance(a.Instance)
+		w.remember(a)
 	}
 	if state := w.executor.Report(now).State; state != former {
 		w.logger.Info("backend server announced", zap.String("instance", a.Instance), zap.Uint64("life", a.Life), zap.Uint8("state", uint8(state)),
@@ -271,6 +281,55 @@
 	w.perform(now, effects)
 }
 
+// remember writes what the server announced for the next incarnation of this
+// agent, if it differs from what was written. The caller holds mu.
+func (w *Work) remember(a pollenfront.Announcement) {
+	a.Clock, a.Sequence = 0, 0
+	if reflect.DeepEqual(a, w.written) || w.writing {
+		return
+	}
+	w.writing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), rememberTimeout)
+		defer cancel()
+		err := w.store.RememberServer(ctx, w.self.Name, a)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.writing = false
+		if err != nil {
+			w.logger.Info("server not remembered", zap.Error(err)) // The next announcement tries again.
+			return
+		}
+		w.written = a
+	}()
+}
+
+// Recall reads what the server had announced to an earlier incarnation of this
+// agent, until that is known or the server announces itself.
+func (w *Work) Recall(ctx context.Context) {
+	for ctx.Err() == nil && !w.known() {
+		a, found, err := w.store.Server(ctx, w.self.Name)
+		if err != nil {
+			program.Sleep(ctx, recallPause)
+			continue
+		}
+		if found {
+			now := bootclock.Now()
+			w.logger.Info("server recalled", zap.String("instance", a.Instance), zap.Uint64("life", a.Life))
+			w.server.SetInstance(a.Instance)
+			w.apply(now, func() executor.Effects { return w.executor.Remember(now, a) })
+		}
+		return
+	}
+}
+
+// known reports whether the server has announced itself.
+func (w *Work) known() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.executor.Known()
+}
+
 // Gone takes the notice that the server ends.
 func (w *Work) Gone(instance string) {
 	w.logger.Info("backend server left", zap.String("instance", instance))
--- a/agent/server.go
+++ b/agent/server.go
@@ -68,6 +68,7 @@
 			seeds[net.JoinHostPort(host, strconv.Itoa(s.LinkPort))] = true
 		}
 	}
+	store := platform.NewStore(s.Store)
 	return &server{
 		dials:    make(map[string]context.CancelFunc),
 		file:     file,
@@ -75,8 +76,8 @@
 		process:  process,
 		seeds:    seeds,
 		settings: s,
-		store:    platform.NewStore(s.Store),
-		work:     work.New(hello, platform.NewBackendServer(s.Server), process.Registry, process.Logger),
+		store:    store,
+		work:     work.New(hello, platform.NewBackendServer(s.Server), store, process.Registry, process.Logger),
 	}
 }
 
@@ -85,6 +86,7 @@
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	var group run.Group
+	go s.work.Recall(partsCtx)
 	for _, part := range []func(context.Context) error{s.work.Run, s.followEntries} {
 		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -96,19 +96,20 @@
 
 // An Executor holds the state of an agent.
 type Executor struct {
-	clean   bool // Whether the server lists no run that the executor does not know.
-	entries map[string]*entry
-	leaving bool
-	measure measure
-	notice  tasklink.Notice
-	queue   []*run // The most urgent first.
-	resume  time.Duration
-	order   []*run // All runs, in the order in which they were accepted.
-	runs    map[pollenfront.TaskID]*run
-	server  server
-	service string
-	token   uint64
-	zone    string
+	clean      bool // Whether the server lists no run that the executor does not know.
+	entries    map[string]*entry
+	leaving    bool
+	measure    measure
+	notice     tasklink.Notice
+	queue      []*run                   // The most urgent first.
+	remembered pollenfront.Announcement // To an earlier incarnation of the agent.
+	resume     time.Duration
+	order      []*run // All runs, in the order in which they were accepted.
+	runs       map[pollenfront.TaskID]*run
+	server     server
+	service    string
+	token      uint64
+	zone       string
 }
 
 // An entry is an entry that has linked to the agent.
@@ -315,6 +316,15 @@
 	}
 }
 
+// add adds other effects.
+func (fx *Effects) add(other Effects) {
+	fx.Starts = append(fx.Starts, other.Starts...)
+	fx.Stops = append(fx.Stops, other.Stops...)
+	for _, name := range other.Notify {
+		fx.notify(name)
+	}
+}
+
 // notify adds an entry to those that must get an update.
 func (fx *Effects) notify(name string) {
 	for _, n := range fx.Notify {
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -190,6 +190,35 @@
 	c.Assert(ends(x, at(30)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingStopped})
 }
 
+// TestRemember checks that an agent that was restarted uses its server before
+// that announces itself, if the server has not been restarted too.
+func TestRemember(t *testing.T) {
+	tests := []struct {
+		name  string
+		life  uint64 // That the server states.
+		state tasklink.State
+	}{
+		{name: "the same life", life: 3, state: tasklink.StateReady},
+		{name: "a later life", life: 4, state: tasklink.StateAway},
+	}
+	for _, test := range tests {
+		for _, heldFirst := range []bool{false, true} {
+			t.Run(test.name, func(t *testing.T) {
+				x := executor.New("service", "west", 10)
+				hold := func() { x.Held(at(10), at(5), &pollenfront.HoldReply{Clock: time.Second, Life: test.life}) }
+				if heldFirst {
+					hold()
+				}
+				x.Remember(at(20), pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 12000}, Life: 3, Zone: "west"})
+				if !heldFirst {
+					hold()
+				}
+				qt.Assert(t, x.Report(at(30)).State, qt.Equals, test.state)
+			})
+		}
+	}
+}
+
 func TestLeaseLapses(t *testing.T) {
 	c := qt.New(t)
 	x := newExecutor()
--- a/executor/server.go
+++ b/executor/server.go
@@ -45,6 +45,23 @@
 	return fx, true
 }
 
+// Remember takes what the server had announced to an earlier incarnation of the
+// agent. It holds if the server is still in that life, until it announces
+// itself again.
+func (x *Executor) Remember(now time.Duration, a pollenfront.Announcement) Effects {
+	x.remembered = a
+	return x.recall(now)
+}
+
+// recall takes over what is remembered of the server's present life.
+func (x *Executor) recall(now time.Duration) Effects {
+	if x.server.known || x.remembered.Life == 0 || x.remembered.Life != x.server.life {
+		return Effects{}
+	}
+	fx, _ := x.Announced(now, x.remembered)
+	return fx
+}
+
 // Gone notes that the server has said that it ends.
 func (x *Executor) Gone(now time.Duration) Effects {
 	var fx Effects
@@ -132,6 +149,7 @@
 		}
 	}
 	x.compare(now, sent, reply.Running, &fx)
+	fx.add(x.recall(now))
 	x.startQueued(now, &fx)
 	if x.state() != before {
 		x.notifyAll(&fx)
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -79,6 +79,24 @@
 	c.Assert(entries.Records, qt.HasLen, 0)
 }
 
+func TestServer(t *testing.T) {
+	c := qt.New(t)
+	_, client := newStore(t)
+	ctx := context.Background()
+	_, found, err := client.Server(ctx, "agent-1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(found, qt.IsFalse)
+	a := pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 64000}, Instance: "i-1", Labels: []string{"a"}, Life: 7, Zone: "west"}
+	c.Assert(client.RememberServer(ctx, "agent-10", a), qt.IsNil)
+	_, found, err = client.Server(ctx, "agent-1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(found, qt.IsFalse)
+	got, found, err := client.Server(ctx, "agent-10")
+	c.Assert(err, qt.IsNil)
+	c.Assert(found, qt.IsTrue)
+	c.Assert(got, qt.DeepEquals, a)
+}
+
 func TestClaim(t *testing.T) {
 	c := qt.New(t)
 	s, client := newStore(t)
--- a/store.go
+++ b/store.go
@@ -58,6 +58,13 @@
 	// Register writes the record of an entry.
 	Register(ctx context.Context, record EntryRecord) error
 
+	// RememberServer writes what the backend server beside an agent has
+	// announced, for the agent's next incarnation.
+	RememberServer(ctx context.Context, agent string, announcement Announcement) error
+
+	// Server returns what RememberServer has written, or false if it has not.
+	Server(ctx context.Context, agent string) (Announcement, bool, error)
+
 	// Unregister removes the record of an entry.
 	Unregister(ctx context.Context, name string) error
 }
