--- a/agent/internal/work/work.go
+++ b/agent/internal/work/work.go
@@ -171,36 +171,12 @@
 	defer cancel()
 	began := bootclock.Now()
 	clock, err := w.server.Start(ctx, order)
-	outcome := startOutcome(err)
-	if outcome != executor.StartDone || observe.Sampled(order.Run.Job) {
+	if err != nil || observe.Sampled(order.Run.Job) {
 		w.logger.Info("start answered", zap.String("request", order.Run.Job), zap.Int("task", order.Run.Index),
 			zap.Int("run", order.Run.Number), zap.Duration("after", bootclock.Now()-began), zap.Error(err))
 	}
 	now := bootclock.Now()
-	w.apply(now, func() executor.Effects { return w.executor.StartAnswered(now, order, clock, outcome) })
-}
-
-// startOutcome returns what an error of a start stands for.
-func startOutcome(err error) executor.StartError {
-	switch {
-	case err == nil:
-		return executor.StartDone
-	case errors.Is(err, pollenfront.ErrFenced):
-		return executor.StartFenced
-	case errors.Is(err, pollenfront.ErrLate):
-		return executor.StartLate
-	case errors.Is(err, pollenfront.ErrNoRoom):
-		return executor.StartNoRoom
-	case errors.Is(err, pollenfront.ErrRunPassed):
-		return executor.StartPassed
-	case errors.Is(err, pollenfront.ErrRejected):
-		return executor.StartRejected
-	case errors.Is(err, pollenfront.ErrReplaced):
-		return executor.StartReplaced
-	case errors.Is(err, pollenfront.ErrUnhealthy):
-		return executor.StartUnhealthy
-	}
-	return executor.StartUnknown
+	w.apply(now, func() executor.Effects { return w.executor.StartAnswered(now, order, clock, err) })
 }
 
 // stop orders the server to stop a run.
@@ -210,13 +186,11 @@
 	clock, err := w.server.Stop(ctx, order.Run, order.Token)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	fenced := errors.Is(err, pollenfront.ErrFenced)
-	if err != nil && !fenced {
+	if err != nil {
 		w.logger.Info("stop not done", zap.String("request", order.Run.Job), zap.Int("task", order.Run.Index),
 			zap.Int("run", order.Run.Number), zap.Error(err))
-		return // The executor repeats it.
 	}
-	w.executor.StopAnswered(bootclock.Now(), order.Run, clock, fenced)
+	w.executor.StopAnswered(bootclock.Now(), order.Run, clock, err)
 }
 
 // hold holds the lease on what the server runs until ctx ends.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -112,24 +112,6 @@
 	zone       string
 }
 
-// An entry is an entry that has linked to the agent.
-type entry struct {
-	EntryRef
-
-	ends       []tasklink.End // Not sent yet.
-	echo       time.Duration  // The newest instant at which the entry is known to have heard the agent.
-	lastNumber uint64
-	linked     bool
-	past       []pastEnd
-	silent     bool
-}
-
-// A pastEnd is an ending that is kept for a while.
-type pastEnd struct {
-	at  time.Duration
-	end tasklink.End
-}
-
 // New returns an Executor for the agent of a service's backend server in a
 // zone. Its orders carry fencing tokens from token upwards, which must be
 // higher than those of earlier incarnations.
@@ -144,45 +126,6 @@
 	}
 }
 
-// EntryLinked notes that an entry has linked, and returns the runs of it that
-// the agent knows.
-func (x *Executor) EntryLinked(now time.Duration, ref EntryRef) ([]tasklink.RunState, Effects) {
-	var fx Effects
-	e, ok := x.entries[ref.Name]
-	if ok && e.Incarnation != ref.Incarnation {
-		x.endAll(now, e, "its entry was restarted", &fx)
-		ok = false
-	}
-	if !ok {
-		e = &entry{EntryRef: ref}
-		x.entries[ref.Name] = e
-	}
-	e.echo, e.lastNumber, e.linked, e.silent, e.ends = now, 0, true, false, nil
-	return x.states(e), fx
-}
-
-// EntryUnlinked notes that the link to an entry is lost. Its runs go on until
-// the entry has been silent for SilenceLimit.
-func (x *Executor) EntryUnlinked(ref EntryRef) {
-	if e, ok := x.entries[ref.Name]; ok && e.EntryRef == ref {
-		e.linked = false
-	}
-}
-
-// states returns the runs of an entry that the agent knows.
-func (x *Executor) states(e *entry) []tasklink.RunState {
-	var states []tasklink.RunState
-	for _, r := range x.order {
-		if r.entry == e {
-			states = append(states, tasklink.RunState{Run: r.id})
-		}
-	}
-	for _, p := range e.past {
-		states = append(states, tasklink.RunState{Run: p.end.Run, Ending: p.end.Ending, Reason: p.end.Reason})
-	}
-	return states
-}
-
 // Ordered takes the orders of an entry.
 func (x *Executor) Ordered(now time.Duration, ref EntryRef, orders *tasklink.Orders) Effects {
 	var fx Effects
@@ -307,15 +250,6 @@
 	return len(x.runs) == 0
 }
 
-// tell reports an ending to an entry.
-func (x *Executor) tell(now time.Duration, e *entry, end tasklink.End, fx *Effects) {
-	e.past = append(e.past, pastEnd{at: now, end: end})
-	if e.linked {
-		e.ends = append(e.ends, end)
-		fx.notify(e.Name)
-	}
-}
-
 // add adds other effects.
 func (fx *Effects) add(other Effects) {
 	fx.Starts = append(fx.Starts, other.Starts...)
@@ -371,25 +305,6 @@
 	return fx
 }
 
-// owns reports whether an entry has a run here.
-func (x *Executor) owns(e *entry) bool {
-	for _, r := range x.order {
-		if r.entry == e {
-			return true
-		}
-	}
-	return false
-}
-
-// endAll ends all runs of an entry.
-func (x *Executor) endAll(now time.Duration, e *entry, reason string, fx *Effects) {
-	for _, r := range slices.Clone(x.order) {
-		if r.entry == e {
-			x.stop(now, r, reason, fx)
-		}
-	}
-}
-
 // lapse ends the runs whose lease has certainly lapsed.
 func (x *Executor) lapse(now time.Duration, fx *Effects) {
 	ended := false
@@ -404,17 +319,6 @@
 	}
 }
 
-// Update returns what an entry must be told.
-func (x *Executor) Update(now time.Duration, name string) (tasklink.Update, bool) {
-	e, ok := x.entries[name]
-	if !ok || !e.linked {
-		return tasklink.Update{}, false
-	}
-	u := tasklink.Update{Clock: int64(now), Ends: e.ends, LastNumber: e.lastNumber, Report: x.Report(now)}
-	e.ends = nil
-	return u, true
-}
-
 // Report describes the server.
 func (x *Executor) Report(now time.Duration) tasklink.Report {
 	free := x.free()
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -67,7 +68,7 @@
 	short.Starts[0].Expected = int64(20 * time.Millisecond)
 	c.Assert(started(x.Ordered(at(0), entry, short)), qt.DeepEquals, []int{0, 1})
 	for i := range 2 {
-		x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(i)}, 0, executor.StartDone)
+		x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(i)}, 0, nil)
 	}
 	fx := x.Held(at(50), at(10), &pollenfront.HoldReply{Clock: time.Second, Life: 1, Ended: []pollenfront.EndedRun{
 		{Ending: pollenfront.EndingDone, Number: 1, Run: runID(0)},
@@ -135,7 +136,7 @@
 			c := qt.New(t)
 			x := newExecutor()
 			x.Ordered(at(0), entry, order(at(0), 0))
-			x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, executor.StartDone)
+			x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, nil)
 			stops := 0
 			for i, percent := range test.percent {
 				now := at(100 * (i + 1))
@@ -160,13 +161,13 @@
 	x := newExecutor()
 	x.HoldOrder(at(0))
 	x.Ordered(at(0), entry, order(at(0), 0))
-	fx := x.StartAnswered(at(100), pollenfront.StartOrder{Run: runID(0)}, 0, executor.StartUnknown)
+	fx := x.StartAnswered(at(100), pollenfront.StartOrder{Run: runID(0)}, 0, context.DeadlineExceeded)
 	c.Assert(fx.Stops, qt.DeepEquals, []executor.StopOrder{{Run: runID(0), Token: 10}})
 	c.Assert(ends(x, at(100)), qt.HasLen, 0)
 	reply := &pollenfront.HoldReply{Clock: time.Second, Life: 1}
 	x.Held(at(110), at(90), reply)
 	c.Assert(ends(x, at(110)), qt.HasLen, 0)
-	x.StopAnswered(at(120), runID(0), 0, false)
+	x.StopAnswered(at(120), runID(0), 0, nil)
 	x.Held(at(130), at(110), reply)
 	c.Assert(ends(x, at(130)), qt.HasLen, 0)
 	x.Held(at(140), at(125), reply)
@@ -224,7 +225,7 @@
 	x := newExecutor()
 	x.HoldOrder(at(0))
 	x.Ordered(at(0), entry, order(at(0), 0))
-	x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, executor.StartDone)
+	x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, nil)
 	x.Ordered(at(600), entry, &tasklink.Orders{Echo: int64(at(600))})
 	x.Tick(at(610))
 	c.Assert(ends(x, at(610)), qt.HasLen, 0)
@@ -237,12 +238,12 @@
 	c := qt.New(t)
 	x := newExecutor()
 	x.Ordered(at(0), entry, order(at(0), 0, 1))
-	x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, executor.StartDone)
+	x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, nil)
 	x.EntryUnlinked(entry)
-	x.StartAnswered(at(2), pollenfront.StartOrder{Run: runID(1)}, 0, executor.StartRejected)
+	x.StartAnswered(at(2), pollenfront.StartOrder{Run: runID(1)}, 0, pollenfront.ErrRejected)
 	runs, _ := x.EntryLinked(at(3), entry)
 	c.Assert(runs, qt.DeepEquals, []tasklink.RunState{
-		{Run: runID(0)}, {Ending: pollenfront.EndingFailed, Reason: string(executor.StartRejected), Run: runID(1)},
+		{Run: runID(0)}, {Ending: pollenfront.EndingFailed, Reason: pollenfront.ErrRejected.Error(), Run: runID(1)},
 	})
 	later := pollenfront.EntryRef{Incarnation: 2, Name: entry.Name}
 	runs, fx := x.EntryLinked(at(4), later)
--- a/executor/run.go
+++ b/executor/run.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -166,7 +167,7 @@
 	if r.reason != "" {
 		reason = r.reason
 	}
-	end := tasklink.End{Run: r.id, Ending: ending, Passed: reason == string(StartPassed), Reason: reason}
+	end := tasklink.End{Run: r.id, Ending: ending, Passed: reason == pollenfront.ErrRunPassed.Error(), Reason: reason}
 	if r.state != queued {
 		took := now - r.sent
 		end.Seconds = took.Seconds()
@@ -178,12 +179,13 @@
 }
 
 // StartAnswered takes the server's answer to a start. err is nil if the server
-// has begun the run, and one of the errors of pollenfront.BackendServer if it
-// certainly has not.
-func (x *Executor) StartAnswered(now time.Duration, order pollenfront.StartOrder, clock time.Duration, err StartError) Effects {
+// has begun the run, one of the errors of pollenfront.BackendServer if it
+// certainly has not, and another error if it may still do so.
+func (x *Executor) StartAnswered(now time.Duration, order pollenfront.StartOrder, clock time.Duration, err error) Effects {
 	var fx Effects
 	x.learnClock(now, clock)
-	if err != StartUnknown {
+	unknown := err != nil && !certain(err)
+	if !unknown {
 		x.server.silent = false
 	}
 	r, ok := x.runs[order.Run.TaskID]
@@ -191,10 +193,10 @@
 		return fx
 	}
 	switch {
-	case err == StartUnknown:
+	case unknown:
 		x.server.silent = true
 		x.stop(now, r, "the server did not answer the start", &fx)
-	case err == StartDone:
+	case err == nil:
 		r.began, r.progress = true, now
 		if r.state == starting {
 			r.state = running
@@ -208,28 +210,41 @@
 	return fx
 }
 
+// certain reports whether an error says that an order was not carried out.
+func certain(err error) bool {
+	for _, known := range []error{
+		pollenfront.ErrFenced, pollenfront.ErrLate, pollenfront.ErrNoRoom, pollenfront.ErrRejected, pollenfront.ErrReplaced,
+		pollenfront.ErrRunPassed, pollenfront.ErrUnhealthy,
+	} {
+		if errors.Is(err, known) {
+			return true
+		}
+	}
+	return false
+}
+
 // startRefused decides what becomes of a run that the server did not begin.
-func (x *Executor) startRefused(now time.Duration, r *run, err StartError, fx *Effects) {
-	switch err {
-	case StartNoRoom:
+func (x *Executor) startRefused(now time.Duration, r *run, err error, fx *Effects) {
+	switch {
+	case errors.Is(err, pollenfront.ErrNoRoom):
 		r.noRoom++
 		x.resume = now + noRoomPause
 		if r.noRoom <= maxNoRoom {
 			x.requeue(r)
 			return
 		}
-	case StartFenced:
+	case errors.Is(err, pollenfront.ErrFenced):
 		x.token += fenceStep
 		x.requeue(r)
 		return
-	case StartUnhealthy:
+	case errors.Is(err, pollenfront.ErrUnhealthy):
 		x.measure.add(now, pollenfront.EndingFailed, 0, r.expected)
 	}
 	ending := pollenfront.EndingNotStarted
-	if err == StartRejected {
+	if errors.Is(err, pollenfront.ErrRejected) {
 		ending = pollenfront.EndingFailed
 	}
-	x.end(now, r, ending, string(err), fx)
+	x.end(now, r, ending, err.Error(), fx)
 }
 
 // fenceStep is added to the token if the server knows a higher one, which an
@@ -242,30 +257,17 @@
 	x.enqueue(r)
 }
 
-// StopAnswered takes the server's answer to a stop.
-func (x *Executor) StopAnswered(now time.Duration, id pollenfront.RunID, clock time.Duration, fenced bool) {
+// StopAnswered takes the server's answer to a stop. A stop that was not carried
+// out is repeated.
+func (x *Executor) StopAnswered(now time.Duration, id pollenfront.RunID, clock time.Duration, err error) {
 	x.learnClock(now, clock)
-	if fenced {
+	if errors.Is(err, pollenfront.ErrFenced) {
 		x.token += fenceStep
+	}
+	if err != nil {
 		return
 	}
 	if r, ok := x.runs[id.TaskID]; ok && r.id == id && r.state == stopping {
 		r.fenced = now
 	}
 }
-
-// A StartError says what became of a start order.
-type StartError string
-
-// Outcomes of a start order.
-const (
-	StartDone      StartError = ""
-	StartFenced    StartError = "the server has seen a higher fencing token"
-	StartLate      StartError = "the start reached the server too late"
-	StartNoRoom    StartError = "the server had no room"
-	StartPassed    StartError = "the server has passed this run"
-	StartRejected  StartError = "the server does not accept the task"
-	StartReplaced  StartError = "another incarnation of the server answered"
-	StartUnhealthy StartError = "the server takes no orders now"
-	StartUnknown   StartError = "the server did not answer"
-)
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -19,6 +19,9 @@
 	linkSilence = 1500 * time.Millisecond
 )
 
+// errNoAnswer means that an order was not answered.
+var errNoAnswer = errors.New("no answer")
+
 // An agentNode is an agent with its server.
 type agentNode struct {
 	node
@@ -190,17 +193,16 @@
 func (a *agentNode) perform(fx executor.Effects) {
 	for _, order := range fx.Starts {
 		a.call(func() error { return a.server.start(order) }, func(err error, answered bool) {
-			outcome := executor.StartUnknown
-			if answered {
-				outcome = startOutcome(err)
+			if !answered {
+				err = errNoAnswer
 			}
-			a.perform(a.executor.StartAnswered(a.fleet.now, order, a.fleet.now, outcome))
+			a.perform(a.executor.StartAnswered(a.fleet.now, order, a.fleet.now, err))
 		})
 	}
 	for _, order := range fx.Stops {
 		a.call(func() error { return a.server.stop(order.Run, order.Token) }, func(err error, answered bool) {
 			if answered {
-				a.executor.StopAnswered(a.fleet.now, order.Run, a.fleet.now, errors.Is(err, pollenfront.ErrFenced))
+				a.executor.StopAnswered(a.fleet.now, order.Run, a.fleet.now, err)
 			}
 		})
 	}
@@ -213,21 +215,6 @@
 	}
 }
 
-// startOutcome returns what an error of a start stands for.
-func startOutcome(err error) executor.StartError {
-	switch {
-	case err == nil:
-		return executor.StartDone
-	case errors.Is(err, pollenfront.ErrFenced):
-		return executor.StartFenced
-	case errors.Is(err, pollenfront.ErrLate):
-		return executor.StartLate
-	case errors.Is(err, pollenfront.ErrNoRoom):
-		return executor.StartNoRoom
-	}
-	return executor.StartPassed
-}
-
 // call sends an order to the server. Some are not answered and carried out
 // seconds later, as the settings say.
 func (a *agentNode) call(order func() error, answer func(err error, answered bool)) {
