--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -209,6 +209,7 @@
 func (s *Scheduler) wake(now time.Duration, fx *Effects) {
 	if s.ticked > 0 && now-s.ticked > suspensionLimit {
 		s.abandon(now, pollenfront.ReasonSuspended, fx)
+		s.started = now // What is known of the servers is as old as before a start.
 	}
 	s.ticked = now
 }
