--- a/agent/internal/work/link.go
+++ b/agent/internal/work/link.go
@@ -17,9 +17,13 @@
 
 // Parameters of dialling entries.
 const (
-	dialTimeout  = 400 * time.Millisecond
-	firstPause   = 60 * time.Millisecond
-	maxPause     = 500 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond
+	firstPause  = 60 * time.Millisecond
+	maxPause    = 500 * time.Millisecond
+	// An entry that was away for goneAfter was most likely removed, and is
+	// dialled every gonePause.
+	goneAfter    = 30 * time.Second
+	gonePause    = 5 * time.Second
 	readyPause   = 20 * time.Millisecond // While something of an earlier incarnation may run.
 	silenceLimit = 1500 * time.Millisecond
 )
@@ -33,7 +37,8 @@
 
 // Dial keeps a link to the entry at an address until ctx ends.
 func (w *Work) Dial(ctx context.Context, address string) {
-	pause := firstPause
+	pause, longest := firstPause, maxPause
+	lost := bootclock.Now()
 	for ctx.Err() == nil {
 		if !w.ready() {
 			program.Sleep(ctx, readyPause)
@@ -41,11 +46,14 @@
 		}
 		linked, err := w.dialOnce(ctx, address)
 		if linked {
-			pause = firstPause
+			pause, longest, lost = firstPause, maxPause, bootclock.Now()
 			w.logger.Warn("entry lost", zap.String("address", address), zap.Error(err))
 		}
 		program.Sleep(ctx, pause)
-		pause = min(pause*3/2, maxPause)
+		if bootclock.Now()-lost > goneAfter {
+			longest = gonePause
+		}
+		pause = min(pause*3/2, longest)
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -148,12 +148,6 @@
 	return now-s.started < learningTime
 }
 
-// Running reports whether the job has not ended.
-func (s *Scheduler) Running(id string) bool {
-	_, ok := s.jobs[id]
-	return ok
-}
-
 // Cancel gives up a job whose caller has left. There will be no answer.
 func (s *Scheduler) Cancel(now time.Duration, id string) *Effects {
 	fx := &Effects{}
--- a/store.go
+++ b/store.go
@@ -64,7 +64,4 @@
 
 	// Server returns what RememberServer has written, or false if it has not.
 	Server(ctx context.Context, agent string) (Announcement, bool, error)
-
-	// Unregister removes the record of an entry.
-	Unregister(ctx context.Context, name string) error
 }
