--- a/reason.go
+++ b/reason.go
@@ -42,7 +42,7 @@
 	ReasonTooLarge:     "ask for less room for each task",
 	ReasonUnconfigured: "submit again after the stated time",
 	ReasonUnroutable:   "use a queue of the operators' configuration",
-	ReasonUnsupported:  "submit a best-effort job of one step of plain tasks",
+	ReasonUnsupported:  "submit a job of one step of plain tasks that may run again",
 }
 
 // Remedy returns what the caller can do.
--- a/soak/internal/callers/callers.go
+++ b/soak/internal/callers/callers.go
@@ -8,24 +8,21 @@
 package callers
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pollenfront/pollenfront/soak/internal/promises"
+	"github.com/pollenfront/pollenfront/standin/caller"
 )
 
 // Parameters of callers.
 const (
 	attemptMargin = 200 * time.Millisecond
 	resendDelay   = 1300 * time.Millisecond
+	taskCPU       = 6000 // Thousandths of a core.
 )
 
 // Host is the host of all queues, and Service runs their jobs.
@@ -70,7 +67,7 @@
 
 // Callers submit jobs.
 type Callers struct {
-	client   *http.Client
+	caller   *caller.Caller
 	counts   Counts
 	entries  []string
 	mu       sync.Mutex
@@ -82,7 +79,7 @@
 // New returns callers of some entries.
 func New(entries []string, p *promises.Promises, seed uint64) *Callers {
 	return &Callers{
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, entries: entries, promises: p,
+		caller: caller.New(), entries: entries, promises: p,
 		random: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // A load needs a seed.
 	}
 }
@@ -114,26 +111,21 @@
 
 // submit submits a job, again and again as long as its outcome is not known.
 func (c *Callers) submit(id string, k Kind) {
-	limit := time.Now().Add(1500*time.Millisecond + 3*k.work)
-	payload := fmt.Sprintf(`{"cpu":6000,"work":%q}`, k.work)
-	body, err := json.Marshal(map[string]any{
-		"best-effort": true, "spec": payload,
-		"steps": []map[string]any{{"count": k.tasks, "cpu": 6000, "mem-mb": 64, "estimate-ms": k.work.Milliseconds()}},
-	})
-	if err != nil {
-		return
+	job := caller.Job{
+		CPU: taskCPU, Host: Host, Limit: time.Now().Add(1500*time.Millisecond + 3*k.work), Path: k.Prefix + id, Tasks: k.tasks, Work: k.work,
 	}
-	for time.Now().Before(limit) {
+	for time.Now().Before(job.Limit) {
 		c.promises.Submitted(id, k.tasks)
-		switch c.attempt(k.Prefix+id, body, limit) {
-		case http.StatusOK:
+		switch c.attempt(job) {
+		case caller.Completed:
 			c.promises.Completed(id)
 			c.count(func(n *Counts) { n.Completed++ })
 			return
-		case http.StatusServiceUnavailable:
+		case caller.Refused:
 			c.promises.Refused(id)
 			c.count(func(n *Counts) { n.Refused++ })
 			return
+		case caller.Unknown:
 		}
 		time.Sleep(resendDelay)
 	}
@@ -147,28 +139,12 @@
 	add(&c.counts)
 }
 
-// attempt submits a job once and returns the status of the answer, or 0.
-func (c *Callers) attempt(path string, body []byte, limit time.Time) int {
+// attempt submits a job once, to any entry.
+func (c *Callers) attempt(job caller.Job) caller.Outcome {
 	c.mu.Lock()
 	entry := c.entries[c.random.IntN(len(c.entries))]
 	c.mu.Unlock()
-	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(attemptMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), job.Limit.Add(attemptMargin))
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+path, bytes.NewReader(body))
-	if err != nil {
-		return 0
-	}
-	request.Host = Host
-	request.GetBody = nil // The transport must not repeat it by itself.
-	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(time.Until(limit).Milliseconds(), 10))
-	response, err := c.client.Do(request)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil || response.StatusCode == http.StatusOK && !bytes.Contains(answer, []byte(`"completed"`)) {
-		return 0
-	}
-	return response.StatusCode
+	return c.caller.Submit(ctx, entry, job)
 }
--- a/soak/internal/fleet/fleet.go
+++ b/soak/internal/fleet/fleet.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -104,31 +102,18 @@
 
 // Configure writes a version of the operators' configuration.
 func (f *Fleet) Configure(version int) {
-	var routes []map[string]any
+	var routes []store.Route
 	for _, k := range callers.Kinds {
-		routes = append(routes, map[string]any{
-			"name": strings.Trim(k.Prefix, "/"), "host": callers.Host, "path-prefix": k.Prefix, "priority": k.Priority,
-			"service": callers.Service, "max-attempts": 3, "stretch": 1.6, "target-latency-ms": 60, "timeout-ms": 1500,
+		routes = append(routes, store.Route{
+			Host: callers.Host, Name: strings.Trim(k.Prefix, "/"), Prefix: k.Prefix, Priority: k.Priority, Service: callers.Service,
 		})
 	}
-	config := map[string]any{
-		"version": version, "services": []map[string]any{{"name": callers.Service}}, "routes": routes,
-		"limits": map[string]any{"max-body-bytes": 262144},
-	}
-	text, err := json.Marshal(config)
-	if err != nil {
-		panic(err) // The value above can be encoded.
-	}
-	f.Store.Put("op", "config", base64.StdEncoding.EncodeToString(text))
+	f.Store.Configure(version, routes)
 }
 
 // SetZoneOut takes a zone out of service or returns it.
 func (f *Fleet) SetZoneOut(zone string, out bool) {
-	if out {
-		f.Store.Put("op", "evacuate/"+zone, "e30=")
-	} else {
-		f.Store.Remove("op", "evacuate/"+zone)
-	}
+	f.Store.SetZoneOut(zone, out)
 	f.Promises.TakenOut(zone, out)
 }
 
