--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -38,8 +38,7 @@
 type candidate struct {
 	*agent
 
-	free  pollenfront.Room
-	queue int // Thousandths of a core of what is placed beyond the free room.
+	free pollenfront.Room // Not needed by what was sent there, in this pass or before.
 }
 
 // place sends the tasks of waiting jobs to servers, the most urgent job first.
@@ -91,7 +90,7 @@
 
 // wait returns the time until a task would start on a server.
 func (c *candidate) wait(j *job) time.Duration {
-	if c.free.Holds(j.Need) && c.queue == 0 {
+	if c.free.Holds(j.Need) {
 		return 0
 	}
 	w := time.Duration(0)
