End a program at once when one of its parts fails

Cause: the part that waits for the signal to stop did not end with the others, so an entry or agent that could not listen logged it and then hung. Found by reading, shown by a script that ran into its limit before.

--- a/agent/server.go
+++ b/agent/server.go
@@ -97,11 +97,11 @@
 	program.AddServer(&group, &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, s.settings.API, s.logger)
 	program.OnHangup(&group, s.reload)
 	group.Add(func() error {
-		<-ctx.Done()
-		s.logger.Info("leaving")
-		leaveCtx, cancel := context.WithTimeout(partsCtx, time.Duration(s.settings.StopLimit)-stopMargin)
-		defer cancel()
-		s.work.Leave(leaveCtx)
+		select {
+		case <-ctx.Done():
+			s.leave(partsCtx)
+		case <-partsCtx.Done(): // Another part has failed.
+		}
 		return nil
 	}, func(error) {})
 
@@ -112,6 +112,15 @@
 	return err
 }
 
+// leave stops in a planned way: what is queued goes back to the entries, and the
+// agent ends when nothing runs.
+func (s *server) leave(ctx context.Context) {
+	s.logger.Info("leaving")
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.settings.StopLimit)-stopMargin)
+	defer cancel()
+	s.work.Leave(ctx)
+}
+
 // followEntries keeps links to all entries.
 func (s *server) followEntries(ctx context.Context) error {
 	s.dialAll(ctx, pollenfront.Entries{})
--- a/entry/server.go
+++ b/entry/server.go
@@ -110,8 +110,11 @@
 	program.AddServer(&group, &http.Server{Handler: router, ReadHeaderTimeout: callersHeaderTimeout}, s.settings.API, s.logger)
 	program.OnHangup(&group, s.reload)
 	group.Add(func() error {
-		<-ctx.Done()
-		s.leave(partsCtx, callersServer)
+		select {
+		case <-ctx.Done():
+			s.leave(partsCtx, callersServer)
+		case <-partsCtx.Done(): // Another part has failed.
+		}
 		return nil
 	}, func(error) {})
 
