--- a/agent/internal/work/work.go
+++ b/agent/internal/work/work.go
@@ -27,8 +27,8 @@
 
 // Limits on calls to the backend server, which is on the same machine.
 const (
-	holdMargin = 250 * time.Millisecond // Beyond the wait of a hold.
-	holdPause  = 50 * time.Millisecond  // After a hold that failed.
+	renewalMargin = 250 * time.Millisecond // Beyond the wait of a renewal.
+	renewalPause  = 50 * time.Millisecond  // After a renewal that failed.
 	// recallPause is the time between two attempts to read from the store.
 	recallPause = 200 * time.Millisecond
 	// rememberTimeout bounds one write to the store.
@@ -77,9 +77,9 @@
 	}
 }
 
-// Run holds the lease and lets time pass until ctx ends.
+// Run renews the lease and lets time pass until ctx ends.
 func (w *Work) Run(ctx context.Context) error {
-	go w.hold(ctx)
+	go w.renew(ctx)
 	ticker := time.NewTicker(executor.TickInterval)
 	defer ticker.Stop()
 	updated := bootclock.Now()
@@ -193,11 +193,11 @@
 	w.executor.StopAnswered(bootclock.Now(), order.Run, clock, err)
 }
 
-// hold holds the lease on what the server runs until ctx ends.
-func (w *Work) hold(ctx context.Context) {
+// renew renews the lease on what the server runs, again and again until ctx ends.
+func (w *Work) renew(ctx context.Context) {
 	reached := true
 	for ctx.Err() == nil {
-		err := w.holdOnce(ctx)
+		err := w.renewOnce(ctx)
 		if (err == nil) != reached {
 			reached = err == nil
 			if reached {
@@ -207,33 +207,33 @@
 			}
 		}
 		if err != nil {
-			program.Sleep(ctx, holdPause)
+			program.Sleep(ctx, renewalPause)
 		}
 	}
 }
 
-// holdOnce holds the lease once.
-func (w *Work) holdOnce(ctx context.Context) error {
+// renewOnce renews the lease once.
+func (w *Work) renewOnce(ctx context.Context) error {
 	w.mu.Lock()
 	sent := bootclock.Now()
-	order := w.executor.HoldOrder(sent)
+	order := w.executor.RenewalOrder(sent)
 	w.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, order.Wait+holdMargin)
+	ctx, cancel := context.WithTimeout(ctx, order.Wait+renewalMargin)
 	defer cancel()
-	reply, err := w.server.Hold(ctx, order)
+	reply, err := w.server.Renew(ctx, order)
 	switch {
 	case err == nil:
 		now := bootclock.Now()
-		w.apply(now, func() executor.Effects { return w.executor.Held(now, sent, &reply) })
+		w.apply(now, func() executor.Effects { return w.executor.Renewed(now, sent, &reply) })
 	case errors.Is(err, pollenfront.ErrReplaced):
 		w.server.SetInstance("") // Until it announces itself.
 	case errors.Is(err, pollenfront.ErrFenced):
 		w.mu.Lock()
-		w.executor.HoldFenced()
+		w.executor.RenewalFenced()
 		w.mu.Unlock()
 	default:
 		now := bootclock.Now()
-		w.apply(now, func() executor.Effects { return w.executor.HoldUnanswered(now) })
+		w.apply(now, func() executor.Effects { return w.executor.RenewalUnanswered(now) })
 	}
 	return err
 }
@@ -250,7 +250,7 @@
 		w.remember(a)
 	}
 	if state := w.executor.Report(now).State; state != former {
-		w.logger.Info("backend server announced", zap.String("instance", a.Instance), zap.Uint64("life", a.Life), zap.Uint8("state", uint8(state)),
+		w.logger.Info("backend server announced", zap.String("instance", a.Instance), zap.Uint64("incarnation", a.Incarnation), zap.Uint8("state", uint8(state)),
 			zap.Int("cpu", a.Capacity.CPU))
 	}
 	w.perform(now, effects)
@@ -290,7 +290,7 @@
 		}
 		if found {
 			now := bootclock.Now()
-			w.logger.Info("server recalled", zap.String("instance", a.Instance), zap.Uint64("life", a.Life))
+			w.logger.Info("server recalled", zap.String("instance", a.Instance), zap.Uint64("incarnation", a.Incarnation))
 			w.server.SetInstance(a.Instance)
 			w.apply(now, func() executor.Effects { return w.executor.Remember(now, a) })
 		}
--- a/backend_server.go
+++ b/backend_server.go
@@ -33,21 +33,21 @@
 	Token   uint64 // Fencing token.
 }
 
-// A HoldOrder extends the lease of all that runs on a backend server and asks
+// A RenewalOrder extends the lease of all that runs on a backend server and asks
 // what runs there.
-type HoldOrder struct {
+type RenewalOrder struct {
 	Acknowledged uint64        // Endings up to this number may be forgotten.
 	Lease        time.Duration // As in StartOrder.
 	Token        uint64        // Fencing token.
 	Wait         time.Duration // How long the server may wait for an ending.
 }
 
-// A HoldReply says what runs on a backend server.
-type HoldReply struct {
-	Clock   time.Duration // The server's clock.
-	Ended   []EndedRun
-	Life    uint64 // Incarnation of the server.
-	Running []RunningRun
+// A RenewalReply says what runs on a backend server.
+type RenewalReply struct {
+	Clock       time.Duration // The server's clock.
+	Ended       []EndedRun
+	Incarnation uint64 // Incarnation of the server.
+	Running     []RunningRun
 }
 
 // An EndedRun is a run that has ended, by its number in the server's list.
@@ -66,8 +66,8 @@
 // A BackendServer takes the orders of the agent beside it. Each call returns
 // the server's clock where it answered with one, and zero otherwise.
 type BackendServer interface {
-	// Hold extends the lease and returns what runs and what has ended.
-	Hold(ctx context.Context, order HoldOrder) (HoldReply, error)
+	// Renew extends the lease and returns what runs and what has ended.
+	Renew(ctx context.Context, order RenewalOrder) (RenewalReply, error)
 
 	// Start starts a run.
 	Start(ctx context.Context, order StartOrder) (time.Duration, error)
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -8,11 +8,11 @@
 
 // A Dump is the state of an executor for people to read.
 type Dump struct {
-	Clean  bool            `json:"clean"`
-	Life   uint64          `json:"life"`
-	Report tasklink.Report `json:"report"`
-	Runs   []RunDump       `json:"runs"`
-	Token  uint64          `json:"token"`
+	Clean       bool            `json:"clean"`
+	Incarnation uint64          `json:"incarnation"`
+	Report      tasklink.Report `json:"report"`
+	Runs        []RunDump       `json:"runs"`
+	Token       uint64          `json:"token"`
 }
 
 // A RunDump is the state of a run.
@@ -33,7 +33,7 @@
 
 // Dump returns the state of the executor.
 func (x *Executor) Dump(now time.Duration) Dump {
-	d := Dump{Clean: x.clean, Life: x.server.life, Report: x.Report(now), Token: x.token}
+	d := Dump{Clean: x.clean, Incarnation: x.server.incarnation, Report: x.Report(now), Token: x.token}
 	for _, r := range x.order {
 		d.Runs = append(d.Runs, RunDump{
 			Age: (now - r.sent).String(), Entry: r.entry.Name, Index: r.id.Index, Job: r.id.Job, Number: r.id.Number,
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -30,9 +30,9 @@
 
 // Parameters of the executor.
 const (
-	// HoldWait is how long a Hold waits for an ending, and so the longest
+	// RenewalWait is how long a renewal waits for an ending, and so the longest
 	// time between two extensions of the lease.
-	HoldWait = 150 * time.Millisecond
+	RenewalWait = 150 * time.Millisecond
 	// Lease is how long the server runs on without the agent.
 	Lease = 600 * time.Millisecond
 	// SilenceLimit is how long the runs of a silent entry go on. Together
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -23,7 +23,7 @@
 // newExecutor returns an executor whose server has room for two tasks.
 func newExecutor() *executor.Executor {
 	x := executor.New("service", "west", 10)
-	x.Announced(at(0), pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 12000}, Clock: time.Second, Life: 1, Sequence: 1, Zone: "west"})
+	x.Announced(at(0), pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 12000}, Clock: time.Second, Incarnation: 1, Sequence: 1, Zone: "west"})
 	x.EntryLinked(at(0), entry)
 	return x
 }
@@ -70,12 +70,12 @@
 	for i := range 2 {
 		x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(i)}, 0, nil)
 	}
-	fx := x.Held(at(50), at(10), &pollenfront.HoldReply{Clock: time.Second, Life: 1, Ended: []pollenfront.EndedRun{
+	fx := x.Renewed(at(50), at(10), &pollenfront.RenewalReply{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
 		{Ending: pollenfront.EndingDone, Number: 1, Run: runID(0)},
 	}, Running: []pollenfront.RunningRun{{Run: runID(1)}}})
 	c.Assert(started(fx), qt.DeepEquals, []int{2})
 	c.Assert(ends(x, at(50)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingDone})
-	c.Assert(x.HoldOrder(at(60)).Acknowledged, qt.Equals, uint64(1))
+	c.Assert(x.RenewalOrder(at(60)).Acknowledged, qt.Equals, uint64(1))
 }
 
 // TestFullServer replays many entries that find the same server free: what
@@ -99,14 +99,14 @@
 	}{
 		{name: "an order that was delayed", now: at(600), before: func(*executor.Executor) {}},
 		{name: "a server that drains", now: at(1), before: func(x *executor.Executor) {
-			x.Announced(at(1), pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 12000}, Clock: time.Second, Draining: true, Life: 1, Sequence: 2, Zone: "west"})
+			x.Announced(at(1), pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 12000}, Clock: time.Second, Draining: true, Incarnation: 1, Sequence: 2, Zone: "west"})
 		}},
 		{name: "a server that has left", now: at(1), before: func(x *executor.Executor) { x.Gone(at(1)) }},
 		{name: "a zone out of service", now: at(1), before: func(x *executor.Executor) {
 			x.Ordered(at(1), entry, &tasklink.Orders{Echo: int64(at(1)), Notice: tasklink.Notice{Version: 2, ZonesOut: []string{"west"}}})
 		}},
 		{name: "an agent that leaves", now: at(1), before: func(x *executor.Executor) { x.Leave(at(1)) }},
-		{name: "a server that does not answer", now: at(1), before: func(x *executor.Executor) { x.HoldUnanswered(at(1)) }},
+		{name: "a server that does not answer", now: at(1), before: func(x *executor.Executor) { x.RenewalUnanswered(at(1)) }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -122,7 +122,7 @@
 func TestRunsThatAreStopped(t *testing.T) {
 	tests := []struct {
 		name    string
-		percent []int // Progress in holds at each 100 ms.
+		percent []int // Progress in renewals at each 100 ms.
 		hear    bool  // Whether the entry is heard meanwhile.
 		stopped bool
 	}{
@@ -143,9 +143,9 @@
 				if test.hear {
 					x.Ordered(now, entry, &tasklink.Orders{Echo: int64(now)})
 				}
-				x.HoldOrder(now)
-				x.Held(now, now-time.Millisecond, &pollenfront.HoldReply{
-					Clock: time.Second, Life: 1, Running: []pollenfront.RunningRun{{Percent: percent, Run: runID(0)}},
+				x.RenewalOrder(now)
+				x.Renewed(now, now-time.Millisecond, &pollenfront.RenewalReply{
+					Clock: time.Second, Incarnation: 1, Running: []pollenfront.RunningRun{{Percent: percent, Run: runID(0)}},
 				})
 				stops += len(x.Tick(now).Stops)
 			}
@@ -159,33 +159,33 @@
 func TestUnansweredStart(t *testing.T) {
 	c := qt.New(t)
 	x := newExecutor()
-	x.HoldOrder(at(0))
+	x.RenewalOrder(at(0))
 	x.Ordered(at(0), entry, order(at(0), 0))
 	fx := x.StartAnswered(at(100), pollenfront.StartOrder{Run: runID(0)}, 0, context.DeadlineExceeded)
 	c.Assert(fx.Stops, qt.DeepEquals, []executor.StopOrder{{Run: runID(0), Token: 10}})
 	c.Assert(ends(x, at(100)), qt.HasLen, 0)
-	reply := &pollenfront.HoldReply{Clock: time.Second, Life: 1}
-	x.Held(at(110), at(90), reply)
+	reply := &pollenfront.RenewalReply{Clock: time.Second, Incarnation: 1}
+	x.Renewed(at(110), at(90), reply)
 	c.Assert(ends(x, at(110)), qt.HasLen, 0)
 	x.StopAnswered(at(120), runID(0), 0, nil)
-	x.Held(at(130), at(110), reply)
+	x.Renewed(at(130), at(110), reply)
 	c.Assert(ends(x, at(130)), qt.HasLen, 0)
-	x.Held(at(140), at(125), reply)
+	x.Renewed(at(140), at(125), reply)
 	c.Assert(ends(x, at(140)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingNotStarted})
 }
 
 // TestRestartedServer checks that runs which may have reached a server's new
-// life are stopped there before their entry is told.
+// incarnation are stopped there before their entry is told.
 func TestRestartedServer(t *testing.T) {
 	c := qt.New(t)
 	x := newExecutor()
-	x.HoldOrder(at(0))
+	x.RenewalOrder(at(0))
 	x.Ordered(at(0), entry, order(at(0), 0))
-	fx := x.Held(at(10), at(5), &pollenfront.HoldReply{Clock: time.Millisecond, Life: 2, Running: []pollenfront.RunningRun{{Run: runID(0)}}})
+	fx := x.Renewed(at(10), at(5), &pollenfront.RenewalReply{Clock: time.Millisecond, Incarnation: 2, Running: []pollenfront.RunningRun{{Run: runID(0)}}})
 	c.Assert(len(fx.Stops) > 0, qt.IsTrue)
 	c.Assert(fx.Stops[0].Token, qt.Equals, uint64(11))
 	c.Assert(ends(x, at(10)), qt.HasLen, 0)
-	x.Held(at(30), at(20), &pollenfront.HoldReply{Clock: time.Millisecond, Life: 2, Ended: []pollenfront.EndedRun{
+	x.Renewed(at(30), at(20), &pollenfront.RenewalReply{Clock: time.Millisecond, Incarnation: 2, Ended: []pollenfront.EndedRun{
 		{Ending: pollenfront.EndingStopped, Number: 1, Run: runID(0)},
 	}})
 	c.Assert(ends(x, at(30)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingStopped})
@@ -195,24 +195,26 @@
 // that announces itself, if the server has not been restarted too.
 func TestRemember(t *testing.T) {
 	tests := []struct {
-		name  string
-		life  uint64 // That the server states.
-		state tasklink.State
+		name        string
+		incarnation uint64 // That the server states.
+		state       tasklink.State
 	}{
-		{name: "the same life", life: 3, state: tasklink.StateReady},
-		{name: "a later life", life: 4, state: tasklink.StateAway},
+		{name: "the same incarnation", incarnation: 3, state: tasklink.StateReady},
+		{name: "a later incarnation", incarnation: 4, state: tasklink.StateAway},
 	}
 	for _, test := range tests {
-		for _, heldFirst := range []bool{false, true} {
+		for _, renewedFirst := range []bool{false, true} {
 			t.Run(test.name, func(t *testing.T) {
 				x := executor.New("service", "west", 10)
-				hold := func() { x.Held(at(10), at(5), &pollenfront.HoldReply{Clock: time.Second, Life: test.life}) }
-				if heldFirst {
-					hold()
+				renew := func() {
+					x.Renewed(at(10), at(5), &pollenfront.RenewalReply{Clock: time.Second, Incarnation: test.incarnation})
 				}
-				x.Remember(at(20), pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 12000}, Life: 3, Zone: "west"})
-				if !heldFirst {
-					hold()
+				if renewedFirst {
+					renew()
+				}
+				x.Remember(at(20), pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 12000}, Incarnation: 3, Zone: "west"})
+				if !renewedFirst {
+					renew()
 				}
 				qt.Assert(t, x.Report(at(30)).State, qt.Equals, test.state)
 			})
@@ -223,7 +225,7 @@
 func TestLeaseLapses(t *testing.T) {
 	c := qt.New(t)
 	x := newExecutor()
-	x.HoldOrder(at(0))
+	x.RenewalOrder(at(0))
 	x.Ordered(at(0), entry, order(at(0), 0))
 	x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, nil)
 	x.Ordered(at(600), entry, &tasklink.Orders{Echo: int64(at(600))})
--- a/executor/run.go
+++ b/executor/run.go
@@ -130,7 +130,7 @@
 	for _, r := range x.order {
 		switch {
 		case r.state != running || r.once:
-		case x.server.held-r.progress > stuckLimit:
+		case x.server.renewed-r.progress > stuckLimit:
 			x.measure.add(now, pollenfront.EndingFailed, 0, r.expected)
 			x.stop(now, r, "it made no progress", fx)
 		case r.id.Number == 1 && x.tooSlow(now, r):
--- a/executor/server.go
+++ b/executor/server.go
@@ -15,11 +15,11 @@
 	clock        time.Duration // The server's clock less the agent's.
 	clockKnown   bool
 	draining     bool
-	held         time.Duration // When the newest answered hold was sent.
+	renewed      time.Duration // When the newest answered renewal was sent.
 	labels       []string
-	known        bool // Whether it has announced itself in its present life.
+	known        bool // Whether it has announced itself in its present incarnation.
 	lapse        time.Duration
-	life         uint64
+	incarnation  uint64
 	sequence     uint64
 	silent       bool // It did not answer the newest order.
 	zone         string
@@ -29,11 +29,11 @@
 // announcement was taken: a delayed one is passed over.
 func (x *Executor) Announced(now time.Duration, a pollenfront.Announcement) (fx Effects, taken bool) {
 	s := &x.server
-	if a.Life < s.life || a.Life == s.life && a.Sequence < s.sequence {
+	if a.Incarnation < s.incarnation || a.Incarnation == s.incarnation && a.Sequence < s.sequence {
 		return fx, false
 	}
-	if a.Life > s.life {
-		x.reborn(now, a.Life, &fx)
+	if a.Incarnation > s.incarnation {
+		x.reborn(now, a.Incarnation, &fx)
 	}
 	before := x.state()
 	s.capacity, s.draining, s.known, s.labels, s.sequence, s.zone = a.Capacity, a.Draining, true, a.Labels, a.Sequence, a.Zone
@@ -46,16 +46,16 @@
 }
 
 // Remember takes what the server had announced to an earlier incarnation of the
-// agent. It holds if the server is still in that life, until it announces
+// agent. It holds if the server is still in that incarnation, until it announces
 // itself again.
 func (x *Executor) Remember(now time.Duration, a pollenfront.Announcement) Effects {
 	x.remembered = a
 	return x.recall(now)
 }
 
-// recall takes over what is remembered of the server's present life.
+// recall takes over what is remembered of the server's present incarnation.
 func (x *Executor) recall(now time.Duration) Effects {
-	if x.server.known || x.remembered.Life == 0 || x.remembered.Life != x.server.life {
+	if x.server.known || x.remembered.Incarnation == 0 || x.remembered.Incarnation != x.server.incarnation {
 		return Effects{}
 	}
 	fx, _ := x.Announced(now, x.remembered)
@@ -72,13 +72,13 @@
 	return fx
 }
 
-// reborn forgets the server's former life. Orders that were under way may have
-// reached either life, so every run is stopped in the new one before its entry
+// reborn forgets the server's former incarnation. Orders that were under way may have
+// reached either incarnation, so every run is stopped in the new one before its entry
 // is told that it has ended.
-func (x *Executor) reborn(now time.Duration, life uint64, fx *Effects) {
+func (x *Executor) reborn(now time.Duration, incarnation uint64, fx *Effects) {
 	former := x.server
-	x.server = server{lapse: former.lapse, life: life}
-	if former.life == 0 {
+	x.server = server{lapse: former.lapse, incarnation: incarnation}
+	if former.incarnation == 0 {
 		return
 	}
 	x.token++
@@ -118,27 +118,27 @@
 	return now + x.server.clock + Lease
 }
 
-// HoldOrder returns the next order to hold the lease.
-func (x *Executor) HoldOrder(now time.Duration) pollenfront.HoldOrder {
-	order := pollenfront.HoldOrder{Acknowledged: x.server.acknowledged, Token: x.token, Wait: HoldWait}
+// RenewalOrder returns the next order to renew the lease.
+func (x *Executor) RenewalOrder(now time.Duration) pollenfront.RenewalOrder {
+	order := pollenfront.RenewalOrder{Acknowledged: x.server.acknowledged, Token: x.token, Wait: RenewalWait}
 	if x.server.clockKnown {
 		order.Lease = x.lease(now)
 	}
 	return order
 }
 
-// Held takes the answer to a hold that was sent at an instant.
-func (x *Executor) Held(now, sent time.Duration, reply *pollenfront.HoldReply) Effects {
+// Renewed takes the answer to a renewal that was sent at an instant.
+func (x *Executor) Renewed(now, sent time.Duration, reply *pollenfront.RenewalReply) Effects {
 	var fx Effects
-	if reply.Life < x.server.life {
+	if reply.Incarnation < x.server.incarnation {
 		return fx
 	}
-	if reply.Life > x.server.life {
-		x.reborn(now, reply.Life, &fx)
+	if reply.Incarnation > x.server.incarnation {
+		x.reborn(now, reply.Incarnation, &fx)
 	}
 	x.learnClock(now, reply.Clock)
 	before := x.state()
-	x.server.held, x.server.silent = sent, false
+	x.server.renewed, x.server.silent = sent, false
 	for _, ended := range reply.Ended {
 		if ended.Number <= x.server.acknowledged {
 			continue
@@ -157,8 +157,8 @@
 	return fx
 }
 
-// HoldUnanswered notes that the server did not answer a hold.
-func (x *Executor) HoldUnanswered(now time.Duration) Effects {
+// RenewalUnanswered notes that the server did not answer a renewal.
+func (x *Executor) RenewalUnanswered(now time.Duration) Effects {
 	var fx Effects
 	if !x.server.silent && x.server.known {
 		x.server.silent = true
@@ -168,8 +168,8 @@
 	return fx
 }
 
-// HoldFenced notes that the server knows a higher fencing token.
-func (x *Executor) HoldFenced() {
+// RenewalFenced notes that the server knows a higher fencing token.
+func (x *Executor) RenewalFenced() {
 	x.token += fenceStep
 }
 
@@ -206,9 +206,9 @@
 	}
 }
 
-// listed reports whether a hold sent at an instant must list a run that goes on.
+// listed reports whether a renewal sent at an instant must list a run that goes on.
 func (r *run) listed(sent time.Duration) bool {
-	return sent-r.sent > 2*HoldWait
+	return sent-r.sent > 2*RenewalWait
 }
 
 // stoppedEnding returns how a stopped run that the server does not list ended.
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -12,11 +12,11 @@
 
 // Times after which an agent takes a call to its server for lost.
 const (
-	callTimeout = 100 * time.Millisecond
-	holdTimeout = executor.HoldWait + 120*time.Millisecond
-	holdPause   = 50 * time.Millisecond
-	racks       = 4
-	linkSilence = 1500 * time.Millisecond
+	callTimeout    = 100 * time.Millisecond
+	renewalTimeout = executor.RenewalWait + 250*time.Millisecond
+	renewalPause   = 50 * time.Millisecond
+	racks          = 4
+	linkSilence    = 1500 * time.Millisecond
 )
 
 // errNoAnswer means that an order was not answered.
@@ -47,7 +47,7 @@
 	up         bool
 }
 
-// do lets something happen to the present life of a node, now or when it wakes.
+// do lets something happen to the present incarnation of a node, now or when it wakes.
 func (n *node) do(generation int, happen func()) {
 	switch {
 	case generation != n.generation || !n.up:
@@ -58,7 +58,7 @@
 	}
 }
 
-// later lets something happen to the present life of a node after a time.
+// later lets something happen to the present incarnation of a node after a time.
 func (n *node) later(d time.Duration, happen func()) {
 	generation := n.generation
 	n.fleet.after(d, func() { n.do(generation, happen) })
@@ -95,7 +95,7 @@
 	a.refs = make(map[int]pollenfront.EntryRef)
 	a.tick()
 	a.update()
-	a.hold()
+	a.renew()
 	a.announce()
 	for e := range a.fleet.entries {
 		a.dial(e)
@@ -138,49 +138,49 @@
 	if !a.server.dark {
 		a.sequence++
 		fx, _ := a.executor.Announced(a.fleet.now, pollenfront.Announcement{
-			Capacity: a.server.room, Labels: []string{a.rack()}, Clock: a.fleet.now, Life: a.server.life, Sequence: a.sequence, Zone: zone,
+			Capacity: a.server.room, Labels: []string{a.rack()}, Clock: a.fleet.now, Incarnation: a.server.incarnation, Sequence: a.sequence, Zone: zone,
 		})
 		a.perform(fx)
 	}
 	a.later(announcements, a.announce)
 }
 
-// hold holds the lease of the server.
-func (a *agentNode) hold() {
+// renew renews the lease of the server.
+func (a *agentNode) renew() {
 	sent := a.fleet.now
-	order := a.executor.HoldOrder(sent)
+	order := a.executor.RenewalOrder(sent)
 	over := false
 	again := func(pause time.Duration) {
 		if !over {
 			over = true
-			a.later(pause, a.hold)
+			a.later(pause, a.renew)
 		}
 	}
-	a.later(holdTimeout, func() {
+	a.later(renewalTimeout, func() {
 		if !over {
-			a.perform(a.executor.HoldUnanswered(a.fleet.now))
-			again(holdPause)
+			a.perform(a.executor.RenewalUnanswered(a.fleet.now))
+			again(renewalPause)
 		}
 	})
 	if a.server.dark {
 		return
 	}
-	life := a.server.life
+	incarnation := a.server.incarnation
 	generation := a.generation
 	a.fleet.after(callDelay, func() {
-		if a.server.life != life {
+		if a.server.incarnation != incarnation {
 			return
 		}
-		a.server.hold(order, func(reply *pollenfront.HoldReply, err error) {
+		a.server.renew(order, func(reply *pollenfront.RenewalReply, err error) {
 			a.fleet.after(callDelay, func() {
 				a.do(generation, func() {
-					if over || a.server.dark || a.server.life != life {
+					if over || a.server.dark || a.server.incarnation != incarnation {
 						return
 					}
 					if err != nil {
-						a.executor.HoldFenced()
+						a.executor.RenewalFenced()
 					} else {
-						a.perform(a.executor.Held(a.fleet.now, sent, reply))
+						a.perform(a.executor.Renewed(a.fleet.now, sent, reply))
 					}
 					again(0)
 				})
@@ -218,9 +218,9 @@
 // call sends an order to the server. Some are not answered and carried out
 // seconds later, as the settings say.
 func (a *agentNode) call(order func() error, answer func(err error, answered bool)) {
-	life := a.server.life
+	incarnation := a.server.incarnation
 	carryOut := func() (error, bool) {
-		if a.server.life != life || a.server.dark {
+		if a.server.incarnation != incarnation || a.server.dark {
 			return nil, false
 		}
 		return order(), true
--- a/replay/server.go
+++ b/replay/server.go
@@ -18,7 +18,7 @@
 	fleet        *Fleet
 	hanging      bool // What runs makes no progress.
 	lease        time.Duration
-	life         uint64
+	incarnation  uint64
 	number       uint64
 	passed       map[pollenfront.TaskID]int // The highest run that was ended or stopped.
 	rack         string
@@ -26,7 +26,7 @@
 	runs         map[pollenfront.TaskID]*serverRun
 	speed        float64
 	token        uint64
-	waiter       func() // Answers the hold that waits for an ending.
+	waiter       func() // Answers the renewal that waits for an ending.
 }
 
 // A serverRun is a run on a server.
@@ -42,7 +42,7 @@
 // newServerNode returns a server with all its room free.
 func newServerNode(f *Fleet, speed float64) *serverNode {
 	return &serverNode{
-		fleet: f, life: 1, passed: make(map[pollenfront.TaskID]int), room: pollenfront.Room{CPU: serverCPU, Memory: serverMemory},
+		fleet: f, incarnation: 1, passed: make(map[pollenfront.TaskID]int), room: pollenfront.Room{CPU: serverCPU, Memory: serverMemory},
 		runs: make(map[pollenfront.TaskID]*serverRun), speed: speed,
 	}
 }
@@ -145,9 +145,9 @@
 	return nil
 }
 
-// reply returns the answer to a hold.
-func (s *serverNode) reply() *pollenfront.HoldReply {
-	reply := &pollenfront.HoldReply{Clock: s.fleet.now, Life: s.life}
+// reply returns the answer to a renewal.
+func (s *serverNode) reply() *pollenfront.RenewalReply {
+	reply := &pollenfront.RenewalReply{Clock: s.fleet.now, Incarnation: s.incarnation}
 	for _, e := range s.ended {
 		if e.Number > s.acknowledged {
 			reply.Ended = append(reply.Ended, e)
@@ -159,8 +159,8 @@
 	return reply
 }
 
-// hold carries out an order to hold the lease and answers it.
-func (s *serverNode) hold(order pollenfront.HoldOrder, answer func(*pollenfront.HoldReply, error)) {
+// renew carries out an order to renew the lease and answers it.
+func (s *serverNode) renew(order pollenfront.RenewalOrder, answer func(*pollenfront.RenewalReply, error)) {
 	if order.Token < s.token {
 		answer(nil, pollenfront.ErrFenced)
 		return
@@ -204,10 +204,10 @@
 	}
 }
 
-// crash ends a life of the server.
+// crash ends an incarnation of the server.
 func (s *serverNode) crash() {
 	s.endAll()
-	s.life++
+	s.incarnation++
 	s.token, s.number, s.acknowledged, s.ended, s.lease, s.waiter = 0, 0, 0, nil, 0, nil
 	clear(s.passed)
 }
--- a/soak/internal/promises/promises.go
+++ b/soak/internal/promises/promises.go
@@ -16,9 +16,9 @@
 	"time"
 )
 
-// evacuationTime is how long after an order tasks may start in a zone that is
+// zoneOutTime is how long after an order tasks may start in a zone that is
 // out of service.
-const evacuationTime = 5 * time.Second
+const zoneOutTime = 5 * time.Second
 
 // Promises records what happens and checks it.
 type Promises struct {
@@ -91,7 +91,7 @@
 		return
 	}
 	p.jobs[id].started = true
-	if since, ok := p.out[p.zones[server]]; ok && time.Since(since) > evacuationTime {
+	if since, ok := p.out[p.zones[server]]; ok && time.Since(since) > zoneOutTime {
 		p.violate("task %s starts in zone %s, which was taken out %v before", task, p.zones[server], time.Since(since))
 	}
 }
--- a/standin/backendserver/server_test.go
+++ b/standin/backendserver/server_test.go
@@ -67,13 +67,13 @@
 	_, err = client.Start(ctx, order(1, 1, 4))
 	c.Assert(err, qt.ErrorIs, pollenfront.ErrFenced)
 
-	held, err := client.Hold(ctx, pollenfront.HoldOrder{Lease: time.Hour, Token: 5, Wait: time.Second})
+	held, err := client.Renew(ctx, pollenfront.RenewalOrder{Lease: time.Hour, Token: 5, Wait: time.Second})
 	c.Assert(err, qt.IsNil)
 	c.Assert(held.Running, qt.HasLen, 0)
 	c.Assert(held.Ended, qt.DeepEquals, []pollenfront.EndedRun{{Ending: pollenfront.EndingDone, Number: 1, Run: order(0, 1, 5).Run}})
 	_, err = client.Start(ctx, order(0, 1, 5))
 	c.Assert(err, qt.ErrorIs, pollenfront.ErrRunPassed)
-	held, err = client.Hold(ctx, pollenfront.HoldOrder{Acknowledged: 1, Token: 5})
+	held, err = client.Renew(ctx, pollenfront.RenewalOrder{Acknowledged: 1, Token: 5})
 	c.Assert(err, qt.IsNil)
 	c.Assert(held.Ended, qt.HasLen, 0)
 
@@ -104,7 +104,7 @@
 	short.Lease = 40 * time.Millisecond
 	_, err := client.Start(ctx, short)
 	c.Assert(err, qt.IsNil)
-	held, err := client.Hold(ctx, pollenfront.HoldOrder{Token: 1, Wait: time.Second})
+	held, err := client.Renew(ctx, pollenfront.RenewalOrder{Token: 1, Wait: time.Second})
 	c.Assert(err, qt.IsNil)
 	c.Assert(held.Ended[0].Ending, qt.Equals, pollenfront.EndingLost)
 }
@@ -134,7 +134,7 @@
 				return
 			}
 			c.Assert(err, qt.IsNil)
-			held, err := client.Hold(ctx, pollenfront.HoldOrder{Lease: time.Hour, Token: 1, Wait: time.Second})
+			held, err := client.Renew(ctx, pollenfront.RenewalOrder{Lease: time.Hour, Token: 1, Wait: time.Second})
 			c.Assert(err, qt.IsNil)
 			c.Assert(held.Ended[0].Ending, qt.Equals, test.how)
 		})
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -86,7 +86,7 @@
 	_, found, err := client.Server(ctx, "agent-1")
 	c.Assert(err, qt.IsNil)
 	c.Assert(found, qt.IsFalse)
-	a := pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 64000}, Instance: "i-1", Labels: []string{"a"}, Life: 7, Zone: "west"}
+	a := pollenfront.Announcement{Capacity: pollenfront.Room{CPU: 64000}, Instance: "i-1", Labels: []string{"a"}, Incarnation: 7, Zone: "west"}
 	c.Assert(client.RememberServer(ctx, "agent-10", a), qt.IsNil)
 	_, found, err = client.Server(ctx, "agent-1")
 	c.Assert(err, qt.IsNil)
