--- a/conclusion.go
+++ b/conclusion.go
@@ -41,6 +41,12 @@
 	Verdict    Verdict
 }
 
+// RetrySeconds returns a time after which a caller may come back in whole
+// seconds, rounded up.
+func RetrySeconds(after time.Duration) int {
+	return int((after + time.Second - 1) / time.Second)
+}
+
 // A Trace tells what took a submission's time.
 type Trace struct {
 	Due      time.Duration // Time after its arrival until which it was in time.
--- a/entry/internal/callers/api.go
+++ b/entry/internal/callers/api.go
@@ -136,8 +136,7 @@
 // answer writes how a job ended.
 func answer(w http.ResponseWriter, end pollenfront.Conclusion) {
 	if end.RetryAfter > 0 {
-		seconds := (end.RetryAfter + time.Second - 1) / time.Second
-		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+		w.Header().Set("Retry-After", strconv.Itoa(pollenfront.RetrySeconds(end.RetryAfter)))
 	}
 	observe.WriteJSON(w, status(end), answerBody{
 		Detail: end.Detail, ID: end.ID, Reason: end.Reason, Remedy: end.Reason.Remedy(),
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -177,7 +177,7 @@
 		}
 		r := &run{
 			accepted: now, entry: e, expected: time.Duration(s.Expected), id: id, need: s.Need, once: s.Once, payload: s.Payload,
-			priority: min(max(s.Priority, 0), priorities-1), urgent: now + time.Duration(s.Urgency),
+			priority: priority(s), urgent: now + time.Duration(s.Urgency),
 		}
 		x.runs[id.TaskID] = r
 		x.order = append(x.order, r)
@@ -188,14 +188,15 @@
 
 // full reports whether a task of a start order would wait for too long.
 func (x *Executor) full(now time.Duration, s *tasklink.Start) bool {
-	free := x.free()
-	for _, r := range x.queue {
-		free = free.Sub(r.need)
-	}
-	if free.Holds(s.Need) {
+	if x.unclaimed().Holds(s.Need) {
 		return false
 	}
-	return x.waits(now)[min(max(s.Priority, 0), priorities-1)] > int(maxWait/time.Millisecond)
+	return x.waits(now)[priority(s)] > int(maxWait/time.Millisecond)
+}
+
+// priority returns the priority of a start order among those told apart here.
+func priority(s *tasklink.Start) int {
+	return min(max(s.Priority, 0), priorities-1)
 }
 
 // refusal returns why no run of a start order may start, or "".
@@ -228,12 +229,7 @@
 
 // zoneOut reports whether the zone of the server is out of service.
 func (x *Executor) zoneOut() bool {
-	for _, zone := range x.notice.ZonesOut {
-		if zone == x.server.zone || zone == x.zone {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(x.notice.ZonesOut, x.server.zone) || slices.Contains(x.notice.ZonesOut, x.zone)
 }
 
 // Leave returns what is queued to the entries and refuses new tasks.
@@ -321,14 +317,10 @@
 
 // Report describes the server.
 func (x *Executor) Report(now time.Duration) tasklink.Report {
-	free := x.free()
-	for _, r := range x.queue {
-		free = free.Sub(r.need)
-	}
 	return tasklink.Report{
 		Capacity:   x.server.capacity,
 		FailRate:   x.measure.failRate,
-		Free:       free,
+		Free:       x.unclaimed(),
 		Labels:     x.server.labels,
 		Notice:     x.notice,
 		RunSeconds: x.measure.runTime.Seconds(),
--- a/executor/run.go
+++ b/executor/run.go
@@ -104,6 +104,16 @@
 	return free
 }
 
+// unclaimed returns the room that neither a started nor a queued run needs. It
+// may be negative.
+func (x *Executor) unclaimed() pollenfront.Room {
+	free := x.free()
+	for _, r := range x.queue {
+		free = free.Sub(r.need)
+	}
+	return free
+}
+
 // stop ends a run as soon as possible.
 func (x *Executor) stop(now time.Duration, r *run, reason string, fx *Effects) {
 	switch r.state {
--- a/executor/server.go
+++ b/executor/server.go
@@ -198,7 +198,7 @@
 			continue
 		}
 		switch {
-		case r.state == running && r.sent < sent && r.began && r.listed(sent):
+		case r.state == running && r.listed(sent):
 			x.end(now, r, pollenfront.EndingLost, "the server does not know it any more", fx)
 		case r.state == stopping && r.fenced != 0 && r.fenced < sent:
 			x.end(now, r, r.stoppedEnding(), r.reason, fx)
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -146,12 +146,7 @@
 	if !a.linked || a.report.State != tasklink.StateReady || now-a.heard > SuspicionLimit {
 		return false
 	}
-	for _, zone := range s.notice.ZonesOut {
-		if zone == a.zone {
-			return false
-		}
-	}
-	return true
+	return !slices.Contains(s.notice.ZonesOut, a.zone)
 }
 
 // Usable returns the number of agents that may be sent tasks.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -99,7 +99,7 @@
 	}
 	lacking := max(0, j.Need.CPU-c.free.CPU)
 	if c.report.Free.CPU < 0 {
-		lacking -= -c.report.Free.CPU // The reported wait covers it.
+		lacking += c.report.Free.CPU // The reported wait covers it.
 	}
 	share := float64(max(0, lacking)) / float64(max(1, c.report.Capacity.CPU))
 	return w + time.Duration(share*c.report.RunSeconds*float64(time.Second)) + time.Millisecond
@@ -210,7 +210,8 @@
 		t.run.Number++
 		j.trace.Runs++
 		t.agent, t.state, t.sent, t.incarnation = a, taskSent, now, a.Incarnation
-		t.expected = time.Duration(float64(s.expectedOn(j, a)) * max(1, a.report.Slowness))
+		expected := s.expectedOn(j, a)
+		t.expected = time.Duration(float64(expected) * max(1, a.report.Slowness))
 		a.tasks[t.run] = t
 		a.unseen = append(a.unseen, unseenStart{need: j.Need, number: a.number})
 		o := fx.orders(s, a)
@@ -223,7 +224,7 @@
 				Agent: a.Name, Free: candidates[chosen[next-1]].free.CPU, Job: j.ID, ReportAge: now - a.heard, Slowness: a.report.Slowness, Waited: now - j.arrived,
 			})
 			o.Starts = append(o.Starts, tasklink.Start{
-				Expected: int64(s.expectedOn(j, a)), Job: j.ID, Need: j.Need, Once: j.Once, Payload: j.Payload, Priority: j.Route.Priority,
+				Expected: int64(expected), Job: j.ID, Need: j.Need, Once: j.Once, Payload: j.Payload, Priority: j.Route.Priority,
 				Service: a.service, Step: j.Step, Urgency: int64(j.key - now),
 			})
 		}
