Order an unanswered start again, and let renewals overlap while the server is in doubt

Cause: while orders to servers are lost (carried out seconds later), an unanswered start was stopped and its room held until a later renewal was answered, 0.3 to 0.6 s for a task of 60 ms; a lost renewal hid all endings for 450 ms, made the server unusable and returned its queue.

Change: a start is idempotent at the server, so it is ordered again as the same run after 35 ms, or 15 ms in doubt, up to six times. A refusal of a repeated start does not say that the first was not carried out: it is stopped and fenced, or, if the server has passed the run, its ending is awaited. In doubt a renewal is sent every 15 ms whether or not the one before is answered; an answer that was overtaken is passed over. A server is away when it has answered nothing for 100 ms after a start or 250 ms of renewals, or when nothing listens at its address. Nothing starts now for an entry that is silent, whatever the agent hears first. A run that was ordered before the server was restarted counts as begun.

TestUnansweredStart now lets six orders go unanswered before it expects the stop, with later instants; what it asserts is as before.

--- a/agent/internal/work/work.go
+++ b/agent/internal/work/work.go
@@ -27,15 +27,12 @@
 
 // Limits on calls to the backend server, which is on the same machine.
 const (
-	renewalMargin = 250 * time.Millisecond // Beyond the wait of a renewal.
-	renewalPause  = 50 * time.Millisecond  // After a renewal that failed.
 	// recallPause is the time between two attempts to read from the store.
 	recallPause = 200 * time.Millisecond
 	// rememberTimeout bounds one write to the store.
 	rememberTimeout = time.Second
 	// stateInterval is the time between two lines of the log on the state.
 	stateInterval = 5 * time.Second
-	orderTimeout  = 100 * time.Millisecond
 )
 
 // A Server is a backend server whose incarnation can be named.
@@ -52,6 +49,7 @@
 	linkCount uint64                // Links to any entry since the start.
 	links     map[string]*entryLink // By entry.
 	logger    *zap.Logger
+	lost      bool // Whether the newest renewal failed.
 	metrics   *metrics
 	mu        sync.Mutex
 	self      tasklink.Hello
@@ -167,7 +165,7 @@
 
 // start orders the server to start a run.
 func (w *Work) start(order pollenfront.StartOrder) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), order.Timeout)
 	defer cancel()
 	began := bootclock.Now()
 	clock, err := w.server.Start(ctx, order)
@@ -181,7 +179,7 @@
 
 // stop orders the server to stop a run.
 func (w *Work) stop(order executor.StopOrder) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), executor.StopTimeout)
 	defer cancel()
 	clock, err := w.server.Stop(ctx, order.Run, order.Token)
 	w.mu.Lock()
@@ -195,32 +193,44 @@
 
 // renew renews the lease on what the server runs, again and again until ctx ends.
 func (w *Work) renew(ctx context.Context) {
-	reached := true
 	for ctx.Err() == nil {
-		err := w.renewOnce(ctx)
-		if (err == nil) != reached {
-			reached = err == nil
-			if reached {
-				w.logger.Info("backend server regained")
-			} else {
-				w.logger.Warn("backend server lost", zap.Error(err))
+		sent := bootclock.Now()
+		w.mu.Lock()
+		order := w.executor.RenewalOrder(sent)
+		w.mu.Unlock()
+		answered := make(chan error, 1)
+		go func() { answered <- w.renewOnce(ctx, sent, order) }()
+		select {
+		case err := <-answered:
+			if err != nil {
+				program.Sleep(ctx, executor.RenewalPause)
 			}
-		}
-		if err != nil {
-			program.Sleep(ctx, renewalPause)
+		case <-time.After(order.Next):
 		}
 	}
 }
 
-// renewOnce renews the lease once.
-func (w *Work) renewOnce(ctx context.Context) error {
+// logReached logs that the server is lost or regained.
+func (w *Work) logReached(err error) {
 	w.mu.Lock()
-	sent := bootclock.Now()
-	order := w.executor.RenewalOrder(sent)
-	w.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, order.Wait+renewalMargin)
+	defer w.mu.Unlock()
+	if w.lost == (err != nil) {
+		return
+	}
+	w.lost = err != nil
+	if w.lost {
+		w.logger.Warn("backend server lost", zap.Error(err))
+		return
+	}
+	w.logger.Info("backend server regained")
+}
+
+// renewOnce renews the lease once.
+func (w *Work) renewOnce(ctx context.Context, sent time.Duration, order pollenfront.RenewalOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, order.Timeout)
 	defer cancel()
 	reply, err := w.server.Renew(ctx, order)
+	w.logReached(err)
 	switch {
 	case err == nil:
 		now := bootclock.Now()
@@ -233,7 +243,7 @@
 		w.mu.Unlock()
 	default:
 		now := bootclock.Now()
-		w.apply(now, func() executor.Effects { return w.executor.RenewalUnanswered(now) })
+		w.apply(now, func() executor.Effects { return w.executor.RenewalUnanswered(now, err) })
 	}
 	return err
 }
--- a/backend_server.go
+++ b/backend_server.go
@@ -21,6 +21,8 @@
 	ErrReplaced = errors.New("another incarnation of the backend server answered")
 	// ErrRunPassed means that the server has ended or stopped this or a later run of the task.
 	ErrRunPassed = errors.New("the backend server has passed this run of the task")
+	// ErrUnreachable means that nothing listens at the server's address.
+	ErrUnreachable = errors.New("nothing listens at the backend server's address")
 	// ErrUnhealthy means that the server takes no orders now.
 	ErrUnhealthy = errors.New("the backend server takes no orders now")
 )
@@ -30,7 +32,8 @@
 	Lease   time.Duration // On the server's clock, the instant at which all that it runs is killed unless it was extended.
 	Payload string
 	Run     RunID
-	Token   uint64 // Fencing token.
+	Timeout time.Duration // How long the answer is waited for.
+	Token   uint64        // Fencing token.
 }
 
 // A RenewalOrder extends the lease of all that runs on a backend server and asks
@@ -38,6 +41,8 @@
 type RenewalOrder struct {
 	Acknowledged uint64        // Endings up to this number may be forgotten.
 	Lease        time.Duration // As in StartOrder.
+	Next         time.Duration // After which another one is sent, though this one is not answered.
+	Timeout      time.Duration // As in StartOrder.
 	Token        uint64        // Fencing token.
 	Wait         time.Duration // How long the server may wait for an ending.
 }
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -19,6 +19,14 @@
 	silent     bool
 }
 
+// entrySilent is why the runs of a silent entry end.
+const entrySilent = "its entry is silent"
+
+// lost reports whether an entry has been silent for so long that its runs end.
+func (e *entry) lost(now time.Duration) bool {
+	return now-e.echo > SilenceLimit
+}
+
 // A pastEnd is an ending that is kept for a while.
 type pastEnd struct {
 	at  time.Duration
@@ -30,9 +38,12 @@
 func (x *Executor) EntryLinked(now time.Duration, ref EntryRef) ([]tasklink.RunState, Effects) {
 	var fx Effects
 	e, ok := x.entries[ref.Name]
-	if ok && e.Incarnation != ref.Incarnation {
+	switch {
+	case ok && e.Incarnation != ref.Incarnation:
 		x.endAll(now, e, "its entry was restarted", &fx)
 		ok = false
+	case ok && e.lost(now):
+		x.endAll(now, e, entrySilent, &fx)
 	}
 	if !ok {
 		e = &entry{EntryRef: ref}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -30,9 +30,13 @@
 
 // Parameters of the executor.
 const (
+	// RenewalPause is the time after a renewal that failed.
+	RenewalPause = 50 * time.Millisecond
 	// RenewalWait is how long a renewal waits for an ending, and so the longest
 	// time between two extensions of the lease.
 	RenewalWait = 150 * time.Millisecond
+	// StopTimeout is how long the answer to a stop is waited for.
+	StopTimeout = 40 * time.Millisecond
 	// Lease is how long the server runs on without the agent.
 	Lease = 600 * time.Millisecond
 	// SilenceLimit is how long the runs of a silent entry go on. Together
@@ -43,8 +47,19 @@
 	// UpdateInterval is the longest time between two updates to an entry.
 	UpdateInterval = 150 * time.Millisecond
 
+	// awayAfterStart is the time without any answer from which a server that
+	// does not answer a start gets no more tasks, and awayAfterRenewal the
+	// same for one that does not answer renewals.
+	awayAfterStart   = 100 * time.Millisecond
+	awayAfterRenewal = 250 * time.Millisecond
 	// clockDrift bounds by how much a server's clock may be slow.
 	clockDrift = 1.03
+	// doubtTime is how long the server is in doubt after it has left an order
+	// unanswered: it is asked more often, and starts are repeated sooner.
+	doubtTime = 3 * time.Second
+	// doubtWait is the wait of renewals in doubt. The next one is sent after
+	// it even if the answer is missing.
+	doubtWait = 15 * time.Millisecond
 	// lapseMargin covers the time that the server takes to end its runs.
 	lapseMargin = 30 * time.Millisecond
 	// maxOrderAge is the age of an order's echo from which it is refused. An
@@ -64,6 +79,9 @@
 	maxNoRoom = 5
 	// priorities is the number of priorities that are told apart.
 	priorities = 3
+	// renewalMargin is how long the answer to a renewal is waited for beyond
+	// the renewal's own wait.
+	renewalMargin = 100 * time.Millisecond
 	// slowFactor is the multiple of its expected run time from which a run is
 	// stopped. Estimates are rarely off by more.
 	slowFactor = 3
@@ -71,8 +89,16 @@
 	// slowPercent the progress up to which a start elsewhere is quicker.
 	slowAfter   = 120 * time.Millisecond
 	slowPercent = 50
+	// startTimeout is how long the answer to a start is waited for, and
+	// doubtStartTimeout the same in doubt. The server is on the same machine,
+	// and a start can be repeated.
+	startTimeout      = 35 * time.Millisecond
+	doubtStartTimeout = 15 * time.Millisecond
+	// startAttempts is how often a start is ordered before its entry places
+	// the task elsewhere.
+	startAttempts = 6
 	// stopRetry is the time after which an unanswered stop is repeated.
-	stopRetry = 150 * time.Millisecond
+	stopRetry = 50 * time.Millisecond
 	// stuckLimit is the time without progress after which a run is stopped.
 	// The server states progress in hundredths.
 	stuckLimit = 300 * time.Millisecond
@@ -136,7 +162,7 @@
 	echo := time.Duration(orders.Echo)
 	if echo > e.echo {
 		e.echo = echo
-		e.silent = e.silent && now-echo > SilenceLimit
+		e.silent = e.silent && e.lost(now)
 	}
 	x.learnNotice(orders.Notice)
 	for i := range orders.Starts {
@@ -280,9 +306,9 @@
 	x.measure.forget(now)
 	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
 		e := x.entries[name]
-		if now-e.echo > SilenceLimit && !e.silent {
+		if e.lost(now) && !e.silent {
 			e.silent = true
-			x.endAll(now, e, "its entry is silent", &fx)
+			x.endAll(now, e, entrySilent, &fx)
 		}
 		for len(e.past) > 0 && now-e.past[0].at > memory {
 			e.past = e.past[1:]
@@ -296,6 +322,7 @@
 	}
 	x.returnWaiting(now, &fx)
 	x.stopStuck(now, &fx)
+	x.repeatStarts(now, &fx)
 	x.repeatStops(now, &fx)
 	x.startQueued(now, &fx)
 	return fx
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -106,7 +107,7 @@
 			x.Ordered(at(1), entry, &tasklink.Orders{Echo: int64(at(1)), Notice: tasklink.Notice{Version: 2, ZonesOut: []string{"west"}}})
 		}},
 		{name: "an agent that leaves", now: at(1), before: func(x *executor.Executor) { x.Leave(at(1)) }},
-		{name: "a server that does not answer", now: at(1), before: func(x *executor.Executor) { x.RenewalUnanswered(at(1)) }},
+		{name: "a server that does not answer", now: at(1), before: func(x *executor.Executor) { x.RenewalUnanswered(at(1), context.DeadlineExceeded) }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -161,17 +162,119 @@
 	x := newExecutor()
 	x.RenewalOrder(at(0))
 	x.Ordered(at(0), entry, order(at(0), 0))
-	fx := x.StartAnswered(at(100), pollenfront.StartOrder{Run: runID(0)}, 0, context.DeadlineExceeded)
+	var fx executor.Effects
+	for ms := 35; len(fx.Stops) == 0 && ms < 200; ms += 15 {
+		fx = x.StartAnswered(at(ms), pollenfront.StartOrder{Run: runID(0)}, 0, context.DeadlineExceeded)
+	}
 	c.Assert(fx.Stops, qt.DeepEquals, []executor.StopOrder{{Run: runID(0), Token: 10}})
-	c.Assert(ends(x, at(100)), qt.HasLen, 0)
+	c.Assert(ends(x, at(200)), qt.HasLen, 0)
 	reply := &pollenfront.RenewalReply{Clock: time.Second, Incarnation: 1}
-	x.Renewed(at(110), at(90), reply)
-	c.Assert(ends(x, at(110)), qt.HasLen, 0)
-	x.StopAnswered(at(120), runID(0), 0, nil)
-	x.Renewed(at(130), at(110), reply)
-	c.Assert(ends(x, at(130)), qt.HasLen, 0)
-	x.Renewed(at(140), at(125), reply)
-	c.Assert(ends(x, at(140)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingNotStarted})
+	x.Renewed(at(210), at(190), reply)
+	c.Assert(ends(x, at(210)), qt.HasLen, 0)
+	x.StopAnswered(at(220), runID(0), 0, nil)
+	x.Renewed(at(230), at(210), reply)
+	c.Assert(ends(x, at(230)), qt.HasLen, 0)
+	x.Renewed(at(240), at(225), reply)
+	c.Assert(ends(x, at(240)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingNotStarted})
+}
+
+// TestRepeatedStart replays orders that are lost on the way to the server: the
+// start is ordered again, and the server's refusal of a repeated one does not
+// say that no earlier one was carried out.
+func TestRepeatedStart(t *testing.T) {
+	tests := []struct {
+		name    string
+		err     error // Of the repeated start.
+		running bool
+		stopped bool
+	}{
+		{name: "carried out", running: true},
+		{name: "carried out before and over", err: pollenfront.ErrRunPassed, running: true},
+		{name: "no room", err: pollenfront.ErrNoRoom, stopped: true},
+		{name: "another incarnation", err: pollenfront.ErrReplaced, stopped: true},
+		{name: "fenced", err: pollenfront.ErrFenced, stopped: true},
+		{name: "rejected", err: pollenfront.ErrRejected, stopped: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			x := newExecutor()
+			x.RenewalOrder(at(0))
+			x.Ordered(at(0), entry, order(at(0), 0))
+			fx := x.StartAnswered(at(35), pollenfront.StartOrder{Run: runID(0)}, 0, context.DeadlineExceeded)
+			c.Assert(started(fx), qt.DeepEquals, []int{0})
+			c.Assert(x.Report(at(35)).State, qt.Equals, tasklink.StateReady)
+			fx = x.StartAnswered(at(36), pollenfront.StartOrder{Run: runID(0)}, 0, test.err)
+			c.Assert(len(fx.Stops) > 0, qt.Equals, test.stopped)
+			c.Assert(ends(x, at(36)), qt.HasLen, 0)
+			if test.running {
+				x.Renewed(at(40), at(38), &pollenfront.RenewalReply{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
+					{Ending: pollenfront.EndingDone, Number: 1, Run: runID(0)},
+				}})
+				c.Assert(ends(x, at(40)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingDone})
+			}
+		})
+	}
+}
+
+// TestBrokenConnections checks that a start is not repeated in a tight loop.
+func TestBrokenConnections(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.Ordered(at(0), entry, order(at(0), 0))
+	c.Assert(started(x.StartAnswered(at(1), pollenfront.StartOrder{Run: runID(0)}, 0, io.ErrUnexpectedEOF)), qt.HasLen, 0)
+	c.Assert(started(x.Tick(at(10))), qt.HasLen, 0)
+	c.Assert(started(x.Tick(at(25))), qt.DeepEquals, []int{0})
+}
+
+// TestAwayServer checks that a server that answers nothing gets no more tasks,
+// and that a renewal which is answered ends that.
+func TestAwayServer(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.Ordered(at(0), entry, order(at(0), 0))
+	stops := 0
+	for ms := 35; ms <= 110; ms += 15 {
+		stops += len(x.StartAnswered(at(ms), pollenfront.StartOrder{Run: runID(0)}, 0, context.DeadlineExceeded).Stops)
+	}
+	c.Assert(stops > 0, qt.IsTrue)
+	c.Assert(x.Report(at(110)).State, qt.Equals, tasklink.StateAway)
+	x.Renewed(at(120), at(119), &pollenfront.RenewalReply{Clock: time.Second, Incarnation: 1})
+	c.Assert(x.Report(at(120)).State, qt.Equals, tasklink.StateReady)
+}
+
+// TestWakingBesideSilence checks that an agent that was suspended starts nothing
+// for an entry that has given it up meanwhile, whatever it hears first.
+func TestWakingBesideSilence(t *testing.T) {
+	tests := []struct {
+		name string
+		wake func(x *executor.Executor) executor.Effects
+	}{
+		{name: "a start was not answered", wake: func(x *executor.Executor) executor.Effects {
+			return x.StartAnswered(at(1500), pollenfront.StartOrder{Run: runID(0)}, 0, context.DeadlineExceeded)
+		}},
+		{name: "room is free", wake: func(x *executor.Executor) executor.Effects {
+			return x.Renewed(at(1500), at(10), &pollenfront.RenewalReply{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
+				{Ending: pollenfront.EndingDone, Number: 1, Run: runID(0)},
+			}})
+		}},
+		{name: "the entry links again", wake: func(x *executor.Executor) executor.Effects {
+			_, fx := x.EntryLinked(at(1500), entry)
+			fx2 := x.StartAnswered(at(1501), pollenfront.StartOrder{Run: runID(0)}, 0, context.DeadlineExceeded)
+			fx.Starts = append(fx.Starts, fx2.Starts...)
+			return fx
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newExecutor()
+			x.RenewalOrder(at(0))
+			short := order(at(0), 0, 1, 2)
+			short.Starts[0].Expected = int64(20 * time.Millisecond)
+			x.Ordered(at(0), entry, short)
+			qt.Assert(t, started(test.wake(x)), qt.HasLen, 0)
+		})
+	}
 }
 
 // TestRestartedServer checks that runs which may have reached a server's new
--- a/executor/server.go
+++ b/executor/server.go
@@ -10,10 +10,12 @@
 
 // A server is what is known of the backend server.
 type server struct {
-	acknowledged uint64 // Endings that were taken note of.
+	acknowledged uint64        // Endings that were taken note of.
+	answered     time.Duration // When it last answered an order.
 	capacity     pollenfront.Room
 	clock        time.Duration // The server's clock less the agent's.
 	clockKnown   bool
+	doubted      time.Duration // When it last left an order unanswered.
 	draining     bool
 	renewed      time.Duration // When the newest answered renewal was sent.
 	labels       []string
@@ -21,7 +23,7 @@
 	lapse        time.Duration
 	incarnation  uint64
 	sequence     uint64
-	silent       bool // It did not answer the newest order.
+	silent       bool // It does not answer.
 	zone         string
 }
 
@@ -86,6 +88,7 @@
 	x.returnQueued(now, "the server was restarted", fx)
 	for _, r := range slices.Clone(x.order) {
 		r.fenced = 0
+		r.began = r.began || r.state != queued // It may have begun in the former incarnation.
 		if r.state == stopping {
 			x.sendStop(now, r, fx)
 			continue
@@ -120,25 +123,36 @@
 
 // RenewalOrder returns the next order to renew the lease.
 func (x *Executor) RenewalOrder(now time.Duration) pollenfront.RenewalOrder {
-	order := pollenfront.RenewalOrder{Acknowledged: x.server.acknowledged, Token: x.token, Wait: RenewalWait}
+	order := pollenfront.RenewalOrder{
+		Acknowledged: x.server.acknowledged, Next: RenewalWait + renewalMargin, Timeout: RenewalWait + renewalMargin, Token: x.token, Wait: RenewalWait,
+	}
+	if x.inDoubt(now) {
+		order.Next, order.Timeout, order.Wait = doubtWait, doubtWait+renewalMargin, doubtWait
+	}
 	if x.server.clockKnown {
 		order.Lease = x.lease(now)
 	}
 	return order
 }
 
+// inDoubt reports whether the server has left an order unanswered of late.
+func (x *Executor) inDoubt(now time.Duration) bool {
+	return x.server.doubted > 0 && now-x.server.doubted < doubtTime
+}
+
 // Renewed takes the answer to a renewal that was sent at an instant.
 func (x *Executor) Renewed(now, sent time.Duration, reply *pollenfront.RenewalReply) Effects {
 	var fx Effects
-	if reply.Incarnation < x.server.incarnation {
-		return fx
+	if reply.Incarnation < x.server.incarnation || sent < x.server.renewed {
+		return fx // A newer answer has overtaken it.
 	}
 	if reply.Incarnation > x.server.incarnation {
 		x.reborn(now, reply.Incarnation, &fx)
 	}
 	x.learnClock(now, reply.Clock)
 	before := x.state()
-	x.server.renewed, x.server.silent = sent, false
+	x.server.renewed = sent
+	x.orderAnswered(now, nil)
 	for _, ended := range reply.Ended {
 		if ended.Number <= x.server.acknowledged {
 			continue
@@ -157,11 +171,15 @@
 	return fx
 }
 
-// RenewalUnanswered notes that the server did not answer a renewal.
-func (x *Executor) RenewalUnanswered(now time.Duration) Effects {
+// RenewalUnanswered notes that the server did not answer a renewal, and why.
+func (x *Executor) RenewalUnanswered(now time.Duration, err error) Effects {
 	var fx Effects
-	if !x.server.silent && x.server.known {
+	before := x.server.silent
+	x.orderAnswered(now, err)
+	if now-x.server.answered >= awayAfterRenewal {
 		x.server.silent = true
+	}
+	if x.server.silent && !before && x.server.known {
 		x.startQueued(now, &fx)
 		x.notifyAll(&fx)
 	}
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -12,11 +12,8 @@
 
 // Times after which an agent takes a call to its server for lost.
 const (
-	callTimeout    = 100 * time.Millisecond
-	renewalTimeout = executor.RenewalWait + 250*time.Millisecond
-	renewalPause   = 50 * time.Millisecond
-	racks          = 4
-	linkSilence    = 1500 * time.Millisecond
+	racks       = 4
+	linkSilence = 1500 * time.Millisecond
 )
 
 // errNoAnswer means that an order was not answered.
@@ -156,35 +153,48 @@
 			a.later(pause, a.renew)
 		}
 	}
-	a.later(renewalTimeout, func() {
-		if !over {
-			a.perform(a.executor.RenewalUnanswered(a.fleet.now))
-			again(renewalPause)
+	answered := false
+	a.later(order.Next, func() { again(0) })
+	a.later(order.Timeout, func() {
+		if !answered {
+			a.perform(a.executor.RenewalUnanswered(a.fleet.now, errNoAnswer))
+			again(executor.RenewalPause)
+		}
+	})
+	incarnation := a.server.incarnation
+	a.deliverRenewal(order, func(reply *pollenfront.RenewalReply, err error) {
+		if answered || a.server.dark || a.server.incarnation != incarnation {
+			return
+		}
+		answered = true
+		if err != nil {
+			a.executor.RenewalFenced()
+		} else {
+			a.perform(a.executor.Renewed(a.fleet.now, sent, reply))
 		}
+		again(0)
 	})
-	if a.server.dark {
+}
+
+// deliverRenewal lets the server carry out a renewal, and passes on its answer.
+// Some renewals are carried out seconds later and not answered.
+func (a *agentNode) deliverRenewal(order pollenfront.RenewalOrder, answer func(*pollenfront.RenewalReply, error)) {
+	s, incarnation, generation, delay := a.server, a.server.incarnation, a.generation, callDelay
+	late := s.isLate()
+	if late {
+		delay = s.lateness()
+	}
+	if s.dark {
 		return
 	}
-	incarnation := a.server.incarnation
-	generation := a.generation
-	a.fleet.after(callDelay, func() {
-		if a.server.incarnation != incarnation {
+	a.fleet.after(delay, func() {
+		if s.incarnation != incarnation || s.dark {
 			return
 		}
-		a.server.renew(order, func(reply *pollenfront.RenewalReply, err error) {
-			a.fleet.after(callDelay, func() {
-				a.do(generation, func() {
-					if over || a.server.dark || a.server.incarnation != incarnation {
-						return
-					}
-					if err != nil {
-						a.executor.RenewalFenced()
-					} else {
-						a.perform(a.executor.Renewed(a.fleet.now, sent, reply))
-					}
-					again(0)
-				})
-			})
+		s.renew(order, func(reply *pollenfront.RenewalReply, err error) {
+			if !late {
+				a.fleet.after(callDelay, func() { a.do(generation, func() { answer(reply, err) }) })
+			}
 		})
 	})
 }
@@ -192,18 +202,13 @@
 // perform carries out what the executor decided.
 func (a *agentNode) perform(fx executor.Effects) {
 	for _, order := range fx.Starts {
-		a.call(func() error { return a.server.start(order) }, func(err error, answered bool) {
-			if !answered {
-				err = errNoAnswer
-			}
+		a.call(order.Timeout, func() error { return a.server.start(order) }, func(err error) {
 			a.perform(a.executor.StartAnswered(a.fleet.now, order, a.fleet.now, err))
 		})
 	}
 	for _, order := range fx.Stops {
-		a.call(func() error { return a.server.stop(order.Run, order.Token) }, func(err error, answered bool) {
-			if answered {
-				a.executor.StopAnswered(a.fleet.now, order.Run, a.fleet.now, err)
-			}
+		a.call(executor.StopTimeout, func() error { return a.server.stop(order.Run, order.Token) }, func(err error) {
+			a.executor.StopAnswered(a.fleet.now, order.Run, a.fleet.now, err)
 		})
 	}
 	for _, name := range fx.Notify {
@@ -216,29 +221,28 @@
 }
 
 // call sends an order to the server. Some are not answered and carried out
-// seconds later, as the settings say.
-func (a *agentNode) call(order func() error, answer func(err error, answered bool)) {
+// seconds later.
+func (a *agentNode) call(timeout time.Duration, order func() error, answer func(err error)) {
 	incarnation := a.server.incarnation
-	carryOut := func() (error, bool) {
+	carryOut := func() error {
 		if a.server.incarnation != incarnation || a.server.dark {
-			return nil, false
+			return errNoAnswer
 		}
-		return order(), true
+		return order()
 	}
-	if a.fleet.random.Float64() < a.fleet.settings.LateRate {
-		later := laterMin + time.Duration(a.fleet.random.Int64N(int64(laterSpread)))
-		a.fleet.after(later, func() { _, _ = carryOut() })
-		a.later(callTimeout, func() { answer(nil, false) })
+	if a.server.isLate() {
+		a.fleet.after(a.server.lateness(), func() { _ = carryOut() })
+		a.later(timeout, func() { answer(errNoAnswer) })
 		return
 	}
 	generation := a.generation
 	a.fleet.after(callDelay, func() {
-		err, done := carryOut()
+		err := carryOut()
 		delay := callDelay
-		if !done {
-			delay = callTimeout
+		if errors.Is(err, errNoAnswer) {
+			delay = timeout
 		}
-		a.fleet.after(delay, func() { a.do(generation, func() { answer(err, done) }) })
+		a.fleet.after(delay, func() { a.do(generation, func() { answer(err) }) })
 	})
 }
 
--- a/replay/fault.go
+++ b/replay/fault.go
@@ -141,3 +141,14 @@
 		})
 	})
 }
+
+// DelayOrders lets a share of the orders to all servers be carried out seconds
+// later and not be answered, for some time.
+func (f *Fleet) DelayOrders(at time.Duration, share float64, d time.Duration) {
+	f.at(at, func() {
+		for _, a := range f.agents {
+			a.server.lateRate += share
+			f.after(d, func() { a.server.lateRate -= share })
+		}
+	})
+}
--- a/replay/faults_test.go
+++ b/replay/faults_test.go
@@ -37,7 +37,7 @@
 	entry := rapid.IntRange(0, s.Entries-1).Draw(t, "entry")
 	agent := rapid.IntRange(0, s.Agents-1).Draw(t, "agent")
 	switch rapid.SampledFrom([]string{
-		"crash-server", "cut", "cut-all", "fail-server", "hang-server", "kill-agent", "kill-entry", "reset-link", "slow-server", "suspend-agent", "suspend-entry",
+		"crash-server", "cut", "cut-all", "delay-orders", "fail-server", "hang-server", "kill-agent", "kill-entry", "reset-link", "slow-server", "suspend-agent", "suspend-entry",
 	}).Draw(t, "fault") {
 	case "crash-server":
 		f.CrashServer(at, agent, lasting)
@@ -47,6 +47,8 @@
 		for a := range s.Agents {
 			f.Cut(at, entry, a, lasting)
 		}
+	case "delay-orders":
+		f.DelayOrders(at, rapid.SampledFrom([]float64{0.3, 0.5}).Draw(t, "share"), lasting)
 	case "fail-server":
 		f.FailServer(at, agent, lasting)
 	case "hang-server":
--- a/replay/fleet_test.go
+++ b/replay/fleet_test.go
@@ -70,6 +70,15 @@
 			},
 			least: map[string]float64{"small": 0.9, "large": 0.9, "pair": 0.9},
 		},
+		{
+			name:     "orders that are not answered and carried out later",
+			settings: today(7),
+			load: func(f *replay.Fleet) {
+				f.Load(replay.Mix, time.Second, 10*time.Second, 0.6)
+				f.DelayOrders(3*time.Second, 0.3, 5*time.Second)
+			},
+			least: map[string]float64{"small": 0.9, "large": 0.9, "pair": 0.9},
+		},
 		{
 			name:     "a server that turns slow",
 			settings: today(5),
--- a/replay/server.go
+++ b/replay/server.go
@@ -18,6 +18,7 @@
 	fleet        *Fleet
 	hanging      bool // What runs makes no progress.
 	lease        time.Duration
+	lateRate     float64 // Share of orders that are not answered and carried out later.
 	incarnation  uint64
 	number       uint64
 	passed       map[pollenfront.TaskID]int // The highest run that was ended or stopped.
@@ -42,7 +43,7 @@
 // newServerNode returns a server with all its room free.
 func newServerNode(f *Fleet, speed float64) *serverNode {
 	return &serverNode{
-		fleet: f, incarnation: 1, passed: make(map[pollenfront.TaskID]int), room: pollenfront.Room{CPU: serverCPU, Memory: serverMemory},
+		fleet: f, incarnation: 1, lateRate: f.settings.LateRate, passed: make(map[pollenfront.TaskID]int), room: pollenfront.Room{CPU: serverCPU, Memory: serverMemory},
 		runs: make(map[pollenfront.TaskID]*serverRun), speed: speed,
 	}
 }
@@ -90,6 +91,16 @@
 	return nil
 }
 
+// isLate draws whether an order is not answered and carried out later.
+func (s *serverNode) isLate() bool {
+	return s.fleet.random.Float64() < s.lateRate
+}
+
+// lateness draws the time after which such an order is carried out.
+func (s *serverNode) lateness() time.Duration {
+	return laterMin + time.Duration(s.fleet.random.Int64N(int64(laterSpread)))
+}
+
 // free returns the room that nothing uses.
 func (s *serverNode) free() pollenfront.Room {
 	free := s.room
