Compare the replay with a clairvoyant queue, by load pattern

The load patterns that decisions are made for stand in replay.Patterns, with new ones: 80, 100 and 130 % of the room, bursts, a third of the servers lost, slow servers met by a burst, callers that leave, jobs that always fail. All fleets of a seed get the same jobs, drawn from a stream of their own. A central queue that knows all takes the place of entries and agents as the limit. The result has the worth of answers by second, and the work that was wasted.

The choice of a server is an interface of the root package with one implementation, placing.Soonest; the scheduler only describes the servers. No decision changes.

--- /dev/null
+++ b/placing/soonest.go
@@ -0,0 +1,65 @@
+// Package placing chooses the servers of tasks.
+//
+// It answers these load patterns: several servers of different speeds, a burst
+// that finds only slow servers free, and sick servers that must get nothing
+// while others will do.
+//
+// # Usage
+//
+//	i := placing.Soonest{}.Choose(task, servers)
+package placing
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+)
+
+// Parameters of placing.
+const (
+	// LateCost is added to the time on a server that would make the job late.
+	LateCost = time.Second
+	// MaxWait is the longest wait at an agent for which a task is sent to it.
+	// It covers the way there, so that no room stays free meanwhile.
+	MaxWait = 25 * time.Millisecond
+)
+
+// Soonest chooses the server that is expected to finish a task first, less
+// penalties. The task waits if no server has room, or if those that have would
+// finish it late and another one, which is busy now, would not. Once the job
+// can't be in time any more, a server that finishes it while that is still of
+// use will do.
+type Soonest struct{}
+
+var _ pollenfront.Chooser = Soonest{}
+
+// Choose implements pollenfront.Chooser.
+func (Soonest) Choose(task pollenfront.TaskOutlook, servers []pollenfront.ServerOutlook) int {
+	best, bestScore, soonest := -1, time.Duration(0), time.Duration(0)
+	for i := range servers {
+		s := &servers[i]
+		if soonest == 0 || s.Cost < soonest {
+			soonest = s.Cost
+		}
+		if s.Wait > MaxWait {
+			continue
+		}
+		score := s.Cost + s.Penalty
+		if s.Cost > task.InTime {
+			score += LateCost
+		}
+		if best < 0 || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return -1
+	}
+	cost := servers[best].Cost
+	waits := cost > task.InTime && soonest <= task.InTime && !task.Overdue
+	useless := cost > task.Useful && !task.Begun
+	if waits || useless {
+		return -1
+	}
+	return best
+}
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -78,7 +78,9 @@
 func newAgentNode(f *Fleet, i int, speed float64) *agentNode {
 	a := &agentNode{node: node{fleet: f}, index: i, name: fmt.Sprintf("agent-%d", i), server: newServerNode(f, speed)}
 	a.server.rack = a.rack()
-	a.start()
+	if f.central == nil {
+		a.start()
+	}
 	return a
 }
 
--- a/replay/fault.go
+++ b/replay/fault.go
@@ -152,3 +152,12 @@
 		}
 	})
 }
+
+// LeaveEarly lets a share of the callers that come in some time leave before
+// their answer is due.
+func (f *Fleet) LeaveEarly(at time.Duration, share float64, d time.Duration) {
+	f.at(at, func() {
+		f.leaving += share
+		f.after(d, func() { f.leaving -= share })
+	})
+}
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -15,7 +15,10 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -23,12 +26,14 @@
 
 // Settings describe a fleet.
 type Settings struct {
-	Agents   int
-	CrossWay time.Duration // One way between processes on different machines.
-	Entries  int
-	LateRate float64 // Share of orders to servers that are not answered and carried out later.
-	Seed     uint64
-	Speeds   []float64 // Run times as multiples of the real work, in turn.
+	Agents      int
+	Chooser     pollenfront.Chooser // Of servers, if not the product's.
+	Clairvoyant bool                // One queue that knows all takes the place of entries and agents.
+	CrossWay    time.Duration       // One way between processes on different machines.
+	Entries     int
+	LateRate    float64 // Share of orders to servers that are not answered and carried out later.
+	Seed        uint64
+	Speeds      []float64 // Run times as multiples of the real work, in turn.
 }
 
 // Parameters of the model.
@@ -42,17 +47,21 @@
 	serverCPU     = 64000 // Thousandths of a core.
 	serverMemory  = 131072
 	announcements = 1500 * time.Millisecond
+	worstSeconds  = 3 // That are counted as the worst.
 )
 
 // A Fleet is a fleet in virtual time.
 type Fleet struct {
 	active   map[pollenfront.TaskID]*serverRun
 	agents   []*agentNode
+	arrivals *rand.Rand     // Of its own, so that all fleets of a seed get the same jobs.
+	central  *centralQueue  // Takes the jobs, if the fleet is clairvoyant.
 	cut      map[[2]int]int // Pairs of entry and agent that can't reach each other, by how many faults.
 	entries  []*entryNode
 	events   events
 	held     map[[2]int][]func() // What a cut holds up.
 	jobs     map[string]*clientJob
+	leaving  float64 // Share of the callers that leave before their time limit.
 	now      time.Duration
 	random   *rand.Rand
 	result   Result
@@ -62,20 +71,23 @@
 
 // A Result is how a fleet served its callers.
 type Result struct {
-	InTime     map[string]int // By kind.
+	Earned     map[int]float64 // Worth of the answers, by the second in which the jobs arrived.
+	InTime     map[string]int  // By kind.
 	Late       map[string]int
+	Owed       map[int]float64 // As Earned, of all jobs.
 	Refused    map[string]int
 	Starts     int
 	Submitted  map[string]int
 	Unknown    map[string]int
 	Violations []string
+	Wasted     float64 // Core-seconds of runs that did not end as done.
 }
 
 // newResult returns a result of nothing.
 func newResult() Result {
 	return Result{
-		InTime: make(map[string]int), Late: make(map[string]int), Refused: make(map[string]int),
-		Submitted: make(map[string]int), Unknown: make(map[string]int),
+		Earned: make(map[int]float64), InTime: make(map[string]int), Late: make(map[string]int), Owed: make(map[int]float64),
+		Refused: make(map[string]int), Submitted: make(map[string]int), Unknown: make(map[string]int),
 	}
 }
 
@@ -91,7 +103,13 @@
 			counts[0][kind] += n
 		}
 	}
+	for _, worths := range [][2]map[int]float64{{r.Earned, other.Earned}, {r.Owed, other.Owed}} {
+		for second, worth := range worths[1] {
+			worths[0][second] += worth
+		}
+	}
 	r.Starts += other.Starts
+	r.Wasted += other.Wasted
 	r.Violations = append(r.Violations, other.Violations...)
 }
 
@@ -100,6 +118,34 @@
 	return float64(r.InTime[kind]) / max(1, float64(r.Submitted[kind]))
 }
 
+// Worth returns the worth of the answers as a share of what was owed, over all
+// and in the worst seconds.
+func (r *Result) Worth() (all, worst float64) {
+	earned, owed := 0.0, 0.0
+	var shares []float64
+	for _, second := range slices.Sorted(maps.Keys(r.Owed)) {
+		earned += r.Earned[second]
+		owed += r.Owed[second]
+		shares = append(shares, r.Earned[second]/r.Owed[second])
+	}
+	slices.Sort(shares)
+	shares = shares[:min(worstSeconds, len(shares))]
+	for _, share := range shares {
+		worst += share / float64(len(shares))
+	}
+	return earned / max(owed, math.SmallestNonzeroFloat64), worst
+}
+
+// ShareInTime returns the share of all jobs that were answered in time.
+func (r *Result) ShareInTime() float64 {
+	inTime, submitted := 0, 0
+	for kind, n := range r.Submitted {
+		inTime += r.InTime[kind]
+		submitted += n
+	}
+	return float64(inTime) / max(1, float64(submitted))
+}
+
 // NewFleet returns a fleet whose servers announce themselves at the start.
 func NewFleet(s Settings) *Fleet {
 	s.CrossWay = cmp.Or(s.CrossWay, time.Millisecond)
@@ -108,9 +154,12 @@
 	}
 	f := &Fleet{
 		active: make(map[pollenfront.TaskID]*serverRun), cut: make(map[[2]int]int), held: make(map[[2]int][]func()), jobs: make(map[string]*clientJob),
-		now: time.Second, random: rand.New(rand.NewPCG(s.Seed, 1)), settings: s, //nolint:gosec // A model needs a seed.
+		now: time.Second, arrivals: rand.New(rand.NewPCG(s.Seed, 2)), random: rand.New(rand.NewPCG(s.Seed, 1)), settings: s, //nolint:gosec // A model needs a seed.
 		result: newResult(),
 	}
+	if s.Clairvoyant {
+		f.central = newCentralQueue(f)
+	}
 	for i := range s.Entries {
 		f.entries = append(f.entries, newEntryNode(f, i))
 	}
--- a/replay/load.go
+++ b/replay/load.go
@@ -8,6 +8,13 @@
 	"github.com/pollenfront/pollenfront"
 )
 
+// Parameters of what answers are worth.
+const (
+	lateWorth = 0.2    // Of a late answer, as a share of one in time.
+	maxWorth  = 4.0    // Of a job, as a multiple of its kind's worth.
+	meanNeed  = 6500.0 // Thousandths of a core, of a task.
+)
+
 // stretch is the multiple of its run time within which a job is in time.
 const stretch = 1.6
 
@@ -18,25 +25,28 @@
 // A Kind is a kind of job.
 type Kind struct {
 	DataRack string // Where its data is, or empty.
+	Hopeless bool   // Whether its tasks always fail.
 	Name     string
 	Priority int
 	Rate     float64 // Jobs in a second.
 	Target   time.Duration
 	Tasks    int           // On average.
 	Work     time.Duration // Of one task, on average.
+	Worth    float64       // Of an answer in time to a job of average size.
 }
 
 // Mix is the mix of jobs of a morning: many small ones, few large ones.
 var Mix = []Kind{
-	{Name: "small", Priority: 0, Rate: 34.4, Target: 60 * time.Millisecond, Tasks: 8, Work: 60 * time.Millisecond},
-	{Name: "large", Priority: 2, Rate: 6.25, Target: 60 * time.Millisecond, Tasks: 4, Work: 900 * time.Millisecond},
-	{Name: "pair", Priority: 1, Rate: 100, Target: 60 * time.Millisecond, Tasks: 2, Work: 200 * time.Millisecond},
+	{Name: "small", Priority: 0, Rate: 34.4, Target: 60 * time.Millisecond, Tasks: 8, Work: 60 * time.Millisecond, Worth: 0.00485},
+	{Name: "large", Priority: 2, Rate: 6.25, Target: 60 * time.Millisecond, Tasks: 4, Work: 900 * time.Millisecond, Worth: 0.0267},
+	{Name: "pair", Priority: 1, Rate: 100, Target: 60 * time.Millisecond, Tasks: 2, Work: 200 * time.Millisecond, Worth: 0.00167},
 }
 
 // A clientJob is a job as its caller knows it.
 type clientJob struct {
 	arrived  time.Duration
 	attempt  int
+	owed     bool // Whether it counts: its caller stays, and it can be done.
 	done     bool
 	entry    int
 	estimate time.Duration
@@ -44,7 +54,6 @@
 	kind     Kind
 	limit    time.Duration
 	need     pollenfront.Room
-	poison   bool
 	started  bool // Whether a task of the present attempt has started.
 	tasks    int
 	work     time.Duration
@@ -53,25 +62,25 @@
 // Load submits jobs of some kinds from an instant on, at a multiple of their rates.
 func (f *Fleet) Load(kinds []Kind, from, until time.Duration, times float64) {
 	for _, kind := range kinds {
-		f.at(from, func() { f.arrivals(kind, until+time.Second, kind.Rate*times) })
+		f.at(from, func() { f.arrive(kind, until+time.Second, kind.Rate*times) })
 	}
 }
 
-// arrivals submits a job and the one after it.
-func (f *Fleet) arrivals(kind Kind, until time.Duration, rate float64) {
-	wait := time.Duration(f.random.ExpFloat64() / rate * float64(time.Second))
+// arrive submits a job and the one after it.
+func (f *Fleet) arrive(kind Kind, until time.Duration, rate float64) {
+	wait := time.Duration(f.arrivals.ExpFloat64() / rate * float64(time.Second))
 	f.after(wait, func() {
 		if f.now > until {
 			return
 		}
 		f.newJob(kind)
-		f.arrivals(kind, until, rate)
+		f.arrive(kind, until, rate)
 	})
 }
 
 // spread draws a factor whose logarithm has a standard deviation.
 func (f *Fleet) spread(deviation float64) float64 {
-	return math.Exp(f.random.NormFloat64()*deviation - deviation*deviation/2)
+	return math.Exp(f.arrivals.NormFloat64()*deviation - deviation*deviation/2)
 }
 
 // newJob submits a job.
@@ -83,20 +92,61 @@
 		id:       fmt.Sprintf("%016x", len(f.jobs)+1),
 		kind:     kind,
 		limit:    time.Duration(1500+float64(work.Milliseconds())*3) * time.Millisecond,
-		need:     pollenfront.Room{CPU: 4000 + f.random.IntN(5000), Memory: 64},
+		need:     pollenfront.Room{CPU: 4000 + f.arrivals.IntN(5000), Memory: 64},
 		tasks:    max(1, int(float64(kind.Tasks)*f.spread(0.4)+0.5)),
 		work:     work,
 	}
 	f.jobs[j.id] = j
-	f.result.Submitted[kind.Name]++
-	f.submit(j, f.random.IntN(len(f.entries)))
-	f.after(j.limit, func() {
-		if !j.done {
-			j.done = true
-			f.result.Unknown[kind.Name]++
-			f.entries[j.entry].leave(j.id)
-		}
-	})
+	entry := f.arrivals.IntN(len(f.entries))
+	leaves, patience := f.arrivals.Float64() < f.leaving, time.Duration(f.arrivals.Float64()*float64(j.due()-j.arrived))
+	if !leaves {
+		patience = j.limit
+	}
+	j.owed = !leaves && !kind.Hopeless
+	if j.owed {
+		f.result.Owed[j.second()] += j.worth()
+	}
+	f.count(f.result.Submitted, j)
+	if f.central != nil {
+		f.central.submit(j)
+		return
+	}
+	f.submit(j, entry)
+	f.after(patience, func() { f.leave(j) })
+}
+
+// count counts a job, if it counts.
+func (f *Fleet) count(counts map[string]int, j *clientJob) {
+	if j.owed {
+		counts[j.kind.Name]++
+	}
+}
+
+// leave lets the caller of a job leave that has no answer.
+func (f *Fleet) leave(j *clientJob) {
+	if !j.done {
+		j.done = true
+		f.count(f.result.Unknown, j)
+		f.entries[j.entry].leave(j.id)
+	}
+}
+
+// second returns the second in which a job arrived.
+func (j *clientJob) second() int {
+	return int(j.arrived / time.Second)
+}
+
+// worth returns what an answer in time to a job is worth: in part for the job,
+// in part for its work.
+func (j *clientJob) worth() float64 {
+	work := float64(j.need.CPU) * j.work.Seconds() * float64(j.tasks)
+	average := meanNeed * j.kind.Work.Seconds() * float64(j.kind.Tasks)
+	return j.kind.Worth * min(0.3+0.7*work/average, maxWorth)
+}
+
+// due returns the instant until which an answer to a job is in time.
+func (j *clientJob) due() time.Duration {
+	return j.arrived + time.Duration(stretch*float64(j.work)) + j.kind.Target
 }
 
 // submit submits a job to an entry, or to another one if that is down.
@@ -148,10 +198,10 @@
 		if j.started {
 			f.violated("job %s was refused as not run, and has started", j.id)
 		}
-		f.result.Refused[j.kind.Name]++
+		f.count(f.result.Refused, j)
 		j.done = true
 	case pollenfront.VerdictFailed, pollenfront.VerdictConflict:
-		f.result.Unknown[j.kind.Name]++
+		f.count(f.result.Unknown, j)
 		j.done = true
 	case pollenfront.VerdictUnknown:
 		f.resend(j.id, attempt)
@@ -166,10 +216,18 @@
 			f.violated("job %s was completed while task %d runs", j.id, i)
 		}
 	}
-	due := time.Duration(stretch*float64(j.work)) + j.kind.Target
-	if f.now-j.arrived <= due {
-		f.result.InTime[j.kind.Name]++
+	if f.now <= j.due() {
+		f.count(f.result.InTime, j)
+		f.earn(j, 1)
 		return
 	}
-	f.result.Late[j.kind.Name]++
+	f.count(f.result.Late, j)
+	f.earn(j, lateWorth)
+}
+
+// earn adds a share of a job's worth.
+func (f *Fleet) earn(j *clientJob, share float64) {
+	if j.owed {
+		f.result.Earned[j.second()] += j.worth() * share
+	}
 }
--- a/replay/server.go
+++ b/replay/server.go
@@ -80,17 +80,23 @@
 		return nil
 	}
 	ending := pollenfront.EndingDone
-	if s.failing || job.poison {
+	if s.failing || job.kind.Hopeless {
 		ending = pollenfront.EndingFailed
 	}
-	r.work = time.Duration(float64(job.work) * s.speed)
-	if job.kind.DataRack != "" && job.kind.DataRack != s.rack {
-		r.work = time.Duration(float64(r.work) * remoteFactor)
-	}
+	r.work = s.runTime(job)
 	f.after(r.work, func() { s.end(r, ending) })
 	return nil
 }
 
+// runTime returns how long a task of a job runs on the server.
+func (s *serverNode) runTime(j *clientJob) time.Duration {
+	work := time.Duration(float64(j.work) * s.speed)
+	if j.kind.DataRack != "" && j.kind.DataRack != s.rack {
+		return time.Duration(float64(work) * remoteFactor)
+	}
+	return work
+}
+
 // isLate draws whether an order is not answered and carried out later.
 func (s *serverNode) isLate() bool {
 	return s.fleet.random.Float64() < s.lateRate
@@ -136,6 +142,9 @@
 		delete(s.fleet.active, id)
 	}
 	s.passed[id] = max(s.passed[id], r.run.Number)
+	if ending != pollenfront.EndingDone {
+		s.fleet.result.Wasted += float64(s.fleet.jobs[id.Job].need.CPU) / 1000 * (s.fleet.now - r.started).Seconds()
+	}
 	s.number++
 	s.ended = append(s.ended, pollenfront.EndedRun{Ending: ending, Number: s.number, Run: r.run})
 	if s.waiter != nil {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -23,11 +23,6 @@
 	// foreignShare is what a server whose home is another entry is taken to
 	// cost, as a share of the run time, since it may be full by now.
 	foreignShare = 0.5
-	// lateCost is added to the time on a server that would make the job late.
-	lateCost = time.Second
-	// maxAgentWait is the longest wait at an agent for which a task is sent
-	// to it. It covers the way there, so that no room stays free meanwhile.
-	maxAgentWait = 25 * time.Millisecond
 	// minRetryAfter is the least time after which a refused caller may come back.
 	minRetryAfter = 500 * time.Millisecond
 	// refusedRetryAfter is stated where nothing tells a better time.
@@ -114,23 +109,22 @@
 	return time.Duration(float64(j.expected) * s.remote)
 }
 
-// cost returns the expected time until a server has finished a task, the wait
-// in it, and a penalty by which another server is preferred.
-func (s *Scheduler) cost(c *candidate, t *task) (cost, wait, penalty time.Duration) {
-	wait = c.wait(t.job)
+// outlook returns what is expected of a server for a task.
+func (s *Scheduler) outlook(c *candidate, t *task) pollenfront.ServerOutlook {
+	wait := c.wait(t.job)
 	run := time.Duration(float64(s.expectedOn(t.job, c.agent)) * c.report.Slowness)
-	cost = wait + run
+	cost := wait + run
 	if c.zone != s.local {
 		cost += crossZoneCost
 	}
-	penalty = time.Duration(failCost * c.report.FailRate * float64(run))
+	penalty := time.Duration(failCost * c.report.FailRate * float64(run))
 	if !c.home {
 		penalty += time.Duration(foreignShare * float64(t.job.expected))
 	}
 	if c.report.FailRate > ejectRate || t.avoid == c.agent {
 		penalty += ejectCost
 	}
-	return cost, wait, penalty
+	return pollenfront.ServerOutlook{Cost: cost, Free: c.free, Penalty: penalty, Wait: wait}
 }
 
 // placeJob sends all waiting tasks of a job, or none if one would have to wait
@@ -158,42 +152,25 @@
 	return true
 }
 
-// choose returns the server for a task, or -1 if the task should wait: because
-// no server has room, or because those that have would finish it late and
-// another one, which is busy now, would not. Once the job can't be in time any
-// more, a server that finishes it while that is still of use will do.
+// choose returns the server for a task, or -1 if the task should wait.
 func (s *Scheduler) choose(now time.Duration, candidates []candidate, t *task) int {
-	left := t.job.due - now - overhead
-	best, bestScore, bestCost, soonest := -1, time.Duration(0), time.Duration(0), time.Duration(0)
+	j := t.job
+	s.eligible, s.outlooks = s.eligible[:0], s.outlooks[:0]
 	for i := range candidates {
 		c := &candidates[i]
-		if c.service != t.job.Route.Service || !c.report.Capacity.Holds(t.job.Need) {
+		if c.service != j.Route.Service || !c.report.Capacity.Holds(j.Need) {
 			continue
 		}
-		cost, wait, penalty := s.cost(c, t)
-		if soonest == 0 || cost < soonest {
-			soonest = cost
-		}
-		if wait > maxAgentWait {
-			continue
-		}
-		score := cost + penalty
-		if cost > left {
-			score += lateCost
-		}
-		if best < 0 || score < bestScore {
-			best, bestScore, bestCost = i, score, cost
-		}
+		s.eligible = append(s.eligible, i)
+		s.outlooks = append(s.outlooks, s.outlook(c, t))
 	}
-	switch {
-	case best < 0:
-		return -1
-	case bestCost > left && soonest <= left && now < t.job.key:
-		return -1
-	case now+bestCost > t.job.late && !t.job.sentAny:
+	best := s.chooser.Choose(pollenfront.TaskOutlook{
+		Begun: j.sentAny, InTime: j.due - now - overhead, Overdue: now >= j.key, Useful: j.late - now,
+	}, s.outlooks)
+	if best < 0 {
 		return -1
 	}
-	return best
+	return s.eligible[best]
 }
 
 // send orders the waiting tasks of a job from the chosen servers.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/placing"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -77,6 +78,8 @@
 // A Scheduler holds the jobs of an entry.
 type Scheduler struct {
 	agents    map[string]*agent
+	chooser   pollenfront.Chooser
+	eligible  []int                     // Of the candidates, those whose outlooks are weighed.
 	entries   []pollenfront.EntryRecord // Those that share the servers, by name.
 	name      string                    // Of this entry.
 	estimates estimates
@@ -84,18 +87,33 @@
 	local     string // Zone of this entry.
 	notice    tasklink.Notice
 	order     []*agent // All agents, by name.
-	remote    float64  // Multiple of the run time away from a job's data.
-	submitted uint64   // Counts the jobs.
+	outlooks  []pollenfront.ServerOutlook
+	remote    float64 // Multiple of the run time away from a job's data.
+	submitted uint64  // Counts the jobs.
 	started   time.Duration
 	ticked    time.Duration
 	waiting   []*job // With tasks to be placed, the one with the earliest latest start first.
 }
 
+// An Option sets up a Scheduler.
+type Option func(s *Scheduler)
+
+// WithChooser lets a Scheduler choose servers in another way than by
+// placing.Soonest.
+func WithChooser(c pollenfront.Chooser) Option {
+	return func(s *Scheduler) { s.chooser = c }
+}
+
 // New returns the scheduler of the entry of a name in a zone that starts now.
-func New(now time.Duration, name, zone string) *Scheduler {
-	return &Scheduler{
-		agents: make(map[string]*agent), estimates: make(estimates), jobs: make(map[string]*job), local: zone, name: name, remote: 1, started: now,
+func New(now time.Duration, name, zone string, options ...Option) *Scheduler {
+	s := &Scheduler{
+		agents: make(map[string]*agent), chooser: placing.Soonest{}, estimates: make(estimates), jobs: make(map[string]*job), local: zone, name: name,
+		remote: 1, started: now,
+	}
+	for _, option := range options {
+		option(s)
 	}
+	return s
 }
 
 // SetRemoteFactor sets the multiple of its run time that a task takes away from
