Learn a server's speed from logarithms and the median of seven runs

Cause: one of a hundred healthy runs takes three times its expected time, because estimates are off. Each was stopped, and raised the server's slowness by up to 1.

Change: the slowness is the mean logarithm of the ratios; the median of the last seven runs, or of these and the overdue ones, tells a change. A first run is stopped at five times its expected time, not three. A task is sent to a server that will have room within 40 ms, not 25.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -84,7 +84,7 @@
 	renewalMargin = 100 * time.Millisecond
 	// slowFactor is the multiple of its expected run time from which a run is
 	// stopped. Estimates are rarely off by more.
-	slowFactor = 3
+	slowFactor = 5
 	// slowAfter is the time after which progress tells the speed of a run, and
 	// slowPercent the progress up to which a start elsewhere is quicker.
 	slowAfter   = 120 * time.Millisecond
--- a/executor/measure.go
+++ b/executor/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,29 +13,30 @@
 const (
 	failWeight = 0.2  // Of a new run in the share of failed ones.
 	slowWeight = 0.04 // Of a new run in the slowness; estimates are far off.
-	// jumpRatio is the ratio of a run's slowness to the learned one from
-	// which the server has become slow, and jumpWeight such a run's weight.
-	jumpRatio  = 3.0
-	jumpWeight = 0.15
+	// recentRuns is the number of runs whose median tells that the speed of
+	// the server has changed, and changeRatio by what factor that differs then.
+	recentRuns  = 7
+	changeRatio = 1.8
 	// forgetting is the weight of each TickInterval without a run in
 	// returning to the slowness and the share of failures of a new server.
 	forgetting  = 0.002
 	idleTime    = time.Second
-	maxRatio    = 8.0  // Above it a run tells nothing more about its server.
+	maxRatio    = 8.0  // Beyond it, or its inverse, a run tells nothing more about its server.
 	typicalNeed = 6000 // Thousandths of a core, of a task that a wait is stated for.
 )
 
 // A measure is what is learned of the server from the ends of its runs.
 type measure struct {
-	failRate float64
-	runTime  time.Duration
-	sampled  time.Duration // When the newest run ended.
-	slowness float64
+	failRate    float64
+	logSlowness float64   // Mean logarithm of the ratio of real to expected run times.
+	recent      []float64 // Newest such logarithms, the oldest first.
+	runTime     time.Duration
+	sampled     time.Duration // When the newest run ended.
 }
 
 // newMeasure returns the measure of a server of which nothing is known.
 func newMeasure() measure {
-	return measure{runTime: 200 * time.Millisecond, slowness: 1}
+	return measure{runTime: 200 * time.Millisecond}
 }
 
 // add adds the ending of a run that took some time.
@@ -54,13 +56,28 @@
 	}
 }
 
-// addRatio adds the slowness of one run.
+// addRatio adds the ratio of the real to the expected time of one run. A single
+// run may be far longer than it was estimated, so only the median of several
+// tells that the server has become slow, or fast again.
 func (m *measure) addRatio(ratio float64) {
-	weight := slowWeight
-	if ratio > jumpRatio*m.slowness {
-		weight = jumpWeight
+	value := logRatio(ratio)
+	m.recent = append(m.recent, value)
+	m.recent = m.recent[max(0, len(m.recent)-recentRuns):]
+	m.logSlowness += (value - m.logSlowness) * slowWeight
+	if middle := median(m.recent); len(m.recent) == recentRuns && math.Abs(middle-m.logSlowness) > math.Log(changeRatio) {
+		m.logSlowness = middle
 	}
-	m.slowness += (min(ratio, maxRatio) - m.slowness) * weight
+}
+
+// logRatio returns the logarithm of a ratio within the limits of what tells.
+func logRatio(ratio float64) float64 {
+	return math.Log(min(max(ratio, 1/maxRatio), maxRatio))
+}
+
+// median returns the median of some values.
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
 }
 
 // forget lets what was learned fade while the server runs nothing, so that it
@@ -69,28 +86,36 @@
 	if now-m.sampled < idleTime {
 		return
 	}
-	m.slowness += (1 - m.slowness) * forgetting
+	m.recent = nil
+	m.logSlowness -= m.logSlowness * forgetting
 	m.failRate -= m.failRate * forgetting
 }
 
-// slowness returns the learned slowness, raised by runs that are overdue.
+// slowness returns the learned slowness, or the median of the newest runs and
+// of those that are overdue if these say that the server has become slow.
 func (x *Executor) slowness(now time.Duration) float64 {
-	s := x.measure.slowness
+	m := &x.measure
+	values := slices.Clone(m.recent)
 	for _, r := range x.order {
 		if r.state != running || r.expected <= 0 {
 			continue
 		}
-		if ratio := (now - r.sent).Seconds() / r.expected.Seconds(); ratio > jumpRatio*x.measure.slowness {
-			s += (min(ratio, maxRatio) - x.measure.slowness) * jumpWeight
+		if value := logRatio((now - r.sent).Seconds() / r.expected.Seconds()); value > m.logSlowness {
+			values = append(values, value)
+		}
+	}
+	if len(values) >= recentRuns {
+		if middle := median(values); middle-m.logSlowness > math.Log(changeRatio) {
+			return math.Exp(middle)
 		}
 	}
-	return s
+	return math.Exp(m.logSlowness)
 }
 
 // remaining returns the time that a started run is expected to go on.
 func (x *Executor) remaining(now time.Duration, r *run) time.Duration {
 	elapsed := now - r.sent
-	left := time.Duration(float64(r.expected)*x.measure.slowness) - elapsed
+	left := time.Duration(float64(r.expected)*math.Exp(x.measure.logSlowness)) - elapsed
 	return max(left, r.expected/10)
 }
 
--- a/executor/run.go
+++ b/executor/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -167,7 +168,7 @@
 			x.measure.add(now, pollenfront.EndingFailed, 0, r.expected)
 			x.stop(now, r, "it made no progress", fx)
 		case r.id.Number == 1 && x.tooSlow(now, r):
-			x.measure.addRatio(maxRatio)
+			x.measure.addRatio(slowFactor * math.Exp(x.measure.logSlowness))
 			x.stop(now, r, "it was far too slow", fx)
 		}
 	}
@@ -181,7 +182,7 @@
 		return false
 	}
 	projected := elapsed * 100 / time.Duration(r.percent)
-	return projected > slowFactor*time.Duration(float64(r.expected)*max(1, x.measure.slowness))
+	return projected > slowFactor*time.Duration(float64(r.expected)*max(1, math.Exp(x.measure.logSlowness)))
 }
 
 // repeatStops repeats the stops that were not answered.
--- a/placing/soonest.go
+++ b/placing/soonest.go
@@ -21,7 +21,7 @@
 	LateCost = time.Second
 	// MaxWait is the longest wait at an agent for which a task is sent to it.
 	// It covers the way there, so that no room stays free meanwhile.
-	MaxWait = 25 * time.Millisecond
+	MaxWait = 40 * time.Millisecond
 )
 
 // Soonest chooses the server that is expected to finish a task first, less
