--- a/agent/internal/work/work.go
+++ b/agent/internal/work/work.go
@@ -110,6 +110,9 @@
 
 // perform carries out what the executor decided. The caller holds mu.
 func (w *Work) perform(now time.Duration, effects executor.Effects) {
+	for i := range effects.Ended {
+		w.logEnded(&effects.Ended[i])
+	}
 	for _, order := range effects.Starts {
 		w.metrics.starts.Inc()
 		go w.start(order)
@@ -133,18 +136,22 @@
 	if !ok {
 		return
 	}
-	for _, end := range update.Ends {
-		w.metrics.ends.WithLabelValues(string(end.Ending)).Inc()
-		if end.Ending != pollenfront.EndingDone || observe.Sampled(end.Run.Job) {
-			w.logger.Info("run ended", zap.String("request", end.Run.Job), zap.Int("task", end.Run.Index), zap.Int("run", end.Run.Number),
-				zap.String("ending", string(end.Ending)), zap.String("reason", end.Reason), zap.Float64("seconds", end.Seconds), zap.String("entry", name))
-		}
-	}
 	if err := link.Send(&update); err != nil {
 		link.Close() // Its reader reports the loss.
 	}
 }
 
+// logEnded counts and logs a run that has ended.
+func (w *Work) logEnded(e *executor.EndedRun) {
+	w.metrics.ends.WithLabelValues(string(e.Ending)).Inc()
+	if e.Ending == pollenfront.EndingDone && e.Told && !observe.Sampled(e.Run.Job) {
+		return
+	}
+	w.logger.Info("run ended", zap.String("request", e.Run.Job), zap.Int("task", e.Run.Index), zap.Int("run", e.Run.Number),
+		zap.String("ending", string(e.Ending)), zap.String("reason", e.Reason), zap.Float64("seconds", e.Seconds), zap.String("entry", e.Entry),
+		zap.Bool("told", e.Told))
+}
+
 // logState logs what the agent believes of its server.
 func (w *Work) logState(now time.Duration) {
 	w.mu.Lock()
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -78,6 +78,7 @@
 // tell reports an ending to an entry.
 func (x *Executor) tell(now time.Duration, e *entry, end tasklink.End, fx *Effects) {
 	e.past = append(e.past, pastEnd{at: now, end: end})
+	fx.Ended = append(fx.Ended, EndedRun{End: end, Entry: e.Name, Told: e.linked})
 	if e.linked {
 		e.ends = append(e.ends, end)
 		fx.notify(e.Name)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -109,11 +109,20 @@
 
 // Effects are what the driver must do.
 type Effects struct {
-	Notify []string // Entries that must get an update at once.
+	Ended  []EndedRun // To be logged.
+	Notify []string   // Entries that must get an update at once.
 	Starts []pollenfront.StartOrder
 	Stops  []StopOrder
 }
 
+// An EndedRun is a run that has ended, or an order for one that was refused.
+type EndedRun struct {
+	tasklink.End
+
+	Entry string
+	Told  bool // Whether the entry is linked, and so is told.
+}
+
 // A StopOrder tells the server to stop a run.
 type StopOrder struct {
 	Run   pollenfront.RunID
@@ -274,6 +283,7 @@
 
 // add adds other effects.
 func (fx *Effects) add(other Effects) {
+	fx.Ended = append(fx.Ended, other.Ended...)
 	fx.Starts = append(fx.Starts, other.Starts...)
 	fx.Stops = append(fx.Stops, other.Stops...)
 	for _, name := range other.Notify {
--- a/executor/run.go
+++ b/executor/run.go
@@ -207,9 +207,11 @@
 		end.Seconds = took.Seconds()
 		x.measure.add(now, ending, took, r.expected)
 	}
-	if x.entries[r.entry.Name] == r.entry {
-		x.tell(now, r.entry, end, fx)
+	if x.entries[r.entry.Name] != r.entry {
+		fx.Ended = append(fx.Ended, EndedRun{End: end, Entry: r.entry.Name})
+		return
 	}
+	x.tell(now, r.entry, end, fx)
 }
 
 // StartAnswered takes the server's answer to a start. err is nil if the server
