Acknowledge endings only to a known incarnation, and spread the callers that come back

Cause 1, found with the new pattern of an outage of all servers: the number up to which endings are acknowledged was sent to a server that had been restarted meanwhile, whose numbers begin anew. It then forgot as many endings as it had listed before; each of these runs held its room at the agent for 300 ms and was ordered again.

Change 1: nothing is acknowledged when the newest answered renewal, the only answer that states the incarnation, is older than 250 ms. Answers to starts and stops don't count (TestAcknowledgements fails without either part).

Cause 2: all callers refused in an outage were told the same second. Refusals moved from place.go to admit.go.

--- a/compare/play.go
+++ b/compare/play.go
@@ -50,11 +50,7 @@
 func playOne(p replay.Pattern, w way, draws int) replay.Result {
 	var sum replay.Result
 	for i := range draws {
-		s := p.Settings(uint64(i) + 1) //nolint:gosec // Not negative.
-		w.set(&s)
-		f := replay.NewFleet(s)
-		p.Play(f)
-		sum.Add(f.Run(replay.PatternTime))
+		sum.Add(p.Run(uint64(i)+1, w.set)) //nolint:gosec // Not negative.
 	}
 	return sum
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -47,6 +47,10 @@
 	// UpdateInterval is the longest time between two updates to an entry.
 	UpdateInterval = 150 * time.Millisecond
 
+	// acknowledgeTime is the time since the newest answered renewal up to which
+	// endings are acknowledged. Later the server may have been restarted, and
+	// would forget endings of its new incarnation.
+	acknowledgeTime = 250 * time.Millisecond
 	// awayAfterStart is the time without any answer from which a server that
 	// does not answer a start gets no more tasks, and awayAfterRenewal the
 	// same for one that does not answer renewals.
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -277,6 +277,21 @@
 	}
 }
 
+// TestAcknowledgements checks that endings are not acknowledged to a server that
+// may have been restarted, whose numbers begin anew.
+func TestAcknowledgements(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.Renewed(at(10), at(5), &pollenfront.RenewalReply{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
+		{Ending: pollenfront.EndingDone, Number: 7, Run: runID(0)},
+	}})
+	c.Assert(x.RenewalOrder(at(11)).Acknowledged, qt.Equals, uint64(7))
+	x.StopAnswered(at(999), runID(0), 0, nil) // It does not tell which incarnation has answered.
+	c.Assert(x.RenewalOrder(at(1000)).Acknowledged, qt.Equals, uint64(0))
+	x.Renewed(at(1010), at(1005), &pollenfront.RenewalReply{Clock: time.Second, Incarnation: 1})
+	c.Assert(x.RenewalOrder(at(1011)).Acknowledged, qt.Equals, uint64(7))
+}
+
 // TestRestartedServer checks that runs which may have reached a server's new
 // incarnation are stopped there before their entry is told.
 func TestRestartedServer(t *testing.T) {
--- a/executor/server.go
+++ b/executor/server.go
@@ -126,6 +126,9 @@
 	order := pollenfront.RenewalOrder{
 		Acknowledged: x.server.acknowledged, Next: RenewalWait + renewalMargin, Timeout: RenewalWait + renewalMargin, Token: x.token, Wait: RenewalWait,
 	}
+	if now-x.server.renewed > acknowledgeTime {
+		order.Acknowledged = 0
+	}
 	if x.inDoubt(now) {
 		order.Next, order.Timeout, order.Wait = doubtWait, doubtWait+renewalMargin, doubtWait
 	}
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -32,6 +32,7 @@
 	CrossWay    time.Duration       // One way between processes on different machines.
 	Entries     int
 	LateRate    float64 // Share of orders to servers that are not answered and carried out later.
+	Returns     bool    // Whether refused callers come back once, when they were told to.
 	Seed        uint64
 	Speeds      []float64 // Run times as multiples of the real work, in turn.
 }
--- a/replay/fleet_test.go
+++ b/replay/fleet_test.go
@@ -53,11 +53,7 @@
 	var group sync.WaitGroup
 	for i := range results {
 		group.Go(func() {
-			s := p.Settings(uint64(i) + 1) //nolint:gosec // Not negative.
-			s.Clairvoyant = clairvoyant
-			f := replay.NewFleet(s)
-			p.Play(f)
-			results[i] = f.Run(replay.PatternTime)
+			results[i] = p.Run(uint64(i)+1, func(s *replay.Settings) { s.Clairvoyant = clairvoyant }) //nolint:gosec // Not negative.
 		})
 	}
 	group.Wait()
--- a/replay/load.go
+++ b/replay/load.go
@@ -54,6 +54,7 @@
 	kind     Kind
 	limit    time.Duration
 	need     pollenfront.Room
+	returned bool // Whether its caller was refused and comes back.
 	started  bool // Whether a task of the present attempt has started.
 	tasks    int
 	work     time.Duration
@@ -112,7 +113,34 @@
 		return
 	}
 	f.submit(j, entry)
-	f.after(patience, func() { f.leave(j) })
+	f.leaveAfter(j, patience)
+}
+
+// leaveAfter lets the caller of a job leave after a time, if it has no answer.
+func (f *Fleet) leaveAfter(j *clientJob, patience time.Duration) {
+	returned := j.returned
+	f.after(patience, func() {
+		if j.returned == returned {
+			f.leave(j)
+		}
+	})
+}
+
+// comeBack lets a refused caller come again at the time that it was told, which
+// is stated in whole seconds.
+func (f *Fleet) comeBack(j *clientJob, after time.Duration) {
+	j.returned = true
+	f.after(time.Duration(pollenfront.RetrySeconds(after))*time.Second, func() {
+		if j.owed {
+			f.result.Owed[j.second()] -= j.worth()
+		}
+		j.arrived = f.now
+		if j.owed {
+			f.result.Owed[j.second()] += j.worth()
+		}
+		f.submit(j, f.random.IntN(len(f.entries)))
+		f.leaveAfter(j, j.limit)
+	})
 }
 
 // count counts a job, if it counts.
@@ -198,6 +226,10 @@
 		if j.started {
 			f.violated("job %s was refused as not run, and has started", j.id)
 		}
+		if f.settings.Returns && !j.returned {
+			f.comeBack(j, answer.RetryAfter)
+			return
+		}
 		f.count(f.result.Refused, j)
 		j.done = true
 	case pollenfront.VerdictFailed, pollenfront.VerdictConflict:
--- a/replay/pattern.go
+++ b/replay/pattern.go
@@ -1,16 +1,29 @@
 package replay
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // A Pattern is a load, with or without faults, that decisions are made for.
 type Pattern struct {
+	Lasts    time.Duration // patternTime if it is zero.
 	Name     string
 	Play     func(f *Fleet)
 	Settings func(seed uint64) Settings
 }
 
-// PatternTime is how long a pattern lasts.
-const PatternTime = 14 * time.Second
+// patternTime is how long a pattern lasts, its last jobs included.
+const patternTime = 14 * time.Second
+
+// Run plays a pattern once with a seed and changes to its settings.
+func (p *Pattern) Run(seed uint64, change func(s *Settings)) Result {
+	s := p.Settings(seed)
+	change(&s)
+	f := NewFleet(s)
+	p.Play(f)
+	return f.Run(cmp.Or(p.Lasts, patternTime))
+}
 
 // Multiples of the rates of Mix.
 const (
@@ -90,6 +103,16 @@
 		f.mix(busy)
 		f.LeaveEarly(3*time.Second, 0.5, 4*time.Second)
 	}},
+	{Name: "callers that come back after an outage", Lasts: 32 * time.Second, Settings: func(seed uint64) Settings {
+		s := Today(seed)
+		s.Returns = true
+		return s
+	}, Play: func(f *Fleet) {
+		f.Load(Mix, time.Second, 24*time.Second, 0.9)
+		for i := range 11 {
+			f.CrashServer(3*time.Second, i, 2*time.Second)
+		}
+	}},
 	{Name: "jobs that always fail", Settings: Today, Play: func(f *Fleet) {
 		f.mix(0.9)
 		hopeless := Mix[2]
--- /dev/null
+++ b/scheduler/admit.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Parameters of refusals.
+const (
+	// minRetryAfter is the least time after which a refused caller may come back.
+	minRetryAfter = 500 * time.Millisecond
+	// refusedRetryAfter is stated where nothing tells a better time.
+	refusedRetryAfter = time.Second
+)
+
+// hopeless returns why no server could ever run a job, or "".
+func (s *Scheduler) hopeless(j *job) pollenfront.Reason {
+	if j.Count == 0 {
+		return ""
+	}
+	found := false
+	for _, a := range s.order {
+		if a.service != j.Route.Service || a.report.State == tasklink.StateAway {
+			continue
+		}
+		found = true
+		if a.report.Capacity.Holds(j.Need) {
+			return ""
+		}
+	}
+	if found {
+		return pollenfront.ReasonTooLarge
+	}
+	return pollenfront.ReasonNoServer
+}
+
+// admit refuses a job that was not placed and whose turn will come too late.
+func (s *Scheduler) admit(now time.Duration, j *job, fx *Effects) {
+	if j.toPlace == 0 || j.sentAny || j.ending || s.learning(now) {
+		return
+	}
+	if drain := s.drain(now, j.Route.Service, j); now+drain > j.key {
+		detail := fmt.Sprintf("the job would start in %v; %s", drain.Round(time.Millisecond), s.situation(now))
+		s.refuse(now, j, pollenfront.ReasonOverloaded, detail, fx)
+	}
+}
+
+// situation tells in what situation a job was refused.
+func (s *Scheduler) situation(now time.Duration) string {
+	free, oldest, usable := 0, time.Duration(0), 0
+	for _, a := range s.order {
+		if !s.usable(now, a) {
+			continue
+		}
+		usable++
+		free += max(0, a.report.Free.CPU)
+		oldest = max(oldest, now-a.heard)
+	}
+	return fmt.Sprintf("%d of %d servers usable, %d thousandths of a core free on them, %d jobs waiting, reports up to %v old",
+		usable, len(s.order), free, len(s.waiting), oldest.Round(time.Millisecond))
+}
+
+// drain returns the time until this entry's share of a service's servers has
+// worked off the jobs that are served before one, or all if it is nil.
+func (s *Scheduler) drain(now time.Duration, service string, before *job) time.Duration {
+	capacity := s.capacity(now, service)
+	if capacity == 0 {
+		return refusedRetryAfter
+	}
+	work := 0.0
+	for _, w := range s.waiting {
+		if w == before {
+			break
+		}
+		work += float64(w.Need.CPU) * float64(w.toPlace) * float64(w.expected)
+	}
+	return time.Duration(work * float64(max(1, len(s.entries))) / capacity)
+}
+
+// capacity returns the work that a service's servers do at once, in thousandths
+// of a core of a server of slowness 1.
+func (s *Scheduler) capacity(now time.Duration, service string) float64 {
+	capacity := 0.0
+	for _, a := range s.order {
+		if a.service == service && s.usable(now, a) {
+			capacity += float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1)
+		}
+	}
+	return capacity
+}
+
+// shed refuses the jobs that have waited until they can't be in time.
+func (s *Scheduler) shed(now time.Duration, fx *Effects) {
+	for i := 0; i < len(s.waiting); {
+		j := s.waiting[i]
+		if j.key >= now {
+			return
+		}
+		if j.sentAny {
+			i++
+			continue
+		}
+		s.refuse(now, j, pollenfront.ReasonOverloaded, "the job has waited until it would be late; "+s.situation(now), fx)
+	}
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -122,8 +122,8 @@
 }
 
 // refuse ends a job of which nothing was sent.
-func (s *Scheduler) refuse(j *job, reason pollenfront.Reason, detail string, retryAfter time.Duration, fx *Effects) {
-	j.conclude(pollenfront.VerdictRefused, reason, detail, retryAfter, fx)
+func (s *Scheduler) refuse(now time.Duration, j *job, reason pollenfront.Reason, detail string, fx *Effects) {
+	j.conclude(pollenfront.VerdictRefused, reason, detail, s.retryAfter(now, j), fx)
 	s.unwait(j)
 	delete(s.jobs, j.ID)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,9 +88,10 @@
 	notice    tasklink.Notice
 	order     []*agent // All agents, by name.
 	outlooks  []pollenfront.ServerOutlook
-	roomless  []*job  // In a placing pass, jobs for which no server has room.
-	remote    float64 // Multiple of the run time away from a job's data.
-	submitted uint64  // Counts the jobs.
+	returns   map[string]*returns // By service.
+	roomless  []*job              // In a placing pass, jobs for which no server has room.
+	remote    float64             // Multiple of the run time away from a job's data.
+	submitted uint64              // Counts the jobs.
 	started   time.Duration
 	ticked    time.Duration
 	waiting   []*job // With tasks to be placed, the one with the earliest latest start first.
@@ -108,7 +109,7 @@
 // New returns the scheduler of the entry of a name in a zone that starts now.
 func New(now time.Duration, name, zone string, options ...Option) *Scheduler {
 	s := &Scheduler{
-		agents: make(map[string]*agent), chooser: placing.Soonest{}, estimates: make(estimates), jobs: make(map[string]*job), local: zone, name: name,
+		agents: make(map[string]*agent), chooser: placing.Soonest{}, estimates: make(estimates), jobs: make(map[string]*job), local: zone, name: name, returns: make(map[string]*returns),
 		remote: 1, started: now,
 	}
 	for _, option := range options {
@@ -152,7 +153,7 @@
 	j.number = s.submitted
 	s.jobs[sub.ID] = j
 	if reason := s.hopeless(j); reason != "" && !s.learning(now) {
-		s.refuse(j, reason, "", refusedRetryAfter, fx)
+		s.refuse(now, j, reason, "", fx)
 		return fx
 	}
 	s.wait(j)
@@ -205,6 +206,7 @@
 	for _, a := range slices.Clone(s.order) {
 		s.tickAgent(now, a, fx)
 	}
+	s.learnCapacity(now)
 	for _, j := range s.inOrder() {
 		s.tickJob(now, j, fx)
 	}
