Dial entries for 150 ms at most, and again after 250 ms at most

Change: an attempt lasts 150 ms, not 400, and the pause between two grows to 250 ms, not 500. Entries are milliseconds away. A gone entry gets 2.5 attempts a second from each agent for 30 s, and then one in 5 s, as before.

--- a/agent/internal/work/link.go
+++ b/agent/internal/work/link.go
@@ -17,9 +17,9 @@
 
 // Parameters of dialling entries.
 const (
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	firstPause  = 60 * time.Millisecond
-	maxPause    = 500 * time.Millisecond
+	maxPause    = 250 * time.Millisecond
 	// An entry that was away for goneAfter was most likely removed, and is
 	// dialled every gonePause.
 	goneAfter    = 30 * time.Second
