--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -193,40 +193,65 @@
 
 // send orders the waiting tasks of a job from the chosen servers.
 func (s *Scheduler) send(now time.Duration, j *job, candidates []candidate, chosen []int, fx *Effects) {
-	next := 0
-	starts, first := make(map[*agent]int, len(chosen)), make(map[*agent]int, len(chosen))
+	batches := make(map[*agent]*batch, len(chosen))
 	for _, t := range j.tasks {
 		if t.state != taskWaiting {
 			continue
 		}
-		a := candidates[chosen[next]].agent
-		next++
-		a.number++
-		t.run.Number++
-		j.trace.Runs++
-		t.agent, t.state, t.sent, t.incarnation = a, taskSent, now, a.Incarnation
-		expected := s.expectedOn(j, a)
-		t.expected = time.Duration(float64(expected) * max(1, a.report.Slowness))
-		a.tasks[t.run] = t
-		a.unseen = append(a.unseen, unseenStart{need: j.Need, number: a.number})
-		o := fx.orders(s, a)
-		i, ok := starts[a]
+		c := &candidates[chosen[0]]
+		chosen = chosen[1:]
+		b, ok := batches[c.agent]
 		if !ok {
-			i = len(o.Starts)
-			starts[a] = i
-			first[a] = len(fx.Placements)
-			fx.Placements = append(fx.Placements, Placement{
-				Agent: a.Name, Free: candidates[chosen[next-1]].free.CPU, Job: j.ID, ReportAge: now - a.heard, Slowness: a.report.Slowness, Waited: now - j.arrived,
-			})
-			o.Starts = append(o.Starts, tasklink.Start{
-				Expected: int64(expected), Job: j.ID, Need: j.Need, Once: j.Once, Payload: j.Payload, Priority: j.Route.Priority,
-				Service: a.service, Step: j.Step, Urgency: int64(j.key - now),
-			})
+			b = s.newBatch(now, j, c)
+			batches[c.agent] = b
+		}
+		s.sendTask(now, t, c.agent)
+		b.add(t)
+	}
+	for _, a := range s.order {
+		if b, ok := batches[a]; ok {
+			o := fx.orders(s, a)
+			o.Starts = append(o.Starts, b.start)
+			fx.Placements = append(fx.Placements, b.placement)
 		}
-		placement := &fx.Placements[first[a]]
-		placement.Tasks++
-		placement.Run = max(placement.Run, t.run.Number)
-		o.Starts[i].Tasks = append(o.Starts[i].Tasks, tasklink.StartTask{Index: t.run.Index, Number: a.number, Run: t.run.Number})
 	}
 	j.toPlace, j.sentAny = 0, true
 }
+
+// A batch is the tasks of a job that are sent to one agent.
+type batch struct {
+	placement Placement
+	start     tasklink.Start
+}
+
+// newBatch returns a batch without tasks.
+func (s *Scheduler) newBatch(now time.Duration, j *job, c *candidate) *batch {
+	a := c.agent
+	return &batch{
+		placement: Placement{
+			Agent: a.Name, Free: c.free.CPU, Job: j.ID, ReportAge: now - a.heard, Slowness: a.report.Slowness, Waited: now - j.arrived,
+		},
+		start: tasklink.Start{
+			Expected: int64(s.expectedOn(j, a)), Job: j.ID, Need: j.Need, Once: j.Once, Payload: j.Payload, Priority: j.Route.Priority,
+			Service: a.service, Step: j.Step, Urgency: int64(j.key - now),
+		},
+	}
+}
+
+// add adds a task that is sent to its agent.
+func (b *batch) add(t *task) {
+	b.placement.Tasks++
+	b.placement.Run = max(b.placement.Run, t.run.Number)
+	b.start.Tasks = append(b.start.Tasks, tasklink.StartTask{Index: t.run.Index, Number: t.agent.number, Run: t.run.Number})
+}
+
+// sendTask notes that a task is sent to an agent.
+func (s *Scheduler) sendTask(now time.Duration, t *task, a *agent) {
+	a.number++
+	t.run.Number++
+	t.job.trace.Runs++
+	t.agent, t.state, t.sent, t.incarnation = a, taskSent, now, a.Incarnation
+	t.expected = time.Duration(float64(s.expectedOn(t.job, a)) * max(1, a.report.Slowness))
+	a.tasks[t.run] = t
+	a.unseen = append(a.unseen, unseenStart{need: t.job.Need, number: a.number})
+}
