--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -48,6 +48,7 @@
 	self       tasklink.Hello
 	store      pollenfront.Store
 	waiters    map[string]*waiter
+	zonesOut   []string // That were logged.
 }
 
 // A waiter is a job with the callers that wait for it.
@@ -198,6 +199,17 @@
 		}
 		j.scheduler.Sent(now, name)
 	}
+	j.logZonesOut()
+}
+
+// logZonesOut logs which zones are out of service when that has changed, by the
+// store or by an agent that knew a newer list. The caller holds mu.
+func (j *Jobs) logZonesOut() {
+	notice := j.scheduler.Notice()
+	if !slices.Equal(notice.ZonesOut, j.zonesOut) {
+		j.zonesOut = notice.ZonesOut
+		j.logger.Info("zones out of service", zap.Strings("zones", notice.ZonesOut), zap.Uint64("store-version", notice.Version))
+	}
 }
 
 // answer tells the callers of a job how it ended.
