Make one piece of what stood twice, and show the share of failed runs

- pollenctl show decoded an entry's state into types of its own, whose names had drifted from the entry's: FAILING was always 0.00.
- Followers took a closure each to pass their wait on; Follower has a Wait.
- Entry and agent wrote the same part of their run groups for a planned stop: program.OnStop.
- Three places compared a wait with placing.MaxWait: the scheduler says once whether a server has room soon. placing exports one type.
Learning the room for returns went over all agents once for each service; it goes over them once.
- An announcement computed two whole reports of the agent to compare two states.
- Retry-After asked for the room twice; the second answer covers the first.
- The learned slowness, the worth that a job adds in the replay, and the default chooser have one place each.
Fields are sorted, two usage lines and a stale comment corrected.

--- a/agent/internal/work/announcements.go
+++ b/agent/internal/work/announcements.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -12,18 +13,26 @@
 	"github.com/pollenfront/pollenfront/program"
 )
 
+// Limits on what is remembered of the server.
+const (
+	// recallPause is the time between two attempts to read from the store.
+	recallPause = 200 * time.Millisecond
+	// rememberTimeout bounds one write to the store.
+	rememberTimeout = time.Second
+)
+
 // Announced takes an announcement of the server.
 func (w *Work) Announced(a pollenfront.Announcement) {
 	now := bootclock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	former := w.executor.Report(now).State
+	former := w.executor.State()
 	effects, taken := w.executor.Announced(now, a)
 	if taken {
 		w.server.SetInstance(a.Instance)
 		w.remember(a)
 	}
-	if state := w.executor.Report(now).State; state != former {
+	if state := w.executor.State(); state != former {
 		w.logger.Info("backend server announced", zap.String("instance", a.Instance), zap.Uint64("incarnation", a.Incarnation), zap.Uint8("state", uint8(state)),
 			zap.Int("cpu", a.Capacity.CPU))
 	}
--- a/agent/internal/work/work.go
+++ b/agent/internal/work/work.go
@@ -23,15 +23,8 @@
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
-// Limits on calls to the backend server, which is on the same machine.
-const (
-	// recallPause is the time between two attempts to read from the store.
-	recallPause = 200 * time.Millisecond
-	// rememberTimeout bounds one write to the store.
-	rememberTimeout = time.Second
-	// stateInterval is the time between two lines of the log on the state.
-	stateInterval = 5 * time.Second
-)
+// stateInterval is the time between two lines of the log on the state.
+const stateInterval = 5 * time.Second
 
 // A Server is a backend server whose incarnation can be named.
 type Server interface {
--- a/agent/server.go
+++ b/agent/server.go
@@ -96,14 +96,7 @@
 	s.process.Routes(router, s.work.Dump)
 	program.AddServer(&group, &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, s.settings.API, s.logger)
 	program.OnHangup(&group, s.reload)
-	group.Add(func() error {
-		select {
-		case <-ctx.Done():
-			s.leave(partsCtx)
-		case <-partsCtx.Done(): // Another part has failed.
-		}
-		return nil
-	}, func(error) {})
+	program.OnStop(ctx, partsCtx, &group, func() { s.leave(partsCtx) })
 
 	s.logger.Info("started", zap.String("zone", s.settings.Zone), zap.String("server", s.settings.Server))
 	err := group.Run()
@@ -129,9 +122,8 @@
 		Logger: s.logger,
 		Name:   "entries",
 		Read:   s.store.Entries,
-		Since: func(ctx context.Context, known pollenfront.Entries) (pollenfront.Entries, error) {
-			return s.store.EntriesSince(ctx, known, entriesWait)
-		},
+		Since:  s.store.EntriesSince,
+		Wait:   entriesWait,
 	}
 	return f.Run(ctx)
 }
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	j := jobs.New(name, zone, incarnation, registry, logger)
+//	j := jobs.New(self, store, registry, logger)
 //	conclusion := j.Submit(ctx, submission)
 package jobs
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -109,14 +109,7 @@
 	callers.NewAPI(s.jobs).Routes(router)
 	program.AddServer(&group, &http.Server{Handler: router, ReadHeaderTimeout: callersHeaderTimeout}, s.settings.API, s.logger)
 	program.OnHangup(&group, s.reload)
-	group.Add(func() error {
-		select {
-		case <-ctx.Done():
-			s.leave(partsCtx, callersServer)
-		case <-partsCtx.Done(): // Another part has failed.
-		}
-		return nil
-	}, func(error) {})
+	program.OnStop(ctx, partsCtx, &group, func() { s.leave(partsCtx, callersServer) })
 
 	s.logger.Info("started", zap.String("zone", s.settings.Zone), zap.String("callers", s.settings.Callers), zap.Uint64("incarnation", s.record.Incarnation))
 	err = group.Run()
@@ -148,9 +141,8 @@
 		Logger: s.logger,
 		Name:   "orders",
 		Read:   s.store.Orders,
-		Since: func(ctx context.Context, known pollenfront.Orders) (pollenfront.Orders, error) {
-			return s.store.OrdersSince(ctx, known, ordersWait)
-		},
+		Since:  s.store.OrdersSince,
+		Wait:   ordersWait,
 	}
 	return f.Run(ctx)
 }
@@ -167,9 +159,8 @@
 		Logger: s.logger,
 		Name:   "entries",
 		Read:   s.store.Entries,
-		Since: func(ctx context.Context, known pollenfront.Entries) (pollenfront.Entries, error) {
-			return s.store.EntriesSince(ctx, known, entriesWait)
-		},
+		Since:  s.store.EntriesSince,
+		Wait:   entriesWait,
 	}
 	return f.Run(ctx)
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -140,10 +140,10 @@
 	leaving    bool
 	measure    measure
 	notice     tasklink.Notice
+	order      []*run                   // All runs, in the order in which they were accepted.
 	queue      []*run                   // The most urgent first.
 	remembered pollenfront.Announcement // To an earlier incarnation of the agent.
 	resume     time.Duration
-	order      []*run // All runs, in the order in which they were accepted.
 	runs       map[pollenfront.TaskID]*run
 	server     server
 	service    string
@@ -245,9 +245,9 @@
 		return "the order was delayed"
 	case s.Service != x.service:
 		return "the server belongs to another service"
-	case x.state() == tasklink.StateAway:
+	case x.State() == tasklink.StateAway:
 		return "the server has not announced itself"
-	case x.state() == tasklink.StateDraining:
+	case x.State() == tasklink.StateDraining:
 		return "the server takes no new tasks"
 	case !x.server.capacity.Holds(s.Need):
 		return "the server is too small for the task"
@@ -255,8 +255,8 @@
 	return ""
 }
 
-// state returns whether the server may be sent tasks.
-func (x *Executor) state() tasklink.State {
+// State returns whether the server may be sent tasks.
+func (x *Executor) State() tasklink.State {
 	switch {
 	case !x.server.known || x.server.silent:
 		return tasklink.StateAway
@@ -366,7 +366,7 @@
 		Notice:     x.notice,
 		RunSeconds: x.measure.runTime.Seconds(),
 		Slowness:   x.slowness(now),
-		State:      x.state(),
+		State:      x.State(),
 		Waits:      x.waits(now),
 	}
 }
--- a/executor/measure.go
+++ b/executor/measure.go
@@ -39,6 +39,11 @@
 	return measure{runTime: 200 * time.Millisecond}
 }
 
+// slowness returns the learned slowness.
+func (m *measure) slowness() float64 {
+	return math.Exp(m.logSlowness)
+}
+
 // add adds the ending of a run that took some time.
 func (m *measure) add(now time.Duration, ending pollenfront.Ending, took, expected time.Duration) {
 	switch ending {
@@ -64,7 +69,10 @@
 	m.recent = append(m.recent, value)
 	m.recent = m.recent[max(0, len(m.recent)-recentRuns):]
 	m.logSlowness += (value - m.logSlowness) * slowWeight
-	if middle := median(m.recent); len(m.recent) == recentRuns && math.Abs(middle-m.logSlowness) > math.Log(changeRatio) {
+	if len(m.recent) < recentRuns {
+		return
+	}
+	if middle := median(m.recent); math.Abs(middle-m.logSlowness) > math.Log(changeRatio) {
 		m.logSlowness = middle
 	}
 }
@@ -109,13 +117,13 @@
 			return math.Exp(middle)
 		}
 	}
-	return math.Exp(m.logSlowness)
+	return m.slowness()
 }
 
 // remaining returns the time that a started run is expected to go on.
 func (x *Executor) remaining(now time.Duration, r *run) time.Duration {
 	elapsed := now - r.sent
-	left := time.Duration(float64(r.expected)*math.Exp(x.measure.logSlowness)) - elapsed
+	left := time.Duration(float64(r.expected)*x.measure.slowness()) - elapsed
 	return max(left, r.expected/10)
 }
 
--- a/executor/run.go
+++ b/executor/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"slices"
 	"time"
 
@@ -32,17 +31,17 @@
 	id       pollenfront.RunID
 	need     pollenfront.Room
 	noRoom   int
-	once     bool // It is not stopped for being slow.
+	once     bool          // It is not stopped for being slow.
+	ordered  time.Duration // When the first of the start orders was sent.
 	payload  string
 	percent  int
 	priority int
 	progress time.Duration // When its percent was last seen to change.
 	reason   string        // Why the run is stopped.
-	ordered  time.Duration // When the first of the start orders was sent.
 	sent     time.Duration // When the newest start order was sent.
 	state    runState
-	unheard  bool // Whether the newest start order was not answered, and is to be repeated.
 	stopSent time.Duration
+	unheard  bool // Whether the newest start order was not answered, and is to be repeated.
 	urgent   time.Duration
 }
 
@@ -127,7 +126,7 @@
 			x.measure.add(now, pollenfront.EndingFailed, 0, r.expected)
 			x.stop(now, r, "it made no progress", fx)
 		case r.id.Number == 1 && x.tooSlow(now, r):
-			x.measure.addRatio(slowFactor * math.Exp(x.measure.logSlowness))
+			x.measure.addRatio(slowFactor * x.measure.slowness())
 			x.stop(now, r, "it was far too slow", fx)
 		}
 	}
@@ -141,7 +140,7 @@
 		return false
 	}
 	projected := elapsed * 100 / time.Duration(r.percent)
-	return projected > slowFactor*time.Duration(float64(r.expected)*max(1, math.Exp(x.measure.logSlowness)))
+	return projected > slowFactor*time.Duration(float64(r.expected)*max(1, x.measure.slowness()))
 }
 
 // repeatStops repeats the stops that were not answered.
--- a/executor/server.go
+++ b/executor/server.go
@@ -17,11 +17,11 @@
 	clockKnown   bool
 	doubted      time.Duration // When it last left an order unanswered.
 	draining     bool
-	renewed      time.Duration // When the newest answered renewal was sent.
-	labels       []string
+	incarnation  uint64
 	known        bool // Whether it has announced itself in its present incarnation.
+	labels       []string
 	lapse        time.Duration
-	incarnation  uint64
+	renewed      time.Duration // When the newest answered renewal was sent.
 	sequence     uint64
 	silent       bool // It does not answer.
 	zone         string
@@ -37,11 +37,11 @@
 	if a.Incarnation > s.incarnation {
 		x.reborn(now, a.Incarnation, &fx)
 	}
-	before := x.state()
+	before := x.State()
 	s.capacity, s.draining, s.known, s.labels, s.sequence, s.zone = a.Capacity, a.Draining, true, a.Labels, a.Sequence, a.Zone
 	x.learnClock(now, a.Clock)
 	x.startQueued(now, &fx)
-	if x.state() != before {
+	if x.State() != before {
 		x.notifyAll(&fx)
 	}
 	return fx, true
@@ -153,7 +153,7 @@
 		x.reborn(now, reply.Incarnation, &fx)
 	}
 	x.learnClock(now, reply.Clock)
-	before := x.state()
+	before := x.State()
 	x.server.renewed = sent
 	x.orderAnswered(now, nil)
 	for _, ended := range reply.Ended {
@@ -168,7 +168,7 @@
 	x.compare(now, sent, reply.Running, &fx)
 	fx.add(x.recall(now))
 	x.startQueued(now, &fx)
-	if x.state() != before {
+	if x.State() != before {
 		x.notifyAll(&fx)
 	}
 	return fx
--- a/executor/start.go
+++ b/executor/start.go
@@ -10,7 +10,7 @@
 
 // startQueued starts the queued runs for which there is room.
 func (x *Executor) startQueued(now time.Duration, fx *Effects) {
-	if x.state() != tasklink.StateReady {
+	if x.State() != tasklink.StateReady {
 		x.returnQueued(now, "the server takes no new tasks", fx)
 		return
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -32,7 +32,8 @@
 	Logger *zap.Logger
 	Name   string // Of what is followed, for the log.
 	Read   func(ctx context.Context) (T, error)
-	Since  func(ctx context.Context, known T) (T, error)
+	Since  func(ctx context.Context, known T, wait time.Duration) (T, error)
+	Wait   time.Duration // How long the store holds a question for changes.
 	// Regained, if set, is called when the store answers again after a failure.
 	Regained func()
 }
@@ -75,5 +76,5 @@
 	if !read {
 		return f.Read(ctx)
 	}
-	return f.Since(ctx, known)
+	return f.Since(ctx, known, f.Wait)
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -45,7 +45,9 @@
 				Apply:  func(n int) { applied = append(applied, n) },
 				Logger: zap.NewNop(),
 				Read:   func(context.Context) (int, error) { return 100, next(&test.reads) },
-				Since:  func(_ context.Context, known int) (int, error) { return known + 1, next(&test.changes) },
+				Since: func(_ context.Context, known int, _ time.Duration) (int, error) {
+					return known + 1, next(&test.changes)
+				},
 			}
 			_ = f.Run(ctx)
 			qt.Assert(t, applied, qt.DeepEquals, test.want)
--- a/placing.go
+++ b/placing.go
@@ -7,7 +7,7 @@
 	Cost    time.Duration // Expected time until the task is done there.
 	Free    Room          // Not needed by what is known to be there or on the way.
 	Penalty time.Duration // By which another server is preferred.
-	Wait    time.Duration // Expected time until the task starts there.
+	Soon    bool          // Whether it has room, or will have it when the task gets there.
 }
 
 // A TaskOutlook is what is left of a task's time.
--- a/placing/soonest.go
+++ b/placing/soonest.go
@@ -15,14 +15,8 @@
 	"github.com/pollenfront/pollenfront"
 )
 
-// Parameters of placing.
-const (
-	// LateCost is added to the time on a server that would make the job late.
-	LateCost = time.Second
-	// MaxWait is the longest wait at an agent for which a task is sent to it.
-	// It covers the way there, so that no room stays free meanwhile.
-	MaxWait = 40 * time.Millisecond
-)
+// lateCost is added to the time on a server that would make the job late.
+const lateCost = time.Second
 
 // Soonest chooses the server that is expected to finish a task first, less
 // penalties. The task waits if no server has room, or if those that have would
@@ -41,12 +35,12 @@
 		if soonest == 0 || s.Cost < soonest {
 			soonest = s.Cost
 		}
-		if s.Wait > MaxWait {
+		if !s.Soon {
 			continue
 		}
 		score := s.Cost + s.Penalty
 		if s.Cost > task.InTime {
-			score += LateCost
+			score += lateCost
 		}
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
--- a/pollenctl/main_test.go
+++ b/pollenctl/main_test.go
@@ -1,9 +1,17 @@
 package main
 
 import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/scheduler"
+	"github.com/pollenfront/pollenfront/tasklink"
 )
 
 func TestMain(m *testing.M) {
@@ -11,5 +19,22 @@
 }
 
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(scheduler.Dump{
+			Agents: []scheduler.AgentDump{{
+				Heard: "80ms", Name: "agent-1", Runs: 3, Usable: true, Zone: "west", Report: tasklink.Report{
+					Capacity: pollenfront.Room{CPU: 64000}, FailRate: 0.4, Free: pollenfront.Room{CPU: 12000}, Slowness: 1.25,
+				},
+			}},
+			Jobs: []scheduler.JobDump{{Age: "20ms", Done: 1, ID: "5c0e7a21d94b36f8", Route: "lookups", Tasks: 4, ToPlace: 2}},
+		})
+	}))
+	t.Cleanup(entry.Close) // The scripts run on in parallel.
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("ENTRY", strings.TrimPrefix(entry.URL, "http://"))
+			return nil
+		},
+	})
 }
--- a/pollenctl/showcmd.go
+++ b/pollenctl/showcmd.go
@@ -10,6 +10,8 @@
 	"os"
 	"text/tabwriter"
 	"time"
+
+	"github.com/pollenfront/pollenfront/scheduler"
 )
 
 // showTimeout bounds the wait for an entry's answer.
@@ -22,38 +24,6 @@
 	What   string `arg:"positional,required" help:"servers or jobs"`
 }
 
-// A state is the part of an entry's state that is shown.
-type state struct {
-	Agents []struct {
-		Heard  string `json:"heard"`
-		Home   bool   `json:"home"`
-		Name   string `json:"name"`
-		Report struct {
-			Capacity room    `json:"capacity"`
-			FailRate float64 `json:"fail-rate"`
-			Free     room    `json:"free"`
-			Slowness float64 `json:"slowness"`
-		} `json:"report"`
-		Runs   int    `json:"runs"`
-		Usable bool   `json:"usable"`
-		Zone   string `json:"zone"`
-	} `json:"agents"`
-	Jobs []struct {
-		Age     string `json:"age"`
-		Done    int    `json:"done"`
-		Ending  bool   `json:"ending"`
-		ID      string `json:"id"`
-		Route   string `json:"route"`
-		Tasks   int    `json:"tasks"`
-		ToPlace int    `json:"to-place"`
-	} `json:"jobs"`
-}
-
-// A room is an amount of a server's resources.
-type room struct {
-	CPU int `json:"cpu"`
-}
-
 // run carries the command out.
 func (c *showCmd) run(ctx context.Context) error {
 	if c.API == "" {
@@ -83,7 +53,7 @@
 		_, err := os.Stdout.Write(data)
 		return err
 	}
-	var s state
+	var s scheduler.Dump
 	if err := json.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("decode the entry's state: %w", err)
 	}
--- a/program/serve.go
+++ b/program/serve.go
@@ -49,6 +49,20 @@
 	})
 }
 
+// OnStop adds a part to a run group that leaves in a planned way when stop ends,
+// and with it the group. It ends by itself when another part has failed, which
+// ends parts.
+func OnStop(stop, parts context.Context, group *run.Group, leave func()) {
+	group.Add(func() error {
+		select {
+		case <-stop.Done():
+			leave()
+		case <-parts.Done():
+		}
+		return nil
+	}, func(error) {})
+}
+
 // AddServer adds an HTTP server to a run group, which ends if the server can't
 // listen. When the group stops, the server closes its listener and its idle
 // connections and waits for its requests. If it was shut down before, the group
--- a/replay/baselines.go
+++ b/replay/baselines.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 
 	"github.com/pollenfront/pollenfront"
-	"github.com/pollenfront/pollenfront/placing"
 )
 
 // Random chooses any server that has room.
@@ -64,7 +63,7 @@
 func withRoom(servers []pollenfront.ServerOutlook) []int {
 	var usable []int
 	for i := range servers {
-		if servers[i].Wait <= placing.MaxWait {
+		if servers[i].Soon {
 			usable = append(usable, i)
 		}
 	}
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -51,7 +51,7 @@
 func (e *entryNode) start() {
 	e.up = true
 	e.incarnation = uint64(e.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
-	e.scheduler = scheduler.New(e.fleet.now, e.name, zone, e.fleet.schedulerOptions()...)
+	e.scheduler = scheduler.New(e.fleet.now, e.name, zone, scheduler.WithChooser(e.fleet.settings.Chooser))
 	var records []pollenfront.EntryRecord
 	for i := range e.fleet.settings.Entries {
 		records = append(records, pollenfront.EntryRecord{Name: entryName(i), Zone: zone})
@@ -63,14 +63,6 @@
 	e.tick()
 }
 
-// schedulerOptions returns the options of the fleet's schedulers.
-func (f *Fleet) schedulerOptions() []scheduler.Option {
-	if f.settings.Chooser == nil {
-		return nil
-	}
-	return []scheduler.Option{scheduler.WithChooser(f.settings.Chooser)}
-}
-
 // kill kills the entry and starts it again after a time. Its callers submit
 // their jobs again elsewhere.
 func (e *entryNode) kill(d time.Duration) {
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/placing"
 )
 
 // Settings describe a fleet.
@@ -151,6 +152,7 @@
 
 // NewFleet returns a fleet whose servers announce themselves at the start.
 func NewFleet(s Settings) *Fleet {
+	s.Chooser = cmp.Or[pollenfront.Chooser](s.Chooser, placing.Soonest{})
 	s.CrossWay = cmp.Or(s.CrossWay, time.Millisecond)
 	if len(s.Speeds) == 0 {
 		s.Speeds = []float64{1}
--- a/replay/load.go
+++ b/replay/load.go
@@ -46,7 +46,6 @@
 type clientJob struct {
 	arrived  time.Duration
 	attempt  int
-	owed     bool // Whether it counts: its caller stays, and it can be done.
 	done     bool
 	entry    int
 	estimate time.Duration
@@ -54,6 +53,7 @@
 	kind     Kind
 	limit    time.Duration
 	need     pollenfront.Room
+	owed     bool // Whether it counts: its caller stays, and it can be done.
 	returned bool // Whether its caller was refused and comes back.
 	started  bool // Whether a task of the present attempt has started.
 	tasks    int
@@ -104,9 +104,7 @@
 		patience = j.limit
 	}
 	j.owed = !leaves && !kind.Hopeless
-	if j.owed {
-		f.result.Owed[j.second()] += j.worth()
-	}
+	f.value(f.result.Owed, j, 1)
 	f.count(f.result.Submitted, j)
 	if f.central != nil {
 		f.central.submit(j)
@@ -131,13 +129,9 @@
 func (f *Fleet) comeBack(j *clientJob, after time.Duration) {
 	j.returned = true
 	f.after(time.Duration(pollenfront.RetrySeconds(after))*time.Second, func() {
-		if j.owed {
-			f.result.Owed[j.second()] -= j.worth()
-		}
+		f.value(f.result.Owed, j, -1)
 		j.arrived = f.now
-		if j.owed {
-			f.result.Owed[j.second()] += j.worth()
-		}
+		f.value(f.result.Owed, j, 1)
 		f.submit(j, f.random.IntN(len(f.entries)))
 		f.leaveAfter(j, j.limit)
 	})
@@ -150,6 +144,14 @@
 	}
 }
 
+// value adds a share of a job's worth to the second in which it arrived, if the
+// job counts.
+func (f *Fleet) value(worths map[int]float64, j *clientJob, share float64) {
+	if j.owed {
+		worths[j.second()] += j.worth() * share
+	}
+}
+
 // leave lets the caller of a job leave that has no answer.
 func (f *Fleet) leave(j *clientJob) {
 	if !j.done {
@@ -250,16 +252,9 @@
 	}
 	if f.now <= j.due() {
 		f.count(f.result.InTime, j)
-		f.earn(j, 1)
+		f.value(f.result.Earned, j, 1)
 		return
 	}
 	f.count(f.result.Late, j)
-	f.earn(j, lateWorth)
-}
-
-// earn adds a share of a job's worth.
-func (f *Fleet) earn(j *clientJob, share float64) {
-	if j.owed {
-		f.result.Earned[j.second()] += j.worth() * share
-	}
+	f.value(f.result.Earned, j, lateWorth)
 }
--- a/replay/server.go
+++ b/replay/server.go
@@ -17,9 +17,9 @@
 	failing      bool // It fails all that it starts.
 	fleet        *Fleet
 	hanging      bool // What runs makes no progress.
-	lease        time.Duration
-	lateRate     float64 // Share of orders that are not answered and carried out later.
 	incarnation  uint64
+	lateRate     float64 // Share of orders that are not answered and carried out later.
+	lease        time.Duration
 	number       uint64
 	passed       map[pollenfront.TaskID]int // The highest run that was ended or stopped.
 	rack         string
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -80,13 +80,18 @@
 	return time.Duration(work * float64(max(1, len(s.entries))) / capacity)
 }
 
-// capacity returns the work that a service's servers do at once, in thousandths
+// capacity returns the work that an agent's server does at once, in thousandths
 // of a core of a server of slowness 1.
+func (a *agent) capacity() float64 {
+	return float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1)
+}
+
+// capacity returns the work that a service's servers do at once.
 func (s *Scheduler) capacity(now time.Duration, service string) float64 {
 	capacity := 0.0
 	for _, a := range s.order {
 		if a.service == service && s.usable(now, a) {
-			capacity += float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1)
+			capacity += a.capacity()
 		}
 	}
 	return capacity
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
-	"github.com/pollenfront/pollenfront/placing"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -23,6 +22,9 @@
 	// foreignShare is what a server whose home is another entry is taken to
 	// cost, as a share of the run time, since it may be full by now.
 	foreignShare = 0.5
+	// maxServerWait is the longest wait at a server for which a task is sent to
+	// it. It covers the way there, so that no room stays free meanwhile.
+	maxServerWait = 40 * time.Millisecond
 )
 
 // A candidate is a server during one placing pass.
@@ -57,10 +59,8 @@
 			kept++
 		}
 	}
-	for _, j := range s.waiting {
-		if kept == 0 && j.key < now && !j.sentAny && s.placeJob(now, j, candidates, fx) {
-			placed++
-		}
+	if kept == 0 {
+		placed += s.placeOverdue(now, candidates, fx)
 	}
 	if placed > 0 {
 		s.waiting = slices.DeleteFunc(s.waiting, func(j *job) bool { return j.toPlace == 0 })
@@ -68,6 +68,18 @@
 	s.shed(now, fx)
 }
 
+// placeOverdue places the jobs that can't be in time any more and of which
+// nothing was sent, and returns how many it has placed.
+func (s *Scheduler) placeOverdue(now time.Duration, candidates []candidate, fx *Effects) int {
+	placed := 0
+	for _, j := range s.waiting {
+		if j.key < now && !j.sentAny && s.placeJob(now, j, candidates, fx) {
+			placed++
+		}
+	}
+	return placed
+}
+
 // candidates lists the servers that may be sent tasks.
 func (s *Scheduler) candidates(now time.Duration) []candidate {
 	list := make([]candidate, 0, len(s.agents))
@@ -125,7 +137,7 @@
 	if c.report.FailRate > ejectRate || t.avoid == c.agent {
 		penalty += ejectCost
 	}
-	return pollenfront.ServerOutlook{Cost: cost, Free: c.free, Penalty: penalty, Wait: wait}
+	return pollenfront.ServerOutlook{Cost: cost, Free: c.free, Penalty: penalty, Soon: wait <= maxServerWait}
 }
 
 // placeJob sends all waiting tasks of a job, or none if one would have to wait
@@ -178,7 +190,7 @@
 			continue
 		}
 		outlook := s.outlook(c, t)
-		room = room || outlook.Wait <= placing.MaxWait
+		room = room || outlook.Soon
 		s.eligible = append(s.eligible, i)
 		s.outlooks = append(s.outlooks, outlook)
 	}
@@ -193,33 +205,34 @@
 
 // send orders the waiting tasks of a job from the chosen servers.
 func (s *Scheduler) send(now time.Duration, j *job, candidates []candidate, chosen []int, fx *Effects) {
-	batches := make(map[*agent]*batch, len(chosen))
+	byAgent := make(map[*agent]*batch, len(chosen))
+	batches := make([]*batch, 0, len(chosen))
 	for _, t := range j.tasks {
 		if t.state != taskWaiting {
 			continue
 		}
 		c := &candidates[chosen[0]]
 		chosen = chosen[1:]
-		b, ok := batches[c.agent]
+		b, ok := byAgent[c.agent]
 		if !ok {
 			b = s.newBatch(now, j, c)
-			batches[c.agent] = b
+			byAgent[c.agent] = b
+			batches = append(batches, b)
 		}
 		s.sendTask(now, t, c.agent)
 		b.add(t)
 	}
-	for _, a := range s.order {
-		if b, ok := batches[a]; ok {
-			o := fx.orders(s, a)
-			o.Starts = append(o.Starts, b.start)
-			fx.Placements = append(fx.Placements, b.placement)
-		}
+	for _, b := range batches {
+		o := fx.orders(s, b.agent)
+		o.Starts = append(o.Starts, b.start)
+		fx.Placements = append(fx.Placements, b.placement)
 	}
 	j.toPlace, j.sentAny = 0, true
 }
 
 // A batch is the tasks of a job that are sent to one agent.
 type batch struct {
+	agent     *agent
 	placement Placement
 	start     tasklink.Start
 }
@@ -228,6 +241,7 @@
 func (s *Scheduler) newBatch(now time.Duration, j *job, c *candidate) *batch {
 	a := c.agent
 	return &batch{
+		agent: a,
 		placement: Placement{
 			Agent: a.Name, Free: c.free.CPU, Job: j.ID, ReportAge: now - a.heard, Slowness: a.report.Slowness, Waited: now - j.arrived,
 		},
--- a/scheduler/returns.go
+++ b/scheduler/returns.go
@@ -39,10 +39,7 @@
 
 // retryAfter returns when the caller of a refused job may come back.
 func (s *Scheduler) retryAfter(now time.Duration, j *job) time.Duration {
-	earliest := refusedRetryAfter
-	if s.capacity(now, j.Route.Service) > 0 {
-		earliest = max(minRetryAfter, s.drain(now, j.Route.Service, nil))
-	}
+	earliest := max(minRetryAfter, s.drain(now, j.Route.Service, nil))
 	return s.returnsTo(j.Route.Service).retryAfter(now, earliest, float64(j.Need.CPU)*float64(j.Count)*float64(j.expected))
 }
 
@@ -59,18 +56,15 @@
 // learnCapacity notes how much this entry's share of the servers can do, for
 // the time in which none of them can be used.
 func (s *Scheduler) learnCapacity(now time.Duration) {
-	for service := range s.services() {
-		if capacity := s.capacity(now, service); capacity > 0 {
-			s.returnsTo(service).capacity = capacity / float64(max(1, len(s.entries)))
+	capacities := make(map[string]float64)
+	for _, a := range s.order {
+		if s.usable(now, a) {
+			capacities[a.service] += a.capacity()
 		}
 	}
-}
-
-// services returns the services of all agents.
-func (s *Scheduler) services() map[string]bool {
-	services := make(map[string]bool)
-	for _, a := range s.order {
-		services[a.service] = true
+	for service, capacity := range capacities {
+		if capacity > 0 {
+			s.returnsTo(service).capacity = capacity / float64(max(1, len(s.entries)))
+		}
 	}
-	return services
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -81,18 +81,18 @@
 	chooser   pollenfront.Chooser
 	eligible  []int                     // Of the candidates, those whose outlooks are weighed.
 	entries   []pollenfront.EntryRecord // Those that share the servers, by name.
-	name      string                    // Of this entry.
 	estimates estimates
 	jobs      map[string]*job
 	local     string // Zone of this entry.
+	name      string // Of this entry.
 	notice    tasklink.Notice
 	order     []*agent // All agents, by name.
 	outlooks  []pollenfront.ServerOutlook
+	remote    float64             // Multiple of the run time away from a job's data.
 	returns   map[string]*returns // By service.
 	roomless  []*job              // In a placing pass, jobs for which no server has room.
-	remote    float64             // Multiple of the run time away from a job's data.
-	submitted uint64              // Counts the jobs.
 	started   time.Duration
+	submitted uint64 // Counts the jobs.
 	ticked    time.Duration
 	waiting   []*job // With tasks to be placed, the one with the earliest latest start first.
 }
--- a/soak/internal/promises/promises.go
+++ b/soak/internal/promises/promises.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	p := promises.New()
+//	p := promises.New(zones)
 //	p.Submitted(id, tasks)
 //	violations := p.Violations()
 package promises
