Link each agent to the entries of its cell instead of to all

Cause: with 55 entries and 240 agents there are 13,200 links with 15 messages a second each. Under overload, 55 entries that see the same servers free also fill them at the same time. Change: package cell chooses 6 entries for each agent by rendezvous hashing, half of them in its zone, substitutes those without a link for 2 s, and grows the cell if the entries reach fewer than 16 agents of the service. An agent releases an entry before it closes the link: it reports a draining server to it and waits until the entry has echoed that and no run of it is left. Reports say how many entries share the server, which gives an entry its share of the capacity. Entries send idle agents a message every 500 ms instead of 120 ms. The protocol has version 4. Ruled out: one size for all services, with which an entry would not reach a service of few servers; closing links at once, which loses runs. Conclusion: cost grows with the machines, not with their product, and overload is served better.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,8 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/agent/internal/driver"
+	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/cell"
 	"github.com/pollenfront/pollenfront/observe"
 	"github.com/pollenfront/pollenfront/platform"
 	"github.com/pollenfront/pollenfront/program"
@@ -36,15 +38,10 @@
 
 // An agent holds the parts of the process that runs beside a backend server.
 type agent struct {
-	// cancelDials holds, by the address of an entry, the function that stops
-	// dialing it and closes its link.
-	cancelDials map[string]context.CancelFunc
-	driver      *driver.Driver
-	logger      *zap.Logger
-	process     *observe.Process
-	// seeds are the addresses that are dialed even if no entry has registered
-	// them.
-	seeds        map[string]bool
+	dials        *dials
+	driver       *driver.Driver
+	logger       *zap.Logger
+	process      *observe.Process
 	settings     settings.Agent
 	settingsFile string
 	store        pollenfront.Store
@@ -68,20 +65,20 @@
 		Incarnation: uint64(time.Now().UnixMilli()), //nolint:gosec // UnixMilli is not negative after 1970.
 		Name:        s.Name, Service: s.Service, Version: tasklink.Version, Zone: s.Zone,
 	}
-	seeds := make(map[string]bool)
+	var seeds []string
 	for _, seed := range s.Seeds {
 		host, _, err := net.SplitHostPort(seed)
 		if err == nil { // The check of the settings has rejected invalid seeds.
-			seeds[net.JoinHostPort(host, strconv.Itoa(s.LinkPort))] = true
+			seeds = append(seeds, net.JoinHostPort(host, strconv.Itoa(s.LinkPort)))
 		}
 	}
 	store := platform.NewStore(s.Store)
+	d := driver.New(hello, platform.NewBackendServer(s.Server), store, process.Registry, process.Logger)
 	return &agent{
-		cancelDials:  make(map[string]context.CancelFunc),
-		driver:       driver.New(hello, platform.NewBackendServer(s.Server), store, process.Registry, process.Logger),
+		dials:        newDials(d, cell.New(bootclock.Now(), s.Name, s.Zone, seeds)),
+		driver:       d,
 		logger:       process.Logger,
 		process:      process,
-		seeds:        seeds,
 		settings:     s,
 		settingsFile: file,
 		store:        store,
@@ -95,7 +92,7 @@
 	defer stopParts()
 	var group run.Group
 	go a.driver.RestoreAnnouncement(partsCtx)
-	for _, part := range []func(context.Context) error{a.driver.Run, a.watchEntries} {
+	for _, part := range []func(context.Context) error{a.driver.Run, a.dials.run, a.watchEntries} {
 		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
 	}
 	announcements := platform.NewAnnouncementHandler(a.settings.Service, a.driver)
@@ -122,12 +119,10 @@
 	a.driver.Drain(ctx)
 }
 
-// watchEntries keeps a link to each seed and each registered entry until ctx is
-// done.
+// watchEntries applies changes to the registered entries until ctx is done.
 func (a *agent) watchEntries(ctx context.Context) error {
-	a.updateDials(ctx, pollenfront.Entries{})
 	w := storewatch.Watcher[pollenfront.Entries]{
-		Apply:       func(entries pollenfront.Entries) { a.updateDials(ctx, entries) },
+		Apply:       func(entries pollenfront.Entries) { a.dials.setEntries(ctx, entries) },
 		Logger:      a.logger,
 		Name:        "entries",
 		Poll:        a.store.PollEntries,
@@ -137,32 +132,6 @@
 	return w.Run(ctx)
 }
 
-// updateDials starts to dial the entries that were added and stops dialing those
-// that were removed. Seeds are never removed.
-func (a *agent) updateDials(ctx context.Context, entries pollenfront.Entries) {
-	wanted := make(map[string]bool)
-	for address := range a.seeds {
-		wanted[address] = true
-	}
-	for _, record := range entries.Records {
-		wanted[record.Address] = true
-	}
-	for address := range wanted {
-		if _, ok := a.cancelDials[address]; ok {
-			continue
-		}
-		dialCtx, cancel := context.WithCancel(ctx)
-		a.cancelDials[address] = cancel
-		go a.driver.Dial(dialCtx, address)
-	}
-	for address, cancel := range a.cancelDials {
-		if !wanted[address] {
-			cancel()
-			delete(a.cancelDials, address)
-		}
-	}
-}
-
 // reload checks the settings file and logs the result. It applies nothing, since
 // addresses can't change while the process runs.
 func (a *agent) reload() {
--- /dev/null
+++ b/agent/dials.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/agent/internal/driver"
+	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/cell"
+)
+
+// dialsInterval is the time between two checks of which entries to link to.
+const dialsInterval = 500 * time.Millisecond
+
+// A dials keeps links to the entries of the agent's cell.
+type dials struct {
+	// cancels holds, by the address of an entry, the function that stops dialing it
+	// and closes its link.
+	cancels map[string]context.CancelFunc
+	cell    *cell.Cell
+	driver  *driver.Driver
+	// mu guards cancels and cell.
+	mu sync.Mutex
+}
+
+// newDials returns dials without links.
+func newDials(d *driver.Driver, c *cell.Cell) *dials {
+	return &dials{cancels: make(map[string]context.CancelFunc), cell: c, driver: d}
+}
+
+// setEntries sets the registered entries.
+func (d *dials) setEntries(ctx context.Context, entries pollenfront.Entries) {
+	records := make([]pollenfront.EntryRecord, 0, len(entries.Records))
+	for _, record := range entries.Records {
+		records = append(records, record)
+	}
+	d.mu.Lock()
+	d.cell.SetEntries(records)
+	d.mu.Unlock()
+	d.update(ctx)
+}
+
+// run updates the links regularly until ctx is done, and returns ctx.Err().
+func (d *dials) run(ctx context.Context) error {
+	ticker := time.NewTicker(dialsInterval)
+	defer ticker.Stop()
+	for {
+		d.update(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// update dials the entries that were added to the cell, and releases those that were
+// removed from it. It stops dialing these once no run of theirs is left.
+func (d *dials) update(ctx context.Context) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	wanted := d.cell.Update(bootclock.Now(), d.driver.Links())
+	for _, address := range wanted {
+		if _, ok := d.cancels[address]; ok {
+			d.driver.Retain(address)
+			continue
+		}
+		dialCtx, cancel := context.WithCancel(ctx)
+		d.cancels[address] = cancel
+		go d.driver.Dial(dialCtx, address)
+	}
+	for address, cancel := range d.cancels {
+		if _, ok := slices.BinarySearch(wanted, address); !ok && d.driver.Release(address) {
+			cancel()
+			delete(d.cancels, address)
+		}
+	}
+}
--- a/agent/internal/driver/link.go
+++ b/agent/internal/driver/link.go
@@ -38,7 +38,10 @@
 type entryLink struct {
 	*tasklink.Link
 
-	ref pollenfront.EntryRef
+	address string
+	// agentCount is the AgentCount of the newest commands.
+	agentCount int
+	ref        pollenfront.EntryRef
 }
 
 // Dial keeps a link to the entry at address, dialing again after each failure,
@@ -82,7 +85,7 @@
 	if err != nil {
 		return false, err
 	}
-	link := &entryLink{Link: tasklink.NewLink(conn)}
+	link := &entryLink{Link: tasklink.NewLink(conn), address: address}
 	defer link.Close()
 	stop := context.AfterFunc(ctx, link.Close)
 	defer stop()
@@ -145,6 +148,7 @@
 			if d.links[link.ref.Name] != link {
 				return executor.Effects{}
 			}
+			link.agentCount = commands.AgentCount
 			return d.executor.HandleCommands(now, link.ref, &commands)
 		})
 	}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -21,6 +21,9 @@
 	linked bool
 	// pendingEnds lists the ends of runs for the next update.
 	pendingEnds []tasklink.RunEnd
+	// released is when the agent began to release the entry, which then is to send
+	// no more tasks, and zero otherwise.
+	released time.Duration
 	// recentEnds lists the ends of runs to report when the entry links again, the
 	// oldest first.
 	recentEnds []recentEnd
@@ -61,7 +64,7 @@
 		e = &entry{EntryRef: ref}
 		x.entries[ref.Name] = e
 	}
-	e.lastEcho, e.lastSeqNum, e.linked, e.stoppedForSilence, e.pendingEnds = now, 0, true, false, nil
+	e.lastEcho, e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = now, 0, true, 0, false, nil
 	return x.runStates(e), effects
 }
 
@@ -125,6 +128,47 @@
 		return tasklink.Update{}, false
 	}
 	update := tasklink.Update{Clock: int64(now), LastSeqNum: e.lastSeqNum, Report: x.Report(now), RunEnds: e.pendingEnds}
+	if e.released > 0 && update.Report.State == tasklink.StateReady {
+		update.Report.State = tasklink.StateDraining
+	}
 	e.pendingEnds = nil
 	return update, true
 }
+
+// Release makes an entry send no more tasks, since the agent wants to close its link.
+func (x *Executor) Release(now time.Duration, name string) Effects {
+	var effects Effects
+	if e, ok := x.entries[name]; ok && e.released == 0 {
+		e.released = max(now, e.lastEcho+1) // An echo from before the release must not count.
+		effects.notify(name)
+	}
+	return effects
+}
+
+// Retain reverts Release.
+func (x *Executor) Retain(name string) Effects {
+	var effects Effects
+	if e, ok := x.entries[name]; ok && e.released > 0 {
+		e.released = 0
+		effects.notify(name)
+	}
+	return effects
+}
+
+// Released reports whether the link to an entry can be closed: the entry knows that it
+// was released, and all of its runs have ended and were reported.
+func (x *Executor) Released(name string) bool {
+	e, ok := x.entries[name]
+	return !ok || !e.linked || e.released > 0 && e.lastEcho >= e.released && len(e.pendingEnds) == 0 && !x.hasRuns(e)
+}
+
+// linkedEntries returns the number of linked entries that may send tasks.
+func (x *Executor) linkedEntries() int {
+	n := 0
+	for _, e := range x.entries {
+		if e.linked && e.released == 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -430,6 +430,7 @@
 	return tasklink.Report{
 		Capacity:      x.server.capacity,
 		DisabledZones: x.disabledZones,
+		EntryCount:    x.linkedEntries(),
 		FailRate:      x.stats.failRate,
 		Free:          x.unreservedResources(),
 		Labels:        x.server.labels,
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -378,3 +378,31 @@
 	c.Assert(runs, qt.HasLen, 0)
 	c.Assert(effects.Stops, qt.HasLen, 1)
 }
+
+// TestRelease checks that a released entry is reported a draining server, that its runs
+// go on, and that its link may be closed only when it has echoed that report and all of
+// its runs have ended. A start command that crosses the report is still carried out.
+func TestRelease(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
+	x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+	c.Assert(x.Release(at(10), testEntry.Name).Notify, qt.DeepEquals, []string{testEntry.Name})
+	update, _ := x.NextUpdate(at(10), testEntry.Name)
+	c.Assert(update.Report.State, qt.Equals, tasklink.StateDraining)
+	c.Assert(x.Release(at(11), testEntry.Name).Notify, qt.HasLen, 0)
+	c.Assert(startedTasks(x.HandleCommands(at(11), testEntry, startCommands(at(5), 1))), qt.DeepEquals, []int{1})
+	x.HandleStartResponse(at(12), pollenfront.StartRequest{Run: runID(1)}, 0, nil)
+	x.HandleRenewal(at(50), at(20), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
+		{Ending: pollenfront.EndingDone, Run: runID(0), SeqNum: 1}, {Ending: pollenfront.EndingDone, Run: runID(1), SeqNum: 2},
+	}})
+	c.Assert(x.Released(testEntry.Name), qt.IsFalse, qt.Commentf("the ends were not reported"))
+	c.Assert(reportedEndings(x, at(51)), qt.HasLen, 2)
+	c.Assert(x.Released(testEntry.Name), qt.IsFalse, qt.Commentf("the entry has not echoed the report"))
+	x.HandleCommands(at(60), testEntry, &tasklink.Commands{EchoedClock: int64(at(51))})
+	c.Assert(x.Released(testEntry.Name), qt.IsTrue)
+	c.Assert(x.Retain(testEntry.Name).Notify, qt.DeepEquals, []string{testEntry.Name})
+	update, _ = x.NextUpdate(at(61), testEntry.Name)
+	c.Assert(update.Report.State, qt.Equals, tasklink.StateReady)
+	c.Assert(x.Released(testEntry.Name), qt.IsFalse)
+}
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/cell"
 	"github.com/pollenfront/pollenfront/executor"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
@@ -22,7 +23,10 @@
 type agentNode struct {
 	node
 
+	agentCounts        map[int]int // agentCounts holds the newest AgentCount of each entry, by its index.
 	announcementSeqNum uint64
+	cell               *cell.Cell
+	dialing            map[int]bool                 // dialing holds the entries to which there is a link or that are being dialed, by index.
 	entryRefs          map[int]pollenfront.EntryRef // entryRefs identify the incarnations of the linked entries, by index of the entry.
 	executor           *executor.Executor
 	incarnation        uint64
@@ -32,6 +36,8 @@
 	name               string
 	server             *serverNode
 	startedAt          time.Duration
+	wanted             map[int]bool // wanted holds the entries to which there should be links, by index.
+	zone               string
 }
 
 // A node is a process that can be killed and suspended.
@@ -78,7 +84,7 @@
 // newAgentNode returns an agent with its server. The agent starts at once, except in a
 // clairvoyant fleet, which uses only the servers.
 func newAgentNode(f *Fleet, i int, runTimeFactor float64) *agentNode {
-	a := &agentNode{node: node{fleet: f}, index: i, name: fmt.Sprintf("agent-%d", i), server: newServerNode(f, runTimeFactor)}
+	a := &agentNode{node: node{fleet: f}, index: i, name: fmt.Sprintf("agent-%d", i), server: newServerNode(f, runTimeFactor), zone: f.zoneName(i)}
 	a.server.rack = a.rack()
 	if f.centralQueue == nil {
 		a.start()
@@ -90,7 +96,7 @@
 func (a *agentNode) start() {
 	a.up, a.startedAt = true, a.fleet.now
 	a.incarnation = uint64(a.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
-	a.executor = executor.New(service, zone, a.incarnation)
+	a.executor = executor.New(service, a.zone, a.incarnation)
 	a.linkEpochs = make(map[int]uint64)
 	a.lastReceived = make(map[int]time.Duration)
 	a.entryRefs = make(map[int]pollenfront.EntryRef)
@@ -98,9 +104,10 @@
 	a.sendUpdates()
 	a.renew()
 	a.announce()
-	for e := range a.fleet.entries {
-		a.dial(e)
-	}
+	a.cell = cell.New(a.fleet.now, a.name, a.zone, nil)
+	a.cell.SetEntries(a.fleet.entryRecords())
+	a.agentCounts, a.dialing = make(map[int]int), make(map[int]bool)
+	a.updateCell()
 }
 
 // kill kills the agent and restarts it after a delay.
@@ -140,7 +147,7 @@
 	if !a.server.unavailable {
 		a.announcementSeqNum++
 		effects, _ := a.executor.HandleAnnouncement(a.fleet.now, pollenfront.Announcement{
-			Capacity: a.server.capacity, Clock: a.fleet.now, Incarnation: a.server.incarnation, Labels: []string{a.rack()}, SeqNum: a.announcementSeqNum, Zone: zone,
+			Capacity: a.server.capacity, Clock: a.fleet.now, Incarnation: a.server.incarnation, Labels: []string{a.rack()}, SeqNum: a.announcementSeqNum, Zone: a.zone,
 		})
 		a.applyEffects(effects)
 	}
@@ -262,6 +269,7 @@
 		return
 	}
 	epoch, generation := a.linkEpochs[e], entry.generation
+	a.fleet.result.Messages++
 	a.fleet.deliver(e, a, func() {
 		entry.handleEvent(generation, func() {
 			if entry.links[a.name].epoch == epoch {
@@ -275,6 +283,10 @@
 // an earlier incarnation of the agent is left on the server.
 func (a *agentNode) dial(e int) {
 	entry := a.fleet.entries[e]
+	if !a.wanted[e] {
+		delete(a.dialing, e)
+		return
+	}
 	if a.linkEpochs[e] != 0 {
 		return
 	}
@@ -287,7 +299,7 @@
 	a.linkEpochs[e] = epoch
 	a.entryRefs[e] = pollenfront.EntryRef{Incarnation: entry.incarnation, Name: entry.name}
 	runs, effects := a.executor.LinkEntry(a.fleet.now, a.entryRefs[e])
-	hello := &tasklink.Hello{Incarnation: a.incarnation, Name: a.name, Runs: runs, Service: service, Version: tasklink.Version, Zone: zone}
+	hello := &tasklink.Hello{Incarnation: a.incarnation, Name: a.name, Runs: runs, Service: service, Version: tasklink.Version, Zone: a.zone}
 	generation := entry.generation
 	a.fleet.deliver(e, a, func() {
 		if entry.generation != generation || !entry.up {
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -11,11 +11,8 @@
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
-// Names of the only service and zone.
-const (
-	service = "service"
-	zone    = "zone"
-)
+// service is the name of the only service.
+const service = "service"
 
 // An entryNode is an entry with its scheduler.
 type entryNode struct {
@@ -52,12 +49,8 @@
 func (e *entryNode) start() {
 	e.up = true
 	e.incarnation = uint64(e.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
-	e.scheduler = scheduler.New(e.fleet.now, e.name, zone, scheduler.WithChooser(e.fleet.settings.Chooser))
-	var records []pollenfront.EntryRecord
-	for i := range e.fleet.settings.Entries {
-		records = append(records, pollenfront.EntryRecord{Name: entryName(i), Zone: zone})
-	}
-	e.scheduler.SetEntries(records)
+	e.scheduler = scheduler.New(e.fleet.now, e.name, e.fleet.zoneName(e.index), scheduler.WithChooser(e.fleet.settings.Chooser))
+	e.scheduler.SetEntries(e.fleet.entryRecords())
 	e.scheduler.SetRemoteFactor(remoteFactor)
 	e.links = make(map[string]entryLink)
 	e.attempts = make(map[string]int)
@@ -122,10 +115,11 @@
 func (e *entryNode) sendCommands(a *agentNode, commands *tasklink.Commands) {
 	ref := pollenfront.EntryRef{Incarnation: e.incarnation, Name: e.name}
 	generation, epoch := a.generation, e.links[a.name].epoch
+	e.fleet.result.Messages++
 	e.fleet.deliver(e.index, a, func() {
 		a.handleEvent(generation, func() {
 			if a.linkEpochs[e.index] == epoch {
-				a.lastReceived[e.index] = e.fleet.now
+				a.lastReceived[e.index], a.agentCounts[e.index] = e.fleet.now, commands.AgentCount
 				a.applyEffects(a.executor.HandleCommands(e.fleet.now, ref, commands))
 			}
 		})
--- a/replay/faults_test.go
+++ b/replay/faults_test.go
@@ -76,7 +76,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := replay.Settings{
 			Agents:              rapid.IntRange(1, 6).Draw(t, "agents"),
-			Entries:             rapid.IntRange(1, 3).Draw(t, "entries"),
+			Entries:             rapid.SampledFrom([]int{1, 2, 3, 9}).Draw(t, "entries"),
 			DelayedRequestShare: rapid.SampledFrom([]float64{0, 0, 0.05, 0.5}).Draw(t, "delayed-request-share"),
 			Seed:                rapid.Uint64().Draw(t, "seed"),
 			RunTimeFactors:      []float64{0.55, 1.2, 1.2},
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -32,10 +32,12 @@
 	Clairvoyant         bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
 	DelayedRequestShare float64             // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
 	Entries             int
+	FullMesh            bool          // FullMesh makes each agent link to all entries, instead of those of its cell.
 	OneWayDelay         time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
 	RetryRefused        bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
 	RunTimeFactors      []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
 	Seed                uint64
+	Zones               int // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
 }
 
 // Parameters of the model. The network delays are one way.
@@ -78,6 +80,7 @@
 type Result struct {
 	EarnedValue       map[int]float64 // EarnedValue is the value of the answers.
 	Late              map[string]int
+	Messages          int             // Messages is the number of messages between entries and agents.
 	OfferedValue      map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
 	OnTime            map[string]int
 	Refused           map[string]int
@@ -115,6 +118,7 @@
 			values[0][second] += value
 		}
 	}
+	r.Messages += other.Messages
 	r.Starts += other.Starts
 	r.UsefulCoreSeconds += other.UsefulCoreSeconds
 	r.WastedCoreSeconds += other.WastedCoreSeconds
@@ -158,6 +162,7 @@
 func NewFleet(s Settings) *Fleet {
 	s.Chooser = cmp.Or[pollenfront.Chooser](s.Chooser, placement.EarliestFinish{})
 	s.OneWayDelay = cmp.Or(s.OneWayDelay, time.Millisecond)
+	s.Zones = cmp.Or(s.Zones, 1)
 	if len(s.RunTimeFactors) == 0 {
 		s.RunTimeFactors = []float64{1}
 	}
--- a/replay/pattern.go
+++ b/replay/pattern.go
@@ -29,10 +29,11 @@
 
 // Multiples of the rates of Mix, named by the load that they put on SmallFleet.
 const (
-	quietLoad = 0.6  // quietLoad is the load of a quiet hour.
-	busyLoad  = 1.2  // busyLoad is 80 % of the capacity.
-	fullLoad  = 1.5  // fullLoad is 100 % of the capacity.
-	overLoad  = 1.95 // overLoad is 130 % of the capacity.
+	quietLoad  = 0.6  // quietLoad is the load of a quiet hour.
+	middleLoad = 0.9  // middleLoad is 60 % of the capacity.
+	busyLoad   = 1.2  // busyLoad is 80 % of the capacity.
+	fullLoad   = 1.5  // fullLoad is 100 % of the capacity.
+	overLoad   = 1.95 // overLoad is 130 % of the capacity.
 )
 
 // SmallFleet returns settings that resemble a current deployment, in which few servers
@@ -47,6 +48,18 @@
 	return Settings{Agents: 64, Entries: 11, OneWayDelay: 1400 * time.Microsecond, RunTimeFactors: []float64{0.55, 1.2, 1.2, 1.2}, Seed: seed}
 }
 
+// ManyEntries returns settings with so many entries that an agent links to a part of them
+// only.
+func ManyEntries(seed uint64) Settings {
+	return Settings{Agents: 96, Entries: 22, OneWayDelay: 700 * time.Microsecond, RunTimeFactors: []float64{0.55, 1.2, 1.2, 1.2}, Seed: seed, Zones: 4}
+}
+
+// ScaleLoad returns the multiple of the rates of Mix that is for a fleet with the given
+// settings what factor is for SmallFleet.
+func ScaleLoad(s Settings, factor float64) float64 {
+	return factor * float64(s.Agents) / float64(SmallFleet(0).Agents)
+}
+
 // loadMix submits the jobs of Mix at a multiple of their rates, from the first to the
 // tenth second.
 func (f *Fleet) loadMix(factor float64) {
@@ -61,6 +74,12 @@
 	{Name: "100 % of the room", Settings: SmallFleet, Setup: func(f *Fleet) { f.loadMix(fullLoad) }},
 	{Name: "130 % of the room", Settings: SmallFleet, Setup: func(f *Fleet) { f.loadMix(overLoad) }},
 	{Name: "many entries that see the same servers free", Settings: LargeFleet, Setup: func(f *Fleet) { f.Load(Mix, time.Second, 5*time.Second, 3.6) }},
+	{Name: "60 % of the room, many entries", Duration: 6 * time.Second, Settings: ManyEntries, Setup: func(f *Fleet) {
+		f.Load(Mix, 2*time.Second, 5*time.Second, ScaleLoad(f.settings, middleLoad))
+	}},
+	{Name: "130 % of the room, many entries", Duration: 6 * time.Second, Settings: ManyEntries, Setup: func(f *Fleet) {
+		f.Load(Mix, 2*time.Second, 5*time.Second, ScaleLoad(f.settings, overLoad))
+	}},
 	{Name: "a burst of small jobs", Settings: SmallFleet, Setup: func(f *Fleet) {
 		f.loadMix(quietLoad)
 		f.Load(Mix[:1], 4*time.Second, 6*time.Second, 6)
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -81,16 +81,17 @@
 		}
 		work += float64(queued.Need.CPU) * float64(queued.toPlace) * float64(queued.expectedRunTime)
 	}
-	return time.Duration(work * float64(max(1, len(s.entries))) / capacity)
+	return time.Duration(work / capacity)
 }
 
-// effectiveCapacity returns the CPU of an agent's server, in thousandths of a core
-// of a server of slowness 1. A server that is twice as slow counts half.
+// effectiveCapacity returns this entry's share of the CPU of an agent's server, in
+// thousandths of a core of a server of slowness 1. A server that is twice as slow counts
+// half. The entries that share the server have equal shares.
 func (a *agent) effectiveCapacity() float64 {
-	return float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1)
+	return float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1) / float64(max(1, a.report.EntryCount))
 }
 
-// serviceCapacity returns the sum of the effective capacities of a service's
+// serviceCapacity returns this entry's share of the effective capacity of a service's
 // usable servers.
 func (s *Scheduler) serviceCapacity(now time.Duration, service string) float64 {
 	capacity := 0.0
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -60,6 +60,7 @@
 	a.AgentRef = pollenfront.AgentRef{Incarnation: hello.Incarnation, Name: hello.Name}
 	a.echo, a.lastUpdate, a.linked, a.lastSeqNum, a.unreported = 0, now, true, 0, nil
 	a.service, a.zone, a.report = hello.Service, hello.Zone, tasklink.Report{}
+	s.countAgents()
 	a.primary = s.isPrimary(a)
 	known := make(map[pollenfront.RunID]tasklink.RunState, len(hello.Runs))
 	for _, r := range hello.Runs {
@@ -93,9 +94,28 @@
 func (s *Scheduler) UnlinkAgent(name string, incarnation uint64) {
 	if a, ok := s.agents[name]; ok && a.Incarnation == incarnation {
 		a.linked = false
+		s.countAgents()
 	}
 }
 
+// countAgents updates agentCounts.
+func (s *Scheduler) countAgents() {
+	clear(s.agentCounts)
+	for _, a := range s.sortedAgents {
+		if a.linked {
+			s.agentCounts[a.service]++
+		}
+	}
+}
+
+// commandsInterval returns the longest time between two Commands messages to the agent.
+func (a *agent) commandsInterval() time.Duration {
+	if len(a.tasks) > 0 {
+		return CommandsInterval
+	}
+	return IdleCommandsInterval
+}
+
 // HandleUpdate handles an update from an agent. It ignores updates of agents
 // that are not linked.
 func (s *Scheduler) HandleUpdate(now time.Duration, name string, update *tasklink.Update) *Effects {
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -71,7 +71,7 @@
 	}
 	for service, capacity := range capacities {
 		if capacity > 0 {
-			s.retrySpreader(service).capacity = capacity / float64(max(1, len(s.entries)))
+			s.retrySpreader(service).capacity = capacity
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -78,8 +78,11 @@
 	// it is suspect and gets no tasks.
 	AgentSuspectTimeout = 350 * time.Millisecond
 	// CommandsInterval is the longest time between two Commands messages to an
-	// agent.
+	// agent that has runs of this entry. The agent stops them if the entry is silent.
 	CommandsInterval = 120 * time.Millisecond
+	// IdleCommandsInterval replaces CommandsInterval for agents without such runs. It
+	// only keeps the link alive.
+	IdleCommandsInterval = 500 * time.Millisecond
 	// TickInterval is the time between two calls of Tick.
 	TickInterval = 40 * time.Millisecond
 
@@ -128,16 +131,17 @@
 
 // A Scheduler holds the jobs of an entry, and the agents that have linked to it.
 type Scheduler struct {
-	agents    map[string]*agent
-	chooser   pollenfront.Chooser
-	corrector estimateCorrector
+	// agentCounts holds the number of linked agents by service.
+	agentCounts map[string]int
+	agents      map[string]*agent
+	chooser     pollenfront.Chooser
+	corrector   estimateCorrector
 	// disabledZones is the newest list received from operators or agents.
 	disabledZones tasklink.DisabledZones
 	// eligible has, for each element of evaluated, the index of its candidate. Both
 	// slices are only used within a call of choose, and kept to reuse their memory.
 	eligible []int
-	// entries are the entries that share the servers, including this one,
-	// sorted by name.
+	// entries are the registered entries, including this one.
 	entries []pollenfront.EntryRecord
 	// evaluated are the servers among which chooser chooses.
 	evaluated []pollenfront.ServerCandidate
@@ -179,7 +183,7 @@
 // start of the warm-up.
 func New(now time.Duration, name, zone string, options ...Option) *Scheduler {
 	s := &Scheduler{
-		agents: make(map[string]*agent), chooser: placement.EarliestFinish{}, corrector: make(estimateCorrector), jobs: make(map[string]*job),
+		agentCounts: make(map[string]int), agents: make(map[string]*agent), chooser: placement.EarliestFinish{}, corrector: make(estimateCorrector), jobs: make(map[string]*job),
 		name: name, remoteFactor: 1, retrySpreaders: make(map[string]*retrySpreader), warmUpStart: now, zone: zone,
 	}
 	for _, option := range options {
@@ -289,7 +293,7 @@
 	}
 	s.place(now, effects)
 	for _, a := range s.sortedAgents {
-		if a.linked && now-a.lastSent >= CommandsInterval {
+		if a.linked && now-a.lastSent >= a.commandsInterval() {
 			effects.commandsFor(s, a)
 		}
 	}
@@ -344,14 +348,15 @@
 		if e.Commands == nil {
 			e.Commands = make(map[string]*tasklink.Commands)
 		}
-		commands = &tasklink.Commands{DisabledZones: s.disabledZones, EchoedClock: a.echo}
+		commands = &tasklink.Commands{AgentCount: s.agentCounts[a.service], DisabledZones: s.disabledZones, EchoedClock: a.echo}
 		e.Commands[a.Name] = commands
 	}
 	return commands
 }
 
 // MarkSent records that commands were sent to the agent with the given name. Tick
-// then adds no commands just to keep the link alive until CommandsInterval has passed.
+// then adds no commands just to keep the link alive until the agent's interval for
+// commands has passed.
 func (s *Scheduler) MarkSent(now time.Duration, name string) {
 	if a, ok := s.agents[name]; ok {
 		a.lastSent = now
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -151,3 +151,51 @@
 	c.Assert(effects.Results, qt.HasLen, 1)
 	c.Assert(effects.Results[0].Verdict, qt.Equals, pollenfront.VerdictRefused)
 }
+
+// TestIdleCommands checks that an agent without runs of the entry gets commands at the
+// longer interval, and an agent with runs at the shorter one, as it stops them if the
+// entry is silent.
+func TestIdleCommands(t *testing.T) {
+	tests := []struct {
+		tasks    int
+		interval time.Duration
+	}{
+		{tasks: 0, interval: scheduler.IdleCommandsInterval},
+		{tasks: 1, interval: scheduler.CommandsInterval},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		s := newScheduler(64)
+		s.Submit(at(0), submission("0a", test.tasks))
+		s.MarkSent(at(0), "agent-1")
+		for now := at(0); now < at(0)+test.interval; now += 10 * time.Millisecond {
+			s.HandleUpdate(now, "agent-1", update(64))
+			c.Assert(s.Tick(now).Commands, qt.HasLen, 0, qt.Commentf("%d tasks, %v", test.tasks, now-at(0)))
+		}
+		commands := s.Tick(at(0) + test.interval).Commands["agent-1"]
+		c.Assert(commands, qt.IsNotNil)
+		c.Assert(commands.AgentCount, qt.Equals, 1)
+	}
+}
+
+// TestSharedServers checks that an entry counts on its share only of servers that others
+// use too: it then refuses a job that would start too late.
+func TestSharedServers(t *testing.T) {
+	tests := []struct {
+		entryCount int
+		refused    bool
+	}{
+		{entryCount: 1, refused: false},
+		{entryCount: 6, refused: true},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		s := newScheduler(0)
+		full := update(0)
+		full.Report.EntryCount, full.Report.Waits = test.entryCount, []int{1000, 1000, 1000}
+		s.HandleUpdate(at(0), "agent-1", full)
+		s.Submit(at(0), submission("0a", 3))
+		results := s.Submit(at(0), submission("0b", 3)).Results
+		c.Assert(len(results) == 1 && results[0].Verdict == pollenfront.VerdictRefused, qt.Equals, test.refused)
+	}
+}
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -1,7 +1,7 @@
 // Package tasklink defines the protocol between entries and the agents beside
 // backend servers: the messages, and the links that carry them.
 //
-// Every agent dials every entry. Both sides first send a Hello; then the agent
+// Every agent dials the entries of its cell (see package cell). Both sides first send a Hello; then the agent
 // sends Updates and the entry sends Commands. A message is sent as a frame: its
 // length in four bytes, big endian, followed by the message in MessagePack.
 // Messages queued during a write are sent together in the next one, so that a
@@ -26,7 +26,7 @@
 
 // Version is the version of the protocol. Both sides close a link if the other
 // side uses a different version.
-const Version = 3
+const Version = 4
 
 // Hello is the first message on a link, in both directions.
 //
@@ -103,6 +103,8 @@
 	RunSeconds float64
 	// Labels name the kind and the rack of the server.
 	Labels []string
+	// EntryCount is the number of entries that share the server.
+	EntryCount int
 }
 
 // A State is whether tasks may be sent to a backend server, and if not, why.
@@ -153,6 +155,9 @@
 	EchoedClock int64
 	// DisabledZones is the newest list that the entry knows.
 	DisabledZones DisabledZones
+	// AgentCount is the number of agents of the receiving agent's service to which
+	// the entry has links. Agents adapt the number of their links to it.
+	AgentCount int
 	// Starts lists the runs to start.
 	Starts []StartCommand
 	// Stops lists the runs to stop. A run number also stands for all lower
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -10,8 +10,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendInt64(o, z.EchoedClock)
 	// array header, size 2
 	o = append(o, 0x92)
@@ -20,6 +20,7 @@
 	for za0001 := range z.DisabledZones.Zones {
 		o = msgp.AppendString(o, z.DisabledZones.Zones[za0001])
 	}
+	o = msgp.AppendInt(o, z.AgentCount)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Starts)))
 	for za0002 := range z.Starts {
 		o, err = z.Starts[za0002].MarshalMsg(o)
@@ -47,8 +48,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.EchoedClock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -89,6 +90,11 @@
 			return
 		}
 	}
+	z.AgentCount, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgentCount")
+		return
+	}
 	var zb0004 uint32
 	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -135,7 +141,7 @@
 	for za0001 := range z.DisabledZones.Zones {
 		s += msgp.StringPrefixSize + len(z.DisabledZones.Zones[za0001])
 	}
-	s += msgp.ArrayHeaderSize
+	s += msgp.IntSize + msgp.ArrayHeaderSize
 	for za0002 := range z.Starts {
 		s += z.Starts[za0002].Msgsize()
 	}
@@ -333,8 +339,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint8(o, uint8(z.State))
 	o, err = z.Capacity.MarshalMsg(o)
 	if err != nil {
@@ -364,6 +370,7 @@
 	for za0003 := range z.Labels {
 		o = msgp.AppendString(o, z.Labels[za0003])
 	}
+	o = msgp.AppendInt(o, z.EntryCount)
 	return
 }
 
@@ -375,8 +382,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	{
@@ -482,6 +489,11 @@
 			return
 		}
 	}
+	z.EntryCount, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "EntryCount")
+		return
+	}
 	o = bts
 	return
 }
@@ -496,6 +508,7 @@
 	for za0003 := range z.Labels {
 		s += msgp.StringPrefixSize + len(z.Labels[za0003])
 	}
+	s += msgp.IntSize
 	return
 }
 
