Do not restore an announcement after the server has announced itself

Change: the saved announcement is dropped if the server has announced itself while the store was read. Measured: TestRestoreOutdatedAnnouncement fails without the change. Conclusion: a server that has left is not in use again after a restart of its agent. The release of links has its test in the same file.

--- a/agent/internal/driver/announcements.go
+++ b/agent/internal/driver/announcements.go
@@ -79,15 +79,26 @@
 			continue
 		}
 		if found {
-			now := bootclock.Now()
-			d.logger.Info("announcement restored", zap.String("instance", a.Instance), zap.Uint64("incarnation", a.Incarnation))
-			d.server.SetInstance(a.Instance)
-			d.handleEvent(now, func() executor.Effects { return d.executor.RestoreAnnouncement(now, a) })
+			d.restoreAnnouncement(a)
 		}
 		return
 	}
 }
 
+// restoreAnnouncement passes a saved announcement to the executor, unless the server has
+// announced itself meanwhile: the saved one may be of an earlier incarnation.
+func (d *Driver) restoreAnnouncement(a pollenfront.Announcement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.executor.ServerAnnounced() {
+		return
+	}
+	now := bootclock.Now()
+	d.logger.Info("announcement restored", zap.String("instance", a.Instance), zap.Uint64("incarnation", a.Incarnation))
+	d.server.SetInstance(a.Instance)
+	d.applyEffects(now, d.executor.RestoreAnnouncement(now, a))
+}
+
 // serverAnnounced reports whether the executor knows the server's announcement.
 func (d *Driver) serverAnnounced() bool {
 	d.mu.Lock()
--- a/agent/internal/driver/driver_test.go
+++ b/agent/internal/driver/driver_test.go
@@ -18,11 +18,16 @@
 // A fakeServer is a backend server on which every run completes at once.
 type fakeServer struct {
 	endedRuns     []pollenfront.EndedRun
+	instance      string
 	mu            sync.Mutex
 	startRequests []pollenfront.StartRequest
 }
 
-func (f *fakeServer) SetInstance(string) {}
+func (f *fakeServer) SetInstance(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instance = id
+}
 
 func (f *fakeServer) Start(_ context.Context, request pollenfront.StartRequest) (time.Duration, error) {
 	f.mu.Lock()
@@ -52,8 +57,10 @@
 type fakeStore struct {
 	pollenfront.Store
 
-	mu    sync.Mutex
-	saved pollenfront.Announcement
+	// loading, if set, is called by LoadAnnouncement before it returns.
+	loading func()
+	mu      sync.Mutex
+	saved   pollenfront.Announcement
 }
 
 func (f *fakeStore) SaveAnnouncement(_ context.Context, _ string, a pollenfront.Announcement) error {
@@ -66,6 +73,9 @@
 func (f *fakeStore) LoadAnnouncement(context.Context, string) (pollenfront.Announcement, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.loading != nil {
+		f.loading()
+	}
 	return f.saved, f.saved.Incarnation != 0, nil
 }
 
@@ -155,6 +165,23 @@
 	c.Assert(update.Report.Capacity, qt.Equals, announcement.Capacity)
 }
 
+// TestRestoreOutdatedAnnouncement checks that an announcement of an earlier incarnation of
+// the backend server is not restored if the server announces itself while the store is
+// read. Requests addressed to the earlier incarnation would be refused.
+func TestRestoreOutdatedAnnouncement(t *testing.T) {
+	c := qt.New(t)
+	server := &fakeServer{}
+	outdated := announcement
+	outdated.Incarnation, outdated.Instance = 2, "i-0"
+	store := &fakeStore{saved: outdated}
+	d, _ := startDriver(t, server, store)
+	store.loading = func() { d.HandleAnnouncement(announcement) }
+	d.RestoreAnnouncement(context.Background())
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	c.Assert(server.instance, qt.Equals, announcement.Instance)
+}
+
 // TestDrain checks that Drain returns before its context is done if no run is left,
 // and that the agent then reports its state as draining.
 func TestDrain(t *testing.T) {
@@ -167,3 +194,26 @@
 	qt.Assert(t, ctx.Err(), qt.IsNil)
 	awaitUpdate(t, link, func(update *tasklink.Update) bool { return update.Report.State == tasklink.StateDraining })
 }
+
+// TestReleaseLink checks that the link to a released entry can be closed once the entry
+// has echoed the report that says so, and that it serves again after Retain.
+func TestReleaseLink(t *testing.T) {
+	c := qt.New(t)
+	d, link := startDriver(t, &fakeServer{}, &fakeStore{})
+	d.HandleAnnouncement(announcement)
+	update := awaitUpdate(t, link, reportsReady)
+	c.Assert(link.Send(&tasklink.Commands{AgentCount: 7, EchoedClock: update.Clock}), qt.IsNil)
+	for d.Links()[0].AgentCount != 7 {
+		time.Sleep(time.Millisecond)
+	}
+	address := d.Links()[0].Address
+	c.Assert(d.Release(address), qt.IsFalse)
+	update = awaitUpdate(t, link, func(update *tasklink.Update) bool { return update.Report.State == tasklink.StateDraining })
+	c.Assert(link.Send(&tasklink.Commands{EchoedClock: update.Clock}), qt.IsNil)
+	for !d.Release(address) {
+		time.Sleep(time.Millisecond)
+	}
+	d.Retain(address)
+	awaitUpdate(t, link, reportsReady)
+	c.Assert(d.Release("127.0.0.1:1"), qt.IsTrue, qt.Commentf("there is no link to this address"))
+}
