Pause before the store is read in full after its history was lost

Cause: a store that discards its history after each read was called in a loop, and all processes of a fleet read it in full at the same time. Conclusion: the store is not flooded; the pause is far below the time in which changes must be in force.

--- a/storewatch/watcher.go
+++ b/storewatch/watcher.go
@@ -68,18 +68,24 @@
 		case errors.Is(err, pollenfront.ErrHistoryGone):
 			loaded = false
 			w.Logger.Info("store history gone, reading the full state", zap.String("followed", w.Name))
+			sleepUpTo(ctx, initialRetryDelay) // All processes read the full state at the same time otherwise.
 		case ctx.Err() == nil:
 			if delayBound == 0 {
 				delayBound = initialRetryDelay
 				w.Logger.Warn("store lost", zap.String("followed", w.Name), zap.Error(err))
 			}
 			delayBound = min(2*delayBound, maxRetryDelay)
-			program.Sleep(ctx, time.Duration(rand.Int64N(int64(delayBound)))) //nolint:gosec // The delay need not be unpredictable.
+			sleepUpTo(ctx, delayBound)
 		}
 	}
 	return ctx.Err()
 }
 
+// sleepUpTo sleeps for a random time below limit, or until ctx is done.
+func sleepUpTo(ctx context.Context, limit time.Duration) {
+	program.Sleep(ctx, time.Duration(rand.Int64N(int64(limit)))) //nolint:gosec // The delay need not be unpredictable.
+}
+
 // fetch reads the full state if none is loaded, and otherwise polls for a change to
 // known.
 func (w *Watcher[T]) fetch(ctx context.Context, known T, loaded bool) (T, error) {
--- a/storewatch/watcher_test.go
+++ b/storewatch/watcher_test.go
@@ -59,3 +59,22 @@
 		})
 	}
 }
+
+// TestHistoryGoneAgain checks that a watcher does not call a store in a loop that has
+// discarded its history again after each read.
+func TestHistoryGoneAgain(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	reads := 0
+	w := storewatch.Watcher[int]{
+		Apply:  func(int) {},
+		Logger: zap.NewNop(),
+		Poll:   func(context.Context, int, time.Duration) (int, error) { return 0, pollenfront.ErrHistoryGone },
+		Read: func(context.Context) (int, error) {
+			reads++
+			return 0, nil
+		},
+	}
+	_ = w.Run(ctx)
+	qt.Assert(t, reads <= 50, qt.IsTrue, qt.Commentf("%d reads", reads))
+}
