Let a time to finish of zero count in the choice of a server

Cause: EarliestFinish took a time of 0 for "not set". Change: the minimum starts at the largest duration. The choice has a test of its own now. Measured: TestChoose, case "a busy server would finish at once", failed before. Conclusion: no special value is left.

--- a/placement/earliest_finish.go
+++ b/placement/earliest_finish.go
@@ -10,6 +10,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -33,12 +34,10 @@
 
 // Choose implements pollenfront.Chooser.
 func (EarliestFinish) Choose(task pollenfront.TaskTiming, servers []pollenfront.ServerCandidate) int {
-	best, bestScore, minTimeToFinish := -1, time.Duration(0), time.Duration(0)
+	best, bestScore, minTimeToFinish := -1, time.Duration(0), time.Duration(math.MaxInt64)
 	for i := range servers {
 		s := &servers[i]
-		if minTimeToFinish == 0 || s.TimeToFinish < minTimeToFinish {
-			minTimeToFinish = s.TimeToFinish
-		}
+		minTimeToFinish = min(minTimeToFinish, s.TimeToFinish)
 		if !s.CanStart {
 			continue
 		}
