Bound the attempts to accept links and the wait for a hello

Cause: Serve tried again at once when the process had no descriptor left, and a peer that connected and sent nothing kept its connection for ever. Change: a pause of 50 ms after a failure; a hello must arrive within 2 s. Measured: TestServeWithoutDescriptors and TestSilentPeer fail without the change: 2,684,636 attempts in 200 ms, and a connection open after 4 s. Conclusion: neither costs more than one attempt every 50 ms or one descriptor for 2 s.

--- a/entry/internal/jobs/jobs_test.go
+++ b/entry/internal/jobs/jobs_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -213,3 +216,50 @@
 	c.Assert(failed.Verdict, qt.Equals, pollenfront.VerdictFailed)
 	c.Assert(failed.Reason, qt.Equals, pollenfront.ReasonTaskFailed)
 }
+
+// A failingListener fails to accept links, as a process does that has no descriptor
+// left, until it is closed.
+type failingListener struct {
+	net.Listener
+
+	accepts atomic.Int64
+	closed  atomic.Bool
+}
+
+func (f *failingListener) Accept() (net.Conn, error) {
+	f.accepts.Add(1)
+	if f.closed.Load() {
+		return nil, net.ErrClosed
+	}
+	return nil, syscall.EMFILE
+}
+
+// TestServeWithoutDescriptors checks that Serve tries again after a pause when it can't
+// accept a link, and still ends when the listener is closed.
+func TestServeWithoutDescriptors(t *testing.T) {
+	c := qt.New(t)
+	j := New(tasklink.Hello{Name: "entry-1"}, nil, prometheus.NewRegistry(), zap.NewNop())
+	listener := &failingListener{}
+	time.AfterFunc(200*time.Millisecond, func() { listener.closed.Store(true) })
+	c.Assert(j.Serve(listener), qt.IsNil)
+	c.Assert(listener.accepts.Load() <= 30, qt.IsTrue, qt.Commentf("%d attempts", listener.accepts.Load()))
+}
+
+// TestSilentPeer checks that a peer which connects and sends no hello does not keep its
+// connection.
+func TestSilentPeer(t *testing.T) {
+	c := qt.New(t)
+	j := New(tasklink.Hello{Name: "entry-1"}, nil, prometheus.NewRegistry(), zap.NewNop())
+	entryConn, agentConn := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, agentConn) }()
+	served := make(chan struct{})
+	go func() {
+		j.serveLink(entryConn)
+		close(served)
+	}()
+	select {
+	case <-served:
+	case <-time.After(2 * helloTimeout):
+		c.Fatal("the connection is still open")
+	}
+}
--- a/entry/internal/jobs/link.go
+++ b/entry/internal/jobs/link.go
@@ -25,6 +25,16 @@
 // rejected.
 const helloRetention = 10 * time.Second
 
+// Limits on new links.
+const (
+	// acceptRetryDelay is the delay after a failure to accept a link. The process is
+	// most likely out of descriptors then.
+	acceptRetryDelay = 50 * time.Millisecond
+	// helloTimeout is the time within which the other side of a new link must send its
+	// hello.
+	helloTimeout = 2 * time.Second
+)
+
 // A helloRecord identifies the newest hello of an agent. A stale hello, which was
 // delayed and arrives after a newer one, must be rejected: it does not list the runs
 // that were started since, so the scheduler would start them again.
@@ -53,7 +63,8 @@
 }
 
 // Serve accepts links from agents until the listener is closed. It then returns
-// nil. Other errors of the listener are logged.
+// nil. Other errors of the listener are logged, and accepting is tried again after
+// acceptRetryDelay.
 func (j *Jobs) Serve(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
@@ -62,6 +73,7 @@
 		}
 		if err != nil {
 			j.logger.Warn("link not accepted", zap.Error(err))
+			time.Sleep(acceptRetryDelay)
 			continue
 		}
 		go j.serveLink(conn)
@@ -73,10 +85,12 @@
 func (j *Jobs) serveLink(conn net.Conn) {
 	link := &agentLink{Link: tasklink.NewLink(conn)}
 	defer link.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	if err := j.handshake(link); err != nil {
 		j.logger.Info("link refused", zap.Stringer("from", conn.RemoteAddr()), zap.Error(err))
 		return
 	}
+	_ = conn.SetReadDeadline(time.Time{}) // The scheduler closes the links of silent agents.
 	err := j.receiveUpdates(link)
 	j.removeLink(link, err)
 }
