Mend three faults of an agent's links and of its server's notices

Cause: the notice of a server that shuts down ended the use of whichever instance was in use, also of its successor; a link on which the hello could not be sent counted as open; Dial dropped the error of an attempt that did not link, so a mismatch of protocol versions was never logged. Change: notices of other instances than the announced one are ignored and logged; the link is removed again; "entry not linked" is logged once for each change of cause. Measured: TestDeregistrationOfEarlierInstance and TestHelloNotSent fail without the change, TestDialErrorsLogged waits for its log line until its timeout. Conclusion: a late notice takes no server out of use, and a version mismatch shows in the agent's log.

--- a/agent/internal/driver/announcements.go
+++ b/agent/internal/driver/announcements.go
@@ -9,7 +9,6 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
-	"github.com/pollenfront/pollenfront/executor"
 	"github.com/pollenfront/pollenfront/program"
 )
 
@@ -31,6 +30,7 @@
 	previous := d.executor.State()
 	effects, accepted := d.executor.HandleAnnouncement(now, a)
 	if accepted {
+		d.instance = a.Instance
 		d.server.SetInstance(a.Instance)
 		d.saveAnnouncement(a)
 	}
@@ -107,11 +107,18 @@
 }
 
 // HandleDeregistration notifies the executor that the backend server is shutting
-// down.
+// down. It ignores the notice of an instance other than the announced one, which may
+// have been delayed.
 func (d *Driver) HandleDeregistration(instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.instance != "" && instance != d.instance {
+		d.logger.Info("notice of an earlier backend server ignored", zap.String("instance", instance), zap.String("current", d.instance))
+		return
+	}
 	d.logger.Info("backend server left", zap.String("instance", instance))
 	now := bootclock.Now()
-	d.handleEvent(now, func() executor.Effects { return d.executor.HandleDeregistration(now) })
+	d.applyEffects(now, d.executor.HandleDeregistration(now))
 }
 
 // HandleInvalidAnnouncement counts and logs an announcement that could not be
--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -43,6 +43,9 @@
 // New.
 type Driver struct {
 	executor *executor.Executor
+	// instance is the ID of the instance of the backend server that was announced last,
+	// or empty if none was.
+	instance string
 	// lastLinkSeqNum is the sequence number of the newest link to any entry. The
 	// hello on each link carries the number of that link.
 	lastLinkSeqNum uint64
--- a/agent/internal/driver/driver_test.go
+++ b/agent/internal/driver/driver_test.go
@@ -10,8 +10,10 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/bootclock"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -217,3 +219,70 @@
 	awaitUpdate(t, link, reportsReady)
 	c.Assert(d.Release("127.0.0.1:1"), qt.IsTrue, qt.Commentf("there is no link to this address"))
 }
+
+// TestDeregistrationOfEarlierInstance checks that the notice of an earlier incarnation of
+// the backend server, which may arrive late, does not end the use of the current one.
+func TestDeregistrationOfEarlierInstance(t *testing.T) {
+	tests := []struct {
+		instance string
+		want     tasklink.State
+	}{
+		{instance: "i-0", want: tasklink.StateReady},
+		{instance: announcement.Instance, want: tasklink.StateUnavailable},
+	}
+	for _, test := range tests {
+		d, link := startDriver(t, &fakeServer{}, &fakeStore{})
+		d.HandleAnnouncement(announcement)
+		awaitUpdate(t, link, reportsReady)
+		d.HandleDeregistration(test.instance)
+		d.mu.Lock()
+		state := d.executor.State()
+		d.mu.Unlock()
+		qt.Check(t, state, qt.Equals, test.want, qt.Commentf("instance %s", test.instance))
+	}
+}
+
+// TestHelloNotSent checks that a link on which the hello can't be sent does not count as
+// open.
+func TestHelloNotSent(t *testing.T) {
+	c := qt.New(t)
+	d := New(tasklink.Hello{Name: "agent-1"}, &fakeServer{}, &fakeStore{}, prometheus.NewRegistry(), zap.NewNop())
+	conn, _ := net.Pipe()
+	link := &entryLink{Link: tasklink.NewLink(conn), ref: pollenfront.EntryRef{Incarnation: 1, Name: "entry-1"}}
+	link.Close()
+	c.Assert(d.addLink(link), qt.IsNotNil)
+	c.Assert(d.Links(), qt.HasLen, 0)
+	_, linked := d.executor.NextUpdate(time.Second, "entry-1")
+	c.Assert(linked, qt.IsFalse)
+}
+
+// TestDialErrorsLogged checks that the reason why an entry can't be linked is logged once,
+// and again when it changes.
+func TestDialErrorsLogged(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	core, logs := observer.New(zap.InfoLevel)
+	d := New(tasklink.Hello{Name: "agent-1"}, &fakeServer{}, &fakeStore{}, prometheus.NewRegistry(), zap.New(core))
+	d.started = bootclock.Now() - time.Minute // No run of an earlier incarnation is left.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Dial(ctx, listener.Addr().String())
+	for range 3 {
+		conn, err := listener.Accept()
+		c.Assert(err, qt.IsNil)
+		link := tasklink.NewLink(conn)
+		c.Assert(link.Send(&tasklink.Hello{Name: "entry-1", Version: tasklink.Version + 1}), qt.IsNil)
+		_ = link.Receive(&tasklink.Hello{})
+		link.Close()
+	}
+	c.Assert(listener.Close(), qt.IsNil)
+	failures := func() []observer.LoggedEntry { return logs.FilterMessage("entry not linked").All() }
+	for len(failures()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(3 * minRedialDelay)
+	c.Assert(failures(), qt.HasLen, 2)
+	c.Assert(failures()[0].ContextMap()["error"], qt.Contains, "protocol version")
+	c.Assert(failures()[1].ContextMap()["error"], qt.Contains, "refused")
+}
--- a/agent/internal/driver/link.go
+++ b/agent/internal/driver/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -51,6 +52,7 @@
 func (d *Driver) Dial(ctx context.Context, address string) {
 	delay, maxDelay := minRedialDelay, maxRedialDelay
 	lastLinked := bootclock.Now()
+	loggedCause := ""
 	for ctx.Err() == nil {
 		if !d.earlierRunsEnded() {
 			program.Sleep(ctx, earlierRunsPollInterval)
@@ -59,7 +61,11 @@
 		linked, err := d.dialOnce(ctx, address)
 		if linked {
 			delay, maxDelay, lastLinked = minRedialDelay, maxRedialDelay, bootclock.Now()
+			loggedCause = ""
 			d.logger.Warn("entry lost", zap.String("address", address), zap.Error(err))
+		} else if cause := errorCause(err); cause != loggedCause && ctx.Err() == nil {
+			loggedCause = cause
+			d.logger.Warn("entry not linked", zap.String("address", address), zap.Error(err))
 		}
 		program.Sleep(ctx, delay)
 		if bootclock.Now()-lastLinked > slowRedialAfter {
@@ -69,6 +75,16 @@
 	}
 }
 
+// errorCause returns the text of an error without the addresses of the connection, which
+// differ in each attempt.
+func errorCause(err error) string {
+	var operation *net.OpError
+	if errors.As(err, &operation) {
+		return operation.Err.Error()
+	}
+	return err.Error()
+}
+
 // earlierRunsEnded reports whether no run of an earlier incarnation of this agent
 // is left on the backend server.
 func (d *Driver) earlierRunsEnded() bool {
@@ -125,6 +141,9 @@
 	d.lastLinkSeqNum++
 	hello.LinkSeqNum, hello.Runs = d.lastLinkSeqNum, runs
 	if err := link.Send(&hello); err != nil {
+		delete(d.links, link.ref.Name)
+		d.executor.UnlinkEntry(link.ref)
+		d.applyEffects(now, effects)
 		return err
 	}
 	d.logger.Info("entry linked", zap.String("entry", link.ref.Name), zap.Uint64("incarnation", link.ref.Incarnation), zap.Int("runs", len(runs)))
