Judge slow runs, overdue jobs and queues by what they are

Cause: the rule for slow runs asked for run number 1, so a task whose first number the server did not accept was never stopped for being slow. Jobs were refused in the warm-up once they could not be on time, although servers were about to link. The queue of one service was counted as work ahead of another's. Change: a task knows whether a run of it may have started, and its start command says so. In the warm-up an overdue job waits as long as a late answer may be of use. queueDelay counts the jobs of its own service. Conclusion: three decisions follow their stated rule.

--- a/executor/run.go
+++ b/executor/run.go
@@ -55,6 +55,8 @@
 	// percent is the progress that the server last reported.
 	percent  int
 	priority int
+	// rerun is whether an earlier run of the task may have started.
+	rerun bool
 	// startAttempts is the number of start requests since the run left the queue.
 	startAttempts int
 	// started is whether the server reported that the run has started, or the run
@@ -154,7 +156,7 @@
 		case x.server.lastRenewal-r.lastProgress > progressTimeout:
 			x.stats.record(now, pollenfront.EndingFailed, 0, r.expectedRunTime)
 			x.stopRun(now, r, "it made no progress", effects)
-		case r.id.Number == 1 && x.tooSlow(now, r):
+		case !r.rerun && x.tooSlow(now, r):
 			x.stats.recordRatio(slowRunFactor * x.stats.slowness())
 			x.stopRun(now, r, "it was far too slow", effects)
 		}
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -67,8 +67,7 @@
 
 // queueDelay returns the time in which this entry's share of a service's servers
 // would complete the queued jobs ahead of the given job, or all queued jobs if it
-// is nil. Queued jobs of other services count too. If no server of the service is
-// usable, queueDelay returns refusedRetryAfter.
+// is nil. If no server of the service is usable, queueDelay returns refusedRetryAfter.
 func (s *Scheduler) queueDelay(now time.Duration, service string, before *job) time.Duration {
 	capacity := s.serviceCapacity(now, service)
 	if capacity == 0 {
@@ -79,6 +78,9 @@
 		if queued == before {
 			break
 		}
+		if queued.Route.Service != service {
+			continue
+		}
 		work += float64(queued.Need.CPU) * float64(queued.toPlace) * float64(queued.expectedRunTime)
 	}
 	return time.Duration(work / capacity)
@@ -104,14 +106,15 @@
 }
 
 // shedOverdue refuses the overdue jobs: those whose latest start has passed and of
-// which no task was sent.
+// which no task was sent. During the warm-up, it keeps them as long as a late answer may
+// still be of use, since servers may link meanwhile.
 func (s *Scheduler) shedOverdue(now time.Duration, effects *Effects) {
 	for i := 0; i < len(s.queue); {
 		j := s.queue[i]
 		if j.latestStart >= now {
 			return
 		}
-		if j.sentAny {
+		if j.sentAny || s.warmingUp(now) && now+j.expectedRunTime < min(j.expiry, j.deadline) {
 			i++
 			continue
 		}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -58,6 +58,8 @@
 	expectedRunTime time.Duration
 	failures        int
 	job             *job
+	// mayHaveStarted is set if a run of the task has ended that may have started.
+	mayHaveStarted bool
 	// run identifies the newest run. Its number is increased before each send.
 	run    pollenfront.RunID
 	sentAt time.Duration
@@ -214,8 +216,8 @@
 }
 
 // tickJob cancels a job that is past its deadline, and stops slow runs of its
-// tasks. It stops only the first run of a task: if a later run takes as long, the
-// task itself is longer than estimated.
+// tasks. It stops only the first run of a task that may have started: if a later run
+// takes as long, the task itself is longer than estimated.
 func (s *Scheduler) tickJob(now time.Duration, j *job, effects *Effects) {
 	if j.canceled {
 		return
@@ -225,7 +227,7 @@
 		return
 	}
 	for _, t := range j.tasks {
-		if t.state == taskSent && !t.stopRequested && !j.AtMostOnce && t.run.Number == 1 &&
+		if t.state == taskSent && !t.stopRequested && !j.AtMostOnce && !t.mayHaveStarted &&
 			now-t.sentAt > slowRunFactor*t.expectedRunTime+slowRunMargin && s.worthRerunning(now, t) {
 			t.avoid = t.agent
 			s.stop(t, effects)
@@ -250,7 +252,7 @@
 	j.trace.LastServer, j.trace.LastSent, j.trace.LastRunTime = a.Name, t.sentAt-j.arrived, time.Duration(end.Seconds*float64(time.Second))
 	t.agent, t.state, t.stopRequested = nil, taskWaiting, false
 	if end.Ending != pollenfront.EndingNotStarted {
-		j.mayHaveStarted = true
+		t.mayHaveStarted, j.mayHaveStarted = true, true
 	}
 	if end.Superseded {
 		t.run.Number += supersededStep
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -274,7 +274,7 @@
 func (b *batch) add(t *task) {
 	b.placement.Tasks++
 	b.placement.MaxRunNumber = max(b.placement.MaxRunNumber, t.run.Number)
-	b.start.Tasks = append(b.start.Tasks, tasklink.StartTask{Index: t.run.Index, Run: t.run.Number, SeqNum: t.agent.lastSeqNum})
+	b.start.Tasks = append(b.start.Tasks, tasklink.StartTask{Index: t.run.Index, Rerun: t.mayHaveStarted, Run: t.run.Number, SeqNum: t.agent.lastSeqNum})
 }
 
 // markTaskSent records that a task is sent to an agent as a new run.
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/scheduler"
 )
 
 // TestRetrySpreading checks the Retry-After times of callers refused during an outage
@@ -19,6 +20,9 @@
 	c := qt.New(t)
 	s := newScheduler(0)
 	s.UnlinkAgent("agent-1", 1)
+	for now := at(0); now < at(2000); now += scheduler.TickInterval { // Without ticks, the entry would start another warm-up.
+		s.Tick(now)
+	}
 	perSecond := make(map[int]int)
 	for i := range 100 {
 		now := at(2000 + i*10)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,7 +20,8 @@
 //     are off during the warm-up after a start or a suspension.
 //   - A job is overdue once its latest start has passed without a task being sent. It
 //     is then refused, unless it can be placed at once when all jobs that are not
-//     overdue have been placed.
+//     overdue have been placed. During the warm-up it waits until an answer would be of
+//     no use.
 //   - VerdictRefused is only given to a job of which nothing was sent, or whose
 //     agents have confirmed that nothing was started.
 //   - The queue is ordered by latest start. All waiting tasks of a job are sent
@@ -32,7 +33,7 @@
 //   - A task that failed, was stopped or was lost is placed again, unless its job
 //     may run at most once: that job is canceled. A job fails when a task has failed
 //     as often as its route allows.
-//   - The first run of a task is stopped, and the task placed again, if it takes much
+//   - The first run of a task that may have started is stopped, and the task placed again, if it takes much
 //     longer than expected and the answer can still be of use after another run. Tasks
 //     of jobs that may run at most once are not stopped for this.
 //   - The runs on a server count as lost when its agent has been silent for
@@ -89,7 +90,7 @@
 	// warmUpPeriod is the time after a start within which all agents link and
 	// send their first updates. Until then jobs are not refused as infeasible or
 	// because of the queue, since servers may exist that are not known yet. They
-	// stay queued instead until their latest start.
+	// stay queued instead as long as an answer may be of use.
 	warmUpPeriod = 2 * time.Second
 
 	// suspensionLimit is the time between two events above which the process is
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -206,4 +206,7 @@
 	SeqNum uint64
 	// Run is the number of the run.
 	Run int
+	// Rerun is set if an earlier run of the task may have started. A slow rerun is not
+	// stopped, since the task itself may be longer than estimated.
+	Rerun bool
 }
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -656,11 +656,11 @@
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
 	for za0001 := range z.Tasks {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendInt(o, z.Tasks[za0001].Index)
-		o = msgp.AppendUint64(o, z.Tasks[za0001].SeqNum)
-		o = msgp.AppendInt(o, z.Tasks[za0001].Run)
+		o, err = z.Tasks[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Tasks", za0001)
+			return
+		}
 	}
 	return
 }
@@ -734,31 +734,11 @@
 		z.Tasks = make([]StartTask, zb0002)
 	}
 	for za0001 := range z.Tasks {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Tasks[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Tasks", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Tasks[za0001].Index, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001, "Index")
-			return
-		}
-		z.Tasks[za0001].SeqNum, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001, "SeqNum")
-			return
-		}
-		z.Tasks[za0001].Run, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001, "Run")
-			return
-		}
 	}
 	o = bts
 	return
@@ -766,18 +746,22 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StartCommand) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Job) + msgp.IntSize + msgp.StringPrefixSize + len(z.Payload) + z.Need.Msgsize() + msgp.BoolSize + msgp.Int64Size + msgp.IntSize + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (len(z.Tasks) * (18 + msgp.IntSize + msgp.Uint64Size + msgp.IntSize))
+	s = 1 + msgp.StringPrefixSize + len(z.Job) + msgp.IntSize + msgp.StringPrefixSize + len(z.Payload) + z.Need.Msgsize() + msgp.BoolSize + msgp.Int64Size + msgp.IntSize + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize
+	for za0001 := range z.Tasks {
+		s += z.Tasks[za0001].Msgsize()
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StartTask) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StartTask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendInt(o, z.Index)
 	o = msgp.AppendUint64(o, z.SeqNum)
 	o = msgp.AppendInt(o, z.Run)
+	o = msgp.AppendBool(o, z.Rerun)
 	return
 }
 
@@ -789,8 +773,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Index, bts, err = msgp.ReadIntBytes(bts)
@@ -808,13 +792,18 @@
 		err = msgp.WrapError(err, "Run")
 		return
 	}
+	z.Rerun, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rerun")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StartTask) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.Uint64Size + msgp.IntSize
+func (z *StartTask) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.Uint64Size + msgp.IntSize + msgp.BoolSize
 	return
 }
 
