Refuse a queued job as soon as it is known to start too late

Cause: the work ahead of a job was compared with its latest start on arrival only. More urgent jobs that came later, and servers that were lost, let it wait until its latest start had passed, behind work that it could not overtake. Change: after each placement the queue is checked again by the same rule. The replay sums how long refused jobs waited. TestRefusedOnceHopeless fails without the change. Conclusion: callers hear sooner, and the room goes to jobs that can be on time.

--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -83,6 +83,7 @@
 	Messages          int             // Messages is the number of messages between entries and agents.
 	OfferedValue      map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
 	OnTime            map[string]int
+	RefusalWait       time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
 	Refused           map[string]int
 	Starts            int // Starts is the number of runs that were started.
 	Submitted         map[string]int
@@ -119,6 +120,7 @@
 		}
 	}
 	r.Messages += other.Messages
+	r.RefusalWait += other.RefusalWait
 	r.Starts += other.Starts
 	r.UsefulCoreSeconds += other.UsefulCoreSeconds
 	r.WastedCoreSeconds += other.WastedCoreSeconds
--- a/replay/load.go
+++ b/replay/load.go
@@ -240,6 +240,7 @@
 			return
 		}
 		f.countJob(f.result.Refused, j)
+		f.result.RefusalWait += f.now - j.arrived
 		j.done = true
 	case pollenfront.VerdictFailed, pollenfront.VerdictConflict:
 		f.countJob(f.result.Unknown, j)
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -45,8 +46,7 @@
 		return
 	}
 	if delay := s.queueDelay(now, j.Route.Service, j); now+delay > j.latestStart {
-		detail := fmt.Sprintf("the job would start in %v; %s", delay.Round(time.Millisecond), s.describeLoad(now))
-		s.refuse(now, j, pollenfront.ReasonOverloaded, detail, effects)
+		s.refuseForDelay(now, j, delay, effects)
 	}
 }
 
@@ -81,7 +81,7 @@
 		if queued.Route.Service != service {
 			continue
 		}
-		work += float64(queued.Need.CPU) * float64(queued.toPlace) * float64(queued.expectedRunTime)
+		work += queued.work()
 	}
 	return time.Duration(work / capacity)
 }
@@ -121,3 +121,39 @@
 		s.refuse(now, j, pollenfront.ReasonOverloaded, "the job has waited until it would be late; "+s.describeLoad(now), effects)
 	}
 }
+
+// shedHopeless refuses the queued jobs that would start too late even if this entry's
+// share of the servers did nothing but the jobs ahead of them. More urgent jobs may have
+// arrived, or servers been lost, since such a job was admitted.
+func (s *Scheduler) shedHopeless(now time.Duration, effects *Effects) {
+	if s.warmingUp(now) {
+		return
+	}
+	work, capacities := make(map[string]float64), make(map[string]float64)
+	for _, j := range slices.Clone(s.queue) {
+		service := j.Route.Service
+		if _, ok := capacities[service]; !ok {
+			capacities[service] = s.serviceCapacity(now, service)
+		}
+		if capacities[service] == 0 {
+			continue
+		}
+		if delay := time.Duration(work[service] / capacities[service]); !j.sentAny && now+delay > j.latestStart {
+			s.refuseForDelay(now, j, delay, effects)
+			continue
+		}
+		work[service] += j.work()
+	}
+}
+
+// refuseForDelay refuses a job that would start too late, after delay.
+func (s *Scheduler) refuseForDelay(now time.Duration, j *job, delay time.Duration, effects *Effects) {
+	detail := fmt.Sprintf("the job would start in %v; %s", delay.Round(time.Millisecond), s.describeLoad(now))
+	s.refuse(now, j, pollenfront.ReasonOverloaded, detail, effects)
+}
+
+// work returns the CPU time of the tasks of a job that wait to be placed, in thousandths
+// of a core times nanoseconds.
+func (j *job) work() float64 {
+	return float64(j.Need.CPU) * float64(j.toPlace) * float64(j.expectedRunTime)
+}
--- a/scheduler/overdue_test.go
+++ b/scheduler/overdue_test.go
@@ -83,3 +83,28 @@
 	}
 	c.Assert(stops, qt.DeepEquals, []pollenfront.RunID{{Number: again.Run, TaskID: pollenfront.TaskID{Job: "0a"}}})
 }
+
+// TestRefusedOnceHopeless checks that a queued job is refused as soon as the jobs ahead of
+// it delay it beyond its latest start, not only when its latest start has passed.
+func TestRefusedOnceHopeless(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(0)
+	full := update(0)
+	full.Report.Waits = []int{2000, 2000, 2000}
+	s.HandleUpdate(at(0), "agent-1", full)
+	waiting := submission("0a", 1)
+	waiting.Route.LatencyTarget = 165 * time.Millisecond
+	c.Assert(s.Submit(at(0), waiting).Results, qt.HasLen, 0)
+	for i := range 3 { // Each job is 75 ms of work for the server.
+		urgent := submission(fmt.Sprintf("0%d", i), 8)
+		urgent.Route.LatencyTarget = 155 * time.Millisecond
+		results := s.Submit(at(1), urgent).Results
+		if i < 2 {
+			c.Assert(results, qt.HasLen, 0)
+			continue
+		}
+		c.Assert(results, qt.HasLen, 1)
+		c.Assert(results[0].ID, qt.Equals, waiting.ID)
+		c.Assert(results[0].Reason, qt.Equals, pollenfront.ReasonOverloaded)
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -75,6 +75,7 @@
 		s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.toPlace == 0 })
 	}
 	s.shedOverdue(now, effects)
+	s.shedHopeless(now, effects)
 }
 
 // placeOverdue places overdue jobs and returns how many it placed.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -16,7 +16,8 @@
 // The following rules decide:
 //
 //   - A job is refused if it is infeasible, as no known server could ever run it,
-//     or if the queue is so long that the job would start too late. Both rules
+//     or if the queue is so long that the job would start too late, on arrival or
+//     because of jobs that were put ahead of it. Both rules
 //     are off during the warm-up after a start or a suspension.
 //   - A job is overdue once its latest start has passed without a task being sent. It
 //     is then refused, unless it can be placed at once when all jobs that are not
