Pass over the queue only for updates that change something

Cause: every update of an agent caused a pass over the queue, also one that reported the same as before. Change: an update causes a pass if the report differs in what placement uses, covers further start commands, has ends of runs, or ends a silence. Conclusion: an overloaded entry is not slowed down by idle agents.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -125,9 +125,11 @@
 	if !ok || !a.linked {
 		return effects
 	}
+	unchanged := s.usable(now, a) && sameRoom(&a.report, &update.Report) && len(update.RunEnds) == 0
 	a.echo, a.lastUpdate, a.report = update.Clock, now, update.Report
 	for len(a.unreported) > 0 && a.unreported[0].seqNum <= update.LastSeqNum {
 		a.unreported = a.unreported[1:]
+		unchanged = false
 	}
 	if update.Report.DisabledZones.Version > s.disabledZones.Version {
 		s.disabledZones = update.Report.DisabledZones
@@ -138,10 +140,19 @@
 			s.handleRunEnd(now, t, *end, effects)
 		}
 	}
-	s.place(now, effects)
+	if !unchanged {
+		s.place(now, effects)
+	}
 	return effects
 }
 
+// sameRoom reports whether two reports of an agent are the same for placement. An update
+// that changes nothing need not cause a pass over the queue, as the next tick does.
+func sameRoom(a, b *tasklink.Report) bool {
+	return a.State == b.State && a.Capacity == b.Capacity && a.Free == b.Free && a.Slowness == b.Slowness && a.FailRate == b.FailRate &&
+		slices.Equal(a.Waits, b.Waits)
+}
+
 // tickAgent handles an agent that has been silent for longer than
 // AgentLossTimeout: its runs end as lost, and it is removed if it is not linked.
 func (s *Scheduler) tickAgent(now time.Duration, a *agent, effects *Effects) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -199,3 +199,15 @@
 		c.Assert(len(results) == 1 && results[0].Verdict == pollenfront.VerdictRefused, qt.Equals, test.refused)
 	}
 }
+
+// TestUpdateOfSuspectAgent checks that the first update of an agent after a silence places
+// queued jobs, although it reports the same as the one before the silence.
+func TestUpdateOfSuspectAgent(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(64)
+	c.Assert(startedTasks(s.Tick(at(380))), qt.Equals, 0)
+	large := submission("0a", 2)
+	large.Route.LatencyTarget = 2 * time.Second
+	c.Assert(startedTasks(s.Submit(at(390), large)), qt.Equals, 0)
+	c.Assert(startedTasks(s.HandleUpdate(at(400), "agent-1", update(64))), qt.Equals, 2)
+}
