Let entries that start without the store take the configuration from agents

Cause: an entry that started while the store was away had no configuration, was not ready and refused what reached it, until the store was back. Change: the primary entry of a server sends its configuration to the agent, and an agent passes it to an entry that has none when it links. Measured: TestConfigFromAgents, TestConfigSentToAgent, TestKeepConfig. Ruled out: a copy from before the store has failed, which could use a withdrawn route again after a restart. Conclusion: restarts during an outage of the store no longer take entries out of service. A loss of power everywhere during one still does.

--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -42,6 +42,9 @@
 // an Executor is not safe for concurrent use, and the fields that change after
 // New.
 type Driver struct {
+	// config is the newest configuration that an entry has sent. It is kept for entries
+	// that start while the store is unavailable.
+	config   *pollenfront.Config
 	executor *executor.Executor
 	// instance is the ID of the instance of the backend server that was announced last,
 	// or empty if none was.
@@ -149,6 +152,10 @@
 	if !ok {
 		return
 	}
+	if link.needsConfig && d.config != nil {
+		link.needsConfig = false
+		update.Config = d.config
+	}
 	if err := link.Send(&update); err != nil {
 		link.Close() // Dial logs the loss of the link.
 	}
--- a/agent/internal/driver/driver_test.go
+++ b/agent/internal/driver/driver_test.go
@@ -286,3 +286,26 @@
 	c.Assert(failures()[0].ContextMap()["error"], qt.Contains, "protocol version")
 	c.Assert(failures()[1].ContextMap()["error"], qt.Contains, "refused")
 }
+
+// TestKeepConfig checks that an agent passes the newest configuration that it has received
+// to an entry that has none when it links, and to no other.
+func TestKeepConfig(t *testing.T) {
+	c := qt.New(t)
+	d, link := startDriver(t, &fakeServer{}, &fakeStore{}) // The entry of this link has none.
+	for _, version := range []uint64{5, 4} {
+		c.Assert(link.Send(&tasklink.Commands{Config: &pollenfront.Config{Version: version}}), qt.IsNil)
+	}
+	update := awaitUpdate(t, link, func(update *tasklink.Update) bool { return update.Config != nil })
+	c.Assert(update.Config.Version, qt.Equals, uint64(5))
+	for _, needs := range []bool{true, false} {
+		entryConn, agentConn := net.Pipe()
+		other := tasklink.NewLink(entryConn)
+		ref := pollenfront.EntryRef{Incarnation: 1, Name: "entry-2"}
+		c.Assert(d.addLink(&entryLink{Link: tasklink.NewLink(agentConn), needsConfig: needs, ref: ref}), qt.IsNil)
+		var hello tasklink.Hello
+		c.Assert(other.Receive(&hello), qt.IsNil)
+		update := awaitUpdate(t, other, func(*tasklink.Update) bool { return true })
+		c.Assert(update.Config != nil, qt.Equals, needs)
+		other.Close()
+	}
+}
--- a/agent/internal/driver/link.go
+++ b/agent/internal/driver/link.go
@@ -42,7 +42,10 @@
 	address string
 	// agentCount is the AgentCount of the newest commands.
 	agentCount int
-	ref        pollenfront.EntryRef
+	// needsConfig is set until an update with the configuration was sent to an entry
+	// that had none.
+	needsConfig bool
+	ref         pollenfront.EntryRef
 }
 
 // Dial keeps a link to the entry at address, dialing again after each failure,
@@ -113,6 +116,7 @@
 	if hello.Version != tasklink.Version {
 		return false, fmt.Errorf("the entry uses protocol version %d, and this agent version %d", hello.Version, tasklink.Version)
 	}
+	link.needsConfig = hello.ConfigVersion == 0
 	link.ref = pollenfront.EntryRef{Incarnation: hello.Incarnation, Name: hello.Name}
 	if err := d.addLink(link); err != nil {
 		return false, err
@@ -167,7 +171,12 @@
 			if d.links[link.ref.Name] != link {
 				return executor.Effects{}
 			}
-			link.agentCount = commands.AgentCount
+			if commands.AgentCount > 0 {
+				link.agentCount = commands.AgentCount
+			}
+			if commands.Config != nil && (d.config == nil || commands.Config.Version > d.config.Version) {
+				d.config = commands.Config
+			}
 			return d.executor.HandleCommands(now, link.ref, &commands)
 		})
 	}
--- a/config.go
+++ b/config.go
@@ -5,7 +5,11 @@
 	"time"
 )
 
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -file config.go -o config_gen.go -tests=false -io=false
+
 // A Config is one version of the operators' configuration.
+//
+//msgp:tuple Config
 type Config struct {
 	// MaxBodySize is the size limit for the body of a caller's request, in bytes.
 	MaxBodySize int
@@ -19,6 +23,8 @@
 
 // A Route is a queue of jobs. The host and the path of a caller's request
 // select it.
+//
+//msgp:tuple Route
 type Route struct {
 	// Host is the host that a request must name.
 	Host string
@@ -45,6 +51,8 @@
 }
 
 // A Service is a pool of backend servers.
+//
+//msgp:tuple Service
 type Service struct {
 	Name string
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -148,6 +148,7 @@
 		Apply:       e.jobs.SetOperatorState,
 		Logger:      e.logger,
 		Name:        "operator state",
+		OnFailure:   e.jobs.HandleStoreFailure,
 		Poll:        e.store.PollOperatorState,
 		PollTimeout: operatorStatePollTimeout,
 		Read:        e.store.OperatorState,
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -51,12 +51,21 @@
 	loggedZones []string
 	logger      *zap.Logger
 	metrics     *metrics
-	// mu guards hellos, links, loggedZones, scheduler and submissions.
-	mu        sync.Mutex
+	// mu guards the fields that change after New, but for config.
+	mu sync.Mutex
+	// offered is the newest copy of the configuration that agents keep, until one is read
+	// from the store.
+	offered *pollenfront.Config
+	// offeredAt is the time at which the first copy arrived.
+	offeredAt time.Duration
 	scheduler *scheduler.Scheduler
 	// self is the hello of this entry.
 	self  tasklink.Hello
 	store pollenfront.Store
+	// storeFailed is set once a configuration could not be read from the store.
+	storeFailed bool
+	// storeRead is set once a configuration was read from the store.
+	storeRead bool
 	// submissions maps the ID of each job without a result to its submission.
 	submissions map[string]*activeSubmission
 }
@@ -246,14 +255,6 @@
 	}
 }
 
-// configVersion returns the version of the configuration in force.
-func (j *Jobs) configVersion() uint64 {
-	if config := j.config.Load(); config != nil {
-		return config.Version
-	}
-	return 0
-}
-
 // logPlacement logs why tasks were sent to a server, if the job is sampled or one
 // of the tasks was sent before.
 func (j *Jobs) logPlacement(p *scheduler.Placement) {
@@ -279,17 +280,11 @@
 	for _, decodeError := range state.DecodeErrors {
 		j.logger.Warn("part of the operator state could not be decoded, its previous value stays in force", zap.String("fault", decodeError), zap.Uint64("store-version", state.Version))
 	}
-	if state.Config != nil {
-		previous := j.config.Swap(state.Config)
-		if previous == nil {
-			close(j.configured)
-		}
-		if previous == nil || previous.Version != state.Config.Version {
-			j.logger.Info("configuration in force", zap.Uint64("version", state.Config.Version), zap.Int("routes", len(state.Config.Routes)))
-		}
-	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if state.Config != nil {
+		j.setConfig(state.Config)
+	}
 	disabled := tasklink.DisabledZones{Version: state.Version, Zones: state.DisabledZones}
 	j.applyEffects(bootclock.Now(), j.scheduler.SetDisabledZones(disabled))
 }
@@ -329,6 +324,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := bootclock.Now()
+	j.adoptConfig(now)
 	j.applyEffects(now, j.scheduler.Tick(now))
 	j.evictHellos(now)
 	for _, agent := range j.scheduler.SilentAgents(now) {
--- a/entry/internal/jobs/jobs_test.go
+++ b/entry/internal/jobs/jobs_test.go
@@ -263,3 +263,64 @@
 		c.Fatal("the connection is still open")
 	}
 }
+
+// TestConfigFromAgents checks which configuration an entry uses that has started while the
+// store is unavailable: the newest copy that agents keep, but none while the store may
+// still answer, and never instead of one from the store.
+func TestConfigFromAgents(t *testing.T) {
+	type step struct {
+		at      time.Duration
+		copy    uint64 // copy is the version of a copy that arrives from an agent, or zero.
+		failure bool   // failure is set if the store fails.
+		read    uint64 // read is the version that is read from the store, or zero.
+		want    uint64 // want is the version in force after the step.
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{name: "no copy", steps: []step{{failure: true}, {at: time.Second}}},
+		{name: "the store has not failed", steps: []step{{copy: 7}, {at: time.Second}}},
+		{name: "the newest copy", steps: []step{{failure: true}, {copy: 7}, {copy: 8}, {at: copyDelay, want: 8}, {at: copyDelay, copy: 9, want: 8}, {at: 2 * copyDelay, want: 9}}},
+		{name: "a copy before the failure", steps: []step{{copy: 7}, {at: copyDelay, failure: true, want: 7}}},
+		{name: "the store after a copy", steps: []step{{failure: true}, {copy: 7}, {at: copyDelay, want: 7}, {at: time.Second, read: 8, want: 8}, {at: time.Second, copy: 9, want: 8}}},
+		{name: "the store before a copy", steps: []step{{failure: true}, {read: 8, want: 8}, {copy: 9, want: 8}, {at: time.Second, want: 8}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := New(tasklink.Hello{Name: "entry-1"}, nil, prometheus.NewRegistry(), zap.NewNop())
+			for i, s := range test.steps {
+				if s.failure {
+					j.HandleStoreFailure()
+				}
+				if s.read > 0 {
+					j.SetOperatorState(pollenfront.OperatorState{Config: &pollenfront.Config{Version: s.read}})
+				}
+				if s.copy > 0 && !j.storeRead {
+					j.offerConfig(s.at, &pollenfront.Config{Version: s.copy})
+				}
+				if s.copy == 0 && s.read == 0 {
+					j.adoptConfig(s.at)
+				}
+				qt.Assert(t, j.configVersion(), qt.Equals, s.want, qt.Commentf("step %d", i))
+			}
+		})
+	}
+}
+
+// TestConfigSentToAgent checks that an entry sends its configuration to an agent whose
+// server it is the primary entry of, when it links and when the configuration changes.
+func TestConfigSentToAgent(t *testing.T) {
+	c := qt.New(t)
+	j, a := newLinkedJobs(t, nil)
+	for _, version := range []uint64{3, 4} {
+		config := &pollenfront.Config{Routes: []pollenfront.Route{{Name: "r", LatencyTarget: time.Second}}, Version: version}
+		j.SetOperatorState(pollenfront.OperatorState{Config: config})
+		var commands tasklink.Commands
+		for commands.Config == nil {
+			c.Assert(a.Receive(&commands), qt.IsNil)
+		}
+		c.Assert(commands.Config.Version, qt.Equals, version)
+		c.Assert(commands.Config.Routes, qt.DeepEquals, config.Routes)
+	}
+}
--- a/entry/internal/jobs/link.go
+++ b/entry/internal/jobs/link.go
@@ -98,7 +98,9 @@
 // handshake exchanges hellos with an agent and registers the link. It closes the
 // link that the agent had before, if any.
 func (j *Jobs) handshake(link *agentLink) error {
-	if err := link.Send(&j.self); err != nil {
+	hello := j.self
+	hello.ConfigVersion = j.configVersion()
+	if err := link.Send(&hello); err != nil {
 		return err
 	}
 	if err := link.Receive(&link.hello); err != nil {
@@ -122,6 +124,7 @@
 	now := bootclock.Now()
 	j.logger.Info("agent linked", zap.String("agent", link.hello.Name), zap.Uint64("incarnation", link.hello.Incarnation), zap.Int("runs", len(link.hello.Runs)))
 	j.applyEffects(now, j.scheduler.LinkAgent(now, &link.hello))
+	j.sendConfig(link)
 	return nil
 }
 
@@ -146,6 +149,9 @@
 		return
 	}
 	now := bootclock.Now()
+	if update.Config != nil && !j.storeRead {
+		j.offerConfig(now, update.Config)
+	}
 	j.applyEffects(now, j.scheduler.HandleUpdate(now, link.hello.Name, update))
 }
 
--- a/scheduler/primary.go
+++ b/scheduler/primary.go
@@ -18,6 +18,13 @@
 	}
 }
 
+// IsPrimary reports whether this entry is the primary entry of the server of the agent
+// with the given name.
+func (s *Scheduler) IsPrimary(name string) bool {
+	a, ok := s.agents[name]
+	return ok && a.primary
+}
+
 // isPrimary reports whether this entry is the primary entry of an agent's server.
 func (s *Scheduler) isPrimary(a *agent) bool {
 	primary := cell.Primary(a.Name, a.zone, s.entries)
--- a/storewatch/watcher.go
+++ b/storewatch/watcher.go
@@ -36,6 +36,9 @@
 	Logger *zap.Logger
 	// Name is the name of the watched part of the store in log messages.
 	Name string
+	// OnFailure, if set, is called when a call to the store fails after a success or at
+	// the start.
+	OnFailure func()
 	// OnRecovery, if set, is called when the store answers again after a failure.
 	OnRecovery func()
 	// Poll waits up to wait for a change to known and returns the new state. It
@@ -73,6 +76,9 @@
 			if delayBound == 0 {
 				delayBound = initialRetryDelay
 				w.Logger.Warn("store lost", zap.String("followed", w.Name), zap.Error(err))
+				if w.OnFailure != nil {
+					w.OnFailure()
+				}
 			}
 			delayBound = min(2*delayBound, maxRetryDelay)
 			sleepUpTo(ctx, delayBound)
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -47,6 +47,9 @@
 	// Service is the service of the agent's backend server. Entries leave it
 	// empty.
 	Service string
+	// ConfigVersion is the version of the configuration that the entry has, or zero if
+	// it has none. Agents leave it zero.
+	ConfigVersion uint64
 	// Runs lists all runs of the entry that the agent knows. Any other run that
 	// the entry has sent over an earlier link did not reach this incarnation of
 	// the agent and never will. Entries leave it empty.
@@ -78,6 +81,10 @@
 	// RunEnds lists the runs of the entry that have ended since the previous
 	// update.
 	RunEnds []RunEnd
+	// Config is the newest configuration that the agent knows. It is only in the first
+	// update to an entry that has none, since it may have started while the store is
+	// unavailable.
+	Config *pollenfront.Config
 }
 
 // A Report is the state of a backend server and its agent.
@@ -163,6 +170,9 @@
 	// Stops lists the runs to stop. A run number also stands for all lower
 	// numbers of the same task.
 	Stops []pollenfront.RunID
+	// Config is the configuration in force. The primary entry of a server sends it to
+	// the agent once on a link and after each change.
+	Config *pollenfront.Config
 }
 
 // A StartCommand tells an agent to start runs of tasks of one job.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -10,8 +10,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendInt64(o, z.EchoedClock)
 	// array header, size 2
 	o = append(o, 0x92)
@@ -37,6 +37,15 @@
 			return
 		}
 	}
+	if z.Config == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Config.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Config")
+			return
+		}
+	}
 	return
 }
 
@@ -48,8 +57,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.EchoedClock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -131,6 +140,22 @@
 			return
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Config = nil
+	} else {
+		if z.Config == nil {
+			z.Config = new(pollenfront.Config)
+		}
+		bts, err = z.Config.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Config")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -149,6 +174,11 @@
 	for za0003 := range z.Stops {
 		s += z.Stops[za0003].Msgsize()
 	}
+	if z.Config == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Config.Msgsize()
+	}
 	return
 }
 
@@ -216,14 +246,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendInt(o, z.Version)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendUint64(o, z.LinkSeqNum)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendUint64(o, z.ConfigVersion)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
 	for za0001 := range z.Runs {
 		// array header, size 3
@@ -251,8 +282,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Version, bts, err = msgp.ReadIntBytes(bts)
@@ -285,6 +316,11 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
+	z.ConfigVersion, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigVersion")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -329,7 +365,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hello) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.Name) + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize
+	s = 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.Name) + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.Service) + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Runs {
 		s += 1 + z.Runs[za0001].Run.Msgsize() + z.Runs[za0001].Ending.Msgsize() + msgp.StringPrefixSize + len(z.Runs[za0001].Reason)
 	}
@@ -838,8 +874,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendInt64(o, z.Clock)
 	o = msgp.AppendUint64(o, z.LastSeqNum)
 	o, err = z.Report.MarshalMsg(o)
@@ -855,6 +891,15 @@
 			return
 		}
 	}
+	if z.Config == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Config.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Config")
+			return
+		}
+	}
 	return
 }
 
@@ -866,8 +911,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -903,6 +948,22 @@
 			return
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Config = nil
+	} else {
+		if z.Config == nil {
+			z.Config = new(pollenfront.Config)
+		}
+		bts, err = z.Config.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Config")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -913,5 +974,10 @@
 	for za0001 := range z.RunEnds {
 		s += z.RunEnds[za0001].Msgsize()
 	}
+	if z.Config == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Config.Msgsize()
+	}
 	return
 }
