Reject messages that state huge arrays before memory is allocated for them

Cause: the decoders of messages between entries and agents allocated as many elements as a message stated. A message of a few bytes that states four billion run ends made the process ask for 309 GB and ended it ("fatal error: out of memory"). Change: at most 65,536 elements an array, checked by the generated decoders. A fuzz target decodes every message type. Measured: TestMalformedArraySizes ends with the fatal error without the change.

--- a/config.go
+++ b/config.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// A message that states more elements is rejected before memory is allocated for them.
+//
+//msgp:limit arrays:65536 maps:65536
+
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file config.go -o config_gen.go -tests=false -io=false
 
 // A Config is one version of the operators' configuration.
--- a/config_gen.go
+++ b/config_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z9d1b60cdlimitArrays = 65536
+	z9d1b60cdlimitMaps   = 65536
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Config) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -54,6 +60,10 @@
 		err = msgp.WrapError(err, "Routes")
 		return
 	}
+	if zb0002 > z9d1b60cdlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Routes) >= int(zb0002) {
 		z.Routes = (z.Routes)[:zb0002]
 	} else {
@@ -72,6 +82,10 @@
 		err = msgp.WrapError(err, "Services")
 		return
 	}
+	if zb0003 > z9d1b60cdlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if z.Services == nil {
 		z.Services = make(map[string]Service, zb0003)
 	} else if len(z.Services) > 0 {
--- a/tasklink/link_test.go
+++ b/tasklink/link_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/tasklink"
@@ -75,3 +76,60 @@
 		_, _ = update.UnmarshalMsg(data)
 	})
 }
+
+// TestMalformedArraySizes checks that a message which states a huge size for an array is
+// rejected. Memory for the stated size would end the process.
+func TestMalformedArraySizes(t *testing.T) {
+	const hugeArray = "\xdd\xff\xff\xff\xff" // An array with four-byte size.
+	tests := []struct {
+		name    string
+		message msgp.Marshaler
+		decoded msgp.Unmarshaler
+	}{
+		{name: "hello", message: &tasklink.Hello{}, decoded: &tasklink.Hello{}},
+		{name: "update", message: &tasklink.Update{}, decoded: &tasklink.Update{}},
+		{name: "commands", message: &tasklink.Commands{}, decoded: &tasklink.Commands{}},
+		{name: "configuration", message: &pollenfront.Config{}, decoded: &pollenfront.Config{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			valid, err := test.message.MarshalMsg(nil)
+			c.Assert(err, qt.IsNil)
+			arrays := 0
+			for i, b := range valid {
+				if b != 0x90 { // An empty array.
+					continue
+				}
+				arrays++
+				malformed := string(valid[:i]) + hugeArray + string(valid[i+1:])
+				_, err := test.decoded.UnmarshalMsg([]byte(malformed))
+				c.Check(err, qt.IsNotNil, qt.Commentf("array at byte %d", i))
+			}
+			c.Assert(arrays > 0, qt.IsTrue)
+		})
+	}
+}
+
+// FuzzDecoding checks that decoding any message never panics, whatever bytes another
+// process sends.
+func FuzzDecoding(f *testing.F) {
+	messages := []msgp.Marshaler{
+		&tasklink.Hello{Name: "agent-1", Runs: []tasklink.RunState{{Reason: "r"}}},
+		&tasklink.Update{Config: &pollenfront.Config{Routes: []pollenfront.Route{{Name: "r"}}}, RunEnds: []tasklink.RunEnd{{Reason: "r"}}},
+		&tasklink.Commands{Starts: []tasklink.StartCommand{{Job: "0a", Tasks: []tasklink.StartTask{{Run: 1}}}}, Stops: []pollenfront.RunID{{Number: 1}}},
+		&pollenfront.Config{Services: map[string]pollenfront.Service{"s": {Name: "s"}}},
+	}
+	for _, message := range messages {
+		valid, err := message.MarshalMsg(nil)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(valid)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		for _, message := range []msgp.Unmarshaler{&tasklink.Hello{}, &tasklink.Update{}, &tasklink.Commands{}, &pollenfront.Config{}} {
+			_, _ = message.UnmarshalMsg(data)
+		}
+	})
+}
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -24,6 +24,10 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file message.go -o message_gen.go -tests=false -marshal=true -io=false
 
+// A message that states more elements is rejected before memory is allocated for them.
+//
+//msgp:limit arrays:65536 maps:65536
+
 // Version is the version of the protocol. Both sides close a link if the other
 // side uses a different version.
 const Version = 4
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zdc5d9100limitArrays = 65536
+	zdc5d9100limitMaps   = 65536
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -87,6 +93,10 @@
 		err = msgp.WrapError(err, "DisabledZones", "Zones")
 		return
 	}
+	if zb0003 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.DisabledZones.Zones) >= int(zb0003) {
 		z.DisabledZones.Zones = (z.DisabledZones.Zones)[:zb0003]
 	} else {
@@ -110,6 +120,10 @@
 		err = msgp.WrapError(err, "Starts")
 		return
 	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Starts) >= int(zb0004) {
 		z.Starts = (z.Starts)[:zb0004]
 	} else {
@@ -128,6 +142,10 @@
 		err = msgp.WrapError(err, "Stops")
 		return
 	}
+	if zb0005 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Stops) >= int(zb0005) {
 		z.Stops = (z.Stops)[:zb0005]
 	} else {
@@ -218,6 +236,10 @@
 		err = msgp.WrapError(err, "Zones")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Zones) >= int(zb0002) {
 		z.Zones = (z.Zones)[:zb0002]
 	} else {
@@ -327,6 +349,10 @@
 		err = msgp.WrapError(err, "Runs")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Runs) >= int(zb0002) {
 		z.Runs = (z.Runs)[:zb0002]
 	} else {
@@ -447,6 +473,10 @@
 		err = msgp.WrapError(err, "Waits")
 		return
 	}
+	if zb0003 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Waits) >= int(zb0003) {
 		z.Waits = (z.Waits)[:zb0003]
 	} else {
@@ -490,6 +520,10 @@
 		err = msgp.WrapError(err, "DisabledZones", "Zones")
 		return
 	}
+	if zb0005 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.DisabledZones.Zones) >= int(zb0005) {
 		z.DisabledZones.Zones = (z.DisabledZones.Zones)[:zb0005]
 	} else {
@@ -513,6 +547,10 @@
 		err = msgp.WrapError(err, "Labels")
 		return
 	}
+	if zb0006 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Labels) >= int(zb0006) {
 		z.Labels = (z.Labels)[:zb0006]
 	} else {
@@ -764,6 +802,10 @@
 		err = msgp.WrapError(err, "Tasks")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Tasks) >= int(zb0002) {
 		z.Tasks = (z.Tasks)[:zb0002]
 	} else {
@@ -936,6 +978,10 @@
 		err = msgp.WrapError(err, "RunEnds")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.RunEnds) >= int(zb0002) {
 		z.RunEnds = (z.RunEnds)[:zb0002]
 	} else {
