Save that a server has left, so that no later agent uses it again

Cause: an agent keeps its server's announcement in the store. A server that had shut down in a planned way, and still answered, was in use again after a restart of its agent, since the saved announcement did not say so. A save that was asked for while another one was in progress was dropped until the next announcement, and after a shutdown there is none. Change: the notice of the shutdown saves the announcement as that of a draining server; saving goes on until the store has the newest one, one attempt a second. Measured: TestRestoreAfterDeregistration fails without the change: the next agent reports the server as ready.

--- a/agent/internal/driver/announcements.go
+++ b/agent/internal/driver/announcements.go
@@ -16,6 +16,8 @@
 const (
 	// loadRetryDelay is the time between two attempts to load the announcement.
 	loadRetryDelay = 200 * time.Millisecond
+	// saveRetryDelay is the time between two attempts to save the announcement.
+	saveRetryDelay = time.Second
 	// saveTimeout bounds one attempt to save the announcement.
 	saveTimeout = time.Second
 )
@@ -43,28 +45,40 @@
 
 // saveAnnouncement saves an announcement in the store for the next incarnation of
 // this agent, without its clock and sequence number, which differ in each
-// announcement. It does nothing if the saved announcement is otherwise the same, or
-// while another one is being saved. The caller must hold mu.
+// announcement. The caller must hold mu.
 func (d *Driver) saveAnnouncement(a pollenfront.Announcement) {
 	a.Clock, a.SeqNum = 0, 0
+	d.announcement = a
 	if reflect.DeepEqual(a, d.savedAnnouncement) || d.saving {
-		return
+		return // saveNewest saves it if another one is being saved.
 	}
 	d.saving = true
-	go func() {
+	go d.saveNewest(a)
+}
+
+// saveNewest saves an announcement, and then the newest one if it differs, until the
+// store has the newest one.
+func (d *Driver) saveNewest(a pollenfront.Announcement) {
+	for {
 		ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
-		defer cancel()
 		err := d.store.SaveAnnouncement(ctx, d.self.Name, a)
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.saving = false
+		cancel()
 		if err != nil {
-			// The next announcement causes another attempt.
 			d.logger.Info("could not save the announcement", zap.Error(err))
+			time.Sleep(saveRetryDelay)
+		}
+		d.mu.Lock()
+		if err == nil {
+			d.savedAnnouncement = a
+		}
+		a = d.announcement
+		d.saving = !reflect.DeepEqual(a, d.savedAnnouncement)
+		done := !d.saving
+		d.mu.Unlock()
+		if done {
 			return
 		}
-		d.savedAnnouncement = a
-	}()
+	}
 }
 
 // RestoreAnnouncement loads the announcement that an earlier incarnation of this
@@ -108,7 +122,8 @@
 
 // HandleDeregistration notifies the executor that the backend server is shutting
 // down. It ignores the notice of an instance other than the announced one, which may
-// have been delayed.
+// have been delayed. The announcement is saved as that of a draining server, so that the
+// next incarnation of the agent does not use the server again if it still answers.
 func (d *Driver) HandleDeregistration(instance string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -119,6 +134,10 @@
 	d.logger.Info("backend server left", zap.String("instance", instance))
 	now := bootclock.Now()
 	d.applyEffects(now, d.executor.HandleDeregistration(now))
+	if a := d.announcement; a.Incarnation != 0 && a.Instance == instance {
+		a.Draining = true
+		d.saveAnnouncement(a)
+	}
 }
 
 // HandleInvalidAnnouncement counts and logs an announcement that could not be
--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -42,6 +42,8 @@
 // an Executor is not safe for concurrent use, and the fields that change after
 // New.
 type Driver struct {
+	// announcement is the newest announcement to be saved in the store.
+	announcement pollenfront.Announcement
 	// config is the newest configuration that an entry has sent. It is kept for entries
 	// that start while the store is unavailable.
 	config   *pollenfront.Config
--- a/agent/internal/driver/driver_test.go
+++ b/agent/internal/driver/driver_test.go
@@ -167,6 +167,29 @@
 	c.Assert(update.Report.Capacity, qt.Equals, announcement.Capacity)
 }
 
+// TestRestoreAfterDeregistration checks that a server which has left is not in use again
+// after a restart of its agent, even if it still answers.
+func TestRestoreAfterDeregistration(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	awaitSaved := func(condition func(pollenfront.Announcement) bool) {
+		for deadline := time.Now().Add(2 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			if saved, _, _ := store.LoadAnnouncement(context.Background(), "agent-1"); condition(saved) {
+				return
+			}
+		}
+	}
+	d, _ := startDriver(t, &fakeServer{}, store)
+	d.HandleAnnouncement(announcement)
+	awaitSaved(func(a pollenfront.Announcement) bool { return a.Incarnation != 0 })
+	d.HandleDeregistration(announcement.Instance)
+	awaitSaved(func(a pollenfront.Announcement) bool { return a.Draining })
+	next, nextLink := startDriver(t, &fakeServer{}, store)
+	next.RestoreAnnouncement(context.Background())
+	update := awaitUpdate(t, nextLink, func(update *tasklink.Update) bool { return update.Report.State != tasklink.StateUnavailable })
+	c.Assert(update.Report.State, qt.Equals, tasklink.StateDraining)
+}
+
 // TestRestoreOutdatedAnnouncement checks that an announcement of an earlier incarnation of
 // the backend server is not restored if the server announces itself while the store is
 // read. Requests addressed to the earlier incarnation would be refused.
