Check histories of the replay against a model of a job with porcupine

Cause: the invariants were checked by hand-written code in the simulation only. Change: the replay can record what callers and servers have seen; a model (at most one run of a task at a time, a refusal means that nothing started or will, a completed job has a done run of each task and none that goes on) is checked with porcupine, in the property test too. The hand-written checks stay. The soak has no history yet.

--- a/replay/faults_test.go
+++ b/replay/faults_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
 	"github.com/pollenfront/pollenfront/replay"
@@ -78,6 +79,7 @@
 			Agents:              rapid.IntRange(1, 6).Draw(t, "agents"),
 			Entries:             rapid.SampledFrom([]int{1, 2, 3, 9}).Draw(t, "entries"),
 			DelayedRequestShare: rapid.SampledFrom([]float64{0, 0, 0.05, 0.5}).Draw(t, "delayed-request-share"),
+			RecordHistory:       true,
 			Seed:                rapid.Uint64().Draw(t, "seed"),
 			RunTimeFactors:      []float64{0.55, 1.2, 1.2},
 		}
@@ -90,5 +92,8 @@
 		if len(result.Violations) > 0 {
 			t.Fatalf("violations: %v", result.Violations)
 		}
+		if checked := checkHistory(result.History); checked != porcupine.Ok {
+			t.Fatalf("the history is not one of jobModel: %v", checked)
+		}
 	})
 }
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -34,6 +34,7 @@
 	Entries             int
 	FullMesh            bool          // FullMesh makes each agent link to all entries, instead of those of its cell.
 	OneWayDelay         time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
+	RecordHistory       bool          // RecordHistory fills Result.History.
 	RetryRefused        bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
 	RunTimeFactors      []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
 	Seed                uint64
@@ -79,6 +80,7 @@
 // arrived.
 type Result struct {
 	EarnedValue       map[int]float64 // EarnedValue is the value of the answers.
+	History           []HistoryEvent  // History lists what callers and servers have seen, in order, if it is recorded.
 	Late              map[string]int
 	Messages          int             // Messages is the number of messages between entries and agents.
 	OfferedValue      map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
--- a/replay/load.go
+++ b/replay/load.go
@@ -53,6 +53,7 @@
 	estimate  time.Duration
 	id        string
 	kind      Kind
+	submitted int                   // submitted is the position of the last submission in the history.
 	need      pollenfront.Resources // need is the need of each task.
 	retried   bool                  // retried is set when the job was refused and its caller retries it.
 	started   bool                  // started is set when a task has started since the last submission.
@@ -197,6 +198,7 @@
 	}
 	j.attempt++
 	j.entry, j.started = entry, false
+	j.submitted = f.recordEvent(HistoryEvent{Job: j.id, Kind: JobSubmitted, Tasks: j.taskCount})
 	attempt := j.attempt
 	f.schedule(callerEntryDelay, func() {
 		if f.entries[entry].up {
@@ -228,6 +230,7 @@
 	if j.done || j.attempt != attempt {
 		return
 	}
+	f.recordEvent(HistoryEvent{Call: j.submitted + 1, Job: j.id, Kind: JobAnswered, Verdict: result.Verdict})
 	switch result.Verdict {
 	case pollenfront.VerdictCompleted:
 		f.recordCompletion(j)
--- a/replay/server.go
+++ b/replay/server.go
@@ -76,6 +76,7 @@
 		f.recordViolation("task %v runs twice at the same time", id)
 	}
 	f.activeRuns[id] = r
+	f.recordEvent(HistoryEvent{Job: id.Job, Kind: RunStarted, Task: id.Index})
 	if s.hanging {
 		return nil
 	}
@@ -142,6 +143,7 @@
 	if s.fleet.activeRuns[id] == r {
 		delete(s.fleet.activeRuns, id)
 	}
+	s.fleet.recordEvent(HistoryEvent{Ending: ending, Job: id.Job, Kind: RunEnded, Task: id.Index})
 	s.supersededRuns[id] = max(s.supersededRuns[id], r.id.Number)
 	coreSeconds := float64(s.fleet.jobs[id.Job].need.CPU) / 1000 * (s.fleet.now - r.startedAt).Seconds()
 	if ending == pollenfront.EndingDone {
