Name the agent's dialer of entries, and resize cells to one target

Cause: "a dials" had to be read twice, and the two cases of the resizing of cells had the same formula, with the lower bound as the target of both. Change: entryDialer; targetAgentCount lies between the bounds, so that a resized cell does not stand at one of them. Conclusion: one rule, said once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,8 +38,8 @@
 
 // An agent holds the parts of the process that runs beside a backend server.
 type agent struct {
-	dials        *dials
 	driver       *driver.Driver
+	entryDialer  *entryDialer
 	logger       *zap.Logger
 	process      *observe.Process
 	settings     settings.Agent
@@ -75,8 +75,8 @@
 	store := platform.NewStore(s.Store)
 	d := driver.New(hello, platform.NewBackendServer(s.Server), store, process.Registry, process.Logger)
 	return &agent{
-		dials:        newDials(d, cell.New(bootclock.Now(), s.Name, s.Zone, seeds)),
 		driver:       d,
+		entryDialer:  newEntryDialer(d, cell.New(bootclock.Now(), s.Name, s.Zone, seeds)),
 		logger:       process.Logger,
 		process:      process,
 		settings:     s,
@@ -92,7 +92,7 @@
 	defer stopParts()
 	var group run.Group
 	go a.driver.RestoreAnnouncement(partsCtx)
-	for _, part := range []func(context.Context) error{a.driver.Run, a.dials.run, a.watchEntries} {
+	for _, part := range []func(context.Context) error{a.driver.Run, a.entryDialer.run, a.watchEntries} {
 		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
 	}
 	announcements := platform.NewAnnouncementHandler(a.settings.Service, a.driver)
@@ -122,7 +122,7 @@
 // watchEntries applies changes to the registered entries until ctx is done.
 func (a *agent) watchEntries(ctx context.Context) error {
 	w := storewatch.Watcher[pollenfront.Entries]{
-		Apply:       func(entries pollenfront.Entries) { a.dials.setEntries(ctx, entries) },
+		Apply:       func(entries pollenfront.Entries) { a.entryDialer.setEntries(ctx, entries) },
 		Logger:      a.logger,
 		Name:        "entries",
 		Poll:        a.store.PollEntries,
--- a/agent/dials.go
+++ b/agent/entry_dialer.go
@@ -12,11 +12,11 @@
 	"github.com/pollenfront/pollenfront/cell"
 )
 
-// dialsInterval is the time between two checks of which entries to link to.
-const dialsInterval = 500 * time.Millisecond
+// cellInterval is the time between two checks of which entries to link to.
+const cellInterval = 500 * time.Millisecond
 
-// A dials keeps links to the entries of the agent's cell.
-type dials struct {
+// An entryDialer keeps links to the entries of the agent's cell.
+type entryDialer struct {
 	// cancels holds, by the address of an entry, the function that stops dialing it
 	// and closes its link.
 	cancels map[string]context.CancelFunc
@@ -26,13 +26,13 @@
 	mu sync.Mutex
 }
 
-// newDials returns dials without links.
-func newDials(d *driver.Driver, c *cell.Cell) *dials {
-	return &dials{cancels: make(map[string]context.CancelFunc), cell: c, driver: d}
+// newEntryDialer returns an entryDialer without links.
+func newEntryDialer(d *driver.Driver, c *cell.Cell) *entryDialer {
+	return &entryDialer{cancels: make(map[string]context.CancelFunc), cell: c, driver: d}
 }
 
 // setEntries sets the registered entries.
-func (d *dials) setEntries(ctx context.Context, entries pollenfront.Entries) {
+func (d *entryDialer) setEntries(ctx context.Context, entries pollenfront.Entries) {
 	records := make([]pollenfront.EntryRecord, 0, len(entries.Records))
 	for _, record := range entries.Records {
 		records = append(records, record)
@@ -44,8 +44,8 @@
 }
 
 // run updates the links regularly until ctx is done, and returns ctx.Err().
-func (d *dials) run(ctx context.Context) error {
-	ticker := time.NewTicker(dialsInterval)
+func (d *entryDialer) run(ctx context.Context) error {
+	ticker := time.NewTicker(cellInterval)
 	defer ticker.Stop()
 	for {
 		d.update(ctx)
@@ -59,7 +59,7 @@
 
 // update dials the entries that were added to the cell, and releases those that were
 // removed from it. It stops dialing these once no run of theirs is left.
-func (d *dials) update(ctx context.Context) {
+func (d *entryDialer) update(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	wanted := d.cell.Update(bootclock.Now(), d.driver.Links())
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -63,6 +63,9 @@
 	// seedDelay is the time after the start in which the store normally returns the
 	// registered entries.
 	seedDelay = 300 * time.Millisecond
+	// targetAgentCount is the mean number of agents at the entries for which a cell is
+	// resized.
+	targetAgentCount = 24
 	// substituteDelay is the time without a link after which an entry is substituted.
 	// Most restarts take less.
 	substituteDelay = 2 * time.Second
@@ -211,13 +214,10 @@
 	if !known || now-c.resized < resizeDelay {
 		return
 	}
-	size := c.size
-	switch {
-	case mean < minAgentCount:
-		size = int(math.Ceil(float64(c.size) * minAgentCount / mean))
-	case mean > maxAgentCount:
-		size = int(math.Ceil(float64(c.size) * minAgentCount / mean))
+	if mean >= minAgentCount && mean <= maxAgentCount {
+		return
 	}
+	size := int(math.Ceil(float64(c.size) * targetAgentCount / mean))
 	size = max(DefaultSize, min(size, len(c.ranked)))
 	if size != c.size {
 		c.size, c.resized = size, now
