End the process when its state machine panics during a request

Cause: a panic in the scheduler or the executor during an HTTP request was caught by the HTTP server. The process went on with state that may have been half changed, from which a second run of a task can follow. Change: program.Guard, a mutex whose deferred Unlock ends the process during a panic, guards both state machines. Conclusion: callers see a broken connection, and the process starts again clean.

--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -58,7 +57,7 @@
 	links   map[string]*entryLink
 	logger  *zap.Logger
 	metrics *metrics
-	mu      sync.Mutex
+	mu      program.Guard
 	// renewalFailed is whether the newest renewal of the lease failed.
 	renewalFailed bool
 	// savedAnnouncement is the announcement that the store last accepted.
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -13,7 +13,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +22,7 @@
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
 	"github.com/pollenfront/pollenfront/observe"
+	"github.com/pollenfront/pollenfront/program"
 	"github.com/pollenfront/pollenfront/scheduler"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
@@ -52,7 +52,7 @@
 	logger      *zap.Logger
 	metrics     *metrics
 	// mu guards the fields that change after New, but for config.
-	mu sync.Mutex
+	mu program.Guard
 	// offered is the newest copy of the configuration that agents keep, until one is read
 	// from the store.
 	offered *pollenfront.Config
--- /dev/null
+++ b/program/guard.go
@@ -0,0 +1,38 @@
+package program
+
+import (
+	"fmt"
+	"runtime/debug"
+	"sync"
+)
+
+// A Guard is a mutex over a state machine. A panic while the mutex is held may leave the
+// state half changed, and the HTTP server would catch it and go on. Deferred calls of
+// Unlock therefore end the process: its peers and callers see their connections break,
+// and it restarts with a clean state.
+type Guard struct {
+	sync.Mutex
+
+	// crash replaces the end of the process in tests.
+	crash func(cause any)
+}
+
+// Unlock unlocks the mutex. If it is called directly by a defer statement during a panic,
+// it ends the process instead.
+func (g *Guard) Unlock() {
+	if cause := recover(); cause != nil {
+		g.end(cause)
+	}
+	g.Mutex.Unlock()
+}
+
+// end ends the process with a trace of the panic.
+func (g *Guard) end(cause any) {
+	if g.crash != nil {
+		g.crash(cause)
+		return
+	}
+	message := fmt.Sprintf("%v\n\n%s", cause, debug.Stack())
+	go panic(message) // A panic in this goroutine could be caught.
+	select {}         // The state must not be used any more.
+}
