Judge the speed of a run by its progress at the time of the report

Cause: a run's percentage is as old as the newest renewal, up to 150 ms, but was set against the time that the run had taken until now. A run of 200 ms that had 10 % when it was reported at 20 ms seemed to need 1.4 s at 140 ms and was stopped as far too slow. Change: the time of the report counts. Measured: TestProgressOfLateReport fails without the change. Conclusion: healthy runs go on; a slow one is found with the next report.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -406,3 +406,29 @@
 	c.Assert(update.Report.State, qt.Equals, tasklink.StateReady)
 	c.Assert(x.Released(testEntry.Name), qt.IsFalse)
 }
+
+// TestProgressOfLateReport checks that the speed of a run is judged by its progress at the
+// time of the report. Between two renewals the progress is not known, and a run that goes
+// well must not be stopped for having been at its beginning in the newest report.
+func TestProgressOfLateReport(t *testing.T) {
+	tests := []struct {
+		name       string
+		reportedAt int // reportedAt is the time of the newest report, in milliseconds.
+		stops      int
+	}{
+		{name: "on time when reported", reportedAt: 20, stops: 0},
+		{name: "far too slow when reported", reportedAt: 130, stops: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			x := newExecutor()
+			x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
+			x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+			x.HandleRenewal(at(test.reportedAt), at(10), &pollenfront.RenewalResponse{
+				Clock: time.Second, Incarnation: 1, Running: []pollenfront.RunningRun{{Percent: 15, Run: runID(0)}},
+			})
+			c.Assert(x.Tick(at(140)).Stops, qt.HasLen, test.stops)
+		})
+	}
+}
--- a/executor/run.go
+++ b/executor/run.go
@@ -55,6 +55,8 @@
 	// percent is the progress that the server last reported.
 	percent  int
 	priority int
+	// reportedAt is when the server last listed the run, with percent.
+	reportedAt time.Duration
 	// rerun is whether an earlier run of the task may have started.
 	rerun bool
 	// startAttempts is the number of start requests since the run left the queue.
@@ -156,7 +158,7 @@
 		case x.server.lastRenewal-r.lastProgress > progressTimeout:
 			x.stats.record(now, pollenfront.EndingFailed, 0, r.expectedRunTime)
 			x.stopRun(now, r, "it made no progress", effects)
-		case !r.rerun && x.tooSlow(now, r):
+		case !r.rerun && x.tooSlow(r):
 			x.stats.recordRatio(slowRunFactor * x.stats.slowness())
 			x.stopRun(now, r, "it was far too slow", effects)
 		}
@@ -164,9 +166,9 @@
 }
 
 // tooSlow reports whether a run will take more than slowRunFactor times as long as
-// expected on this server, and is not past maxSlowCheckPercent.
-func (x *Executor) tooSlow(now time.Duration, r *run) bool {
-	elapsed := now - r.lastStartSent
+// expected on this server, and is not past maxSlowCheckPercent, by its newest report.
+func (x *Executor) tooSlow(r *run) bool {
+	elapsed := r.reportedAt - r.lastStartSent
 	if elapsed < slowCheckDelay || r.percent <= 0 || r.percent > maxSlowCheckPercent {
 		return false
 	}
--- a/executor/server.go
+++ b/executor/server.go
@@ -231,7 +231,7 @@
 		if !r.started || r.percent != reported.Percent {
 			r.lastProgress = now
 		}
-		r.started, r.percent = true, reported.Percent
+		r.started, r.percent, r.reportedAt = true, reported.Percent, now
 		if r.state == starting {
 			r.state = running
 		}
