Save a server's leaving also when its announcement was only restored

Change: a restored announcement counts as the newest and as the saved one. Measured: TestRestoreTwiceAfterDeregistration fails without the change. Conclusion: the number of restarts between announcement and notice does not matter.

--- a/agent/internal/driver/announcements.go
+++ b/agent/internal/driver/announcements.go
@@ -109,6 +109,7 @@
 	}
 	now := bootclock.Now()
 	d.logger.Info("announcement restored", zap.String("instance", a.Instance), zap.Uint64("incarnation", a.Incarnation))
+	d.announcement, d.savedAnnouncement = a, a
 	d.server.SetInstance(a.Instance)
 	d.applyEffects(now, d.executor.RestoreAnnouncement(now, a))
 }
--- a/agent/internal/driver/driver_test.go
+++ b/agent/internal/driver/driver_test.go
@@ -190,6 +190,26 @@
 	c.Assert(update.Report.State, qt.Equals, tasklink.StateDraining)
 }
 
+// TestRestoreTwiceAfterDeregistration checks the same if the server had announced itself
+// to an earlier incarnation only than the one that it notified of its shutdown.
+func TestRestoreTwiceAfterDeregistration(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{saved: announcement}
+	notified, notifiedLink := startDriver(t, &fakeServer{}, store)
+	notified.RestoreAnnouncement(context.Background())
+	awaitUpdate(t, notifiedLink, reportsReady)
+	notified.HandleDeregistration(announcement.Instance)
+	for deadline := time.Now().Add(2 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if saved, _, _ := store.LoadAnnouncement(context.Background(), "agent-1"); saved.Draining {
+			break
+		}
+	}
+	next, nextLink := startDriver(t, &fakeServer{}, store)
+	next.RestoreAnnouncement(context.Background())
+	update := awaitUpdate(t, nextLink, func(update *tasklink.Update) bool { return update.Report.State != tasklink.StateUnavailable })
+	c.Assert(update.Report.State, qt.Equals, tasklink.StateDraining)
+}
+
 // TestRestoreOutdatedAnnouncement checks that an announcement of an earlier incarnation of
 // the backend server is not restored if the server announces itself while the store is
 // read. Requests addressed to the earlier incarnation would be refused.
