Log and count the crashes of backend servers with their runs

Change: the executor reports a crash once for each incarnation of the server, when connections are refused or the next incarnation shows up, with the runs that were or may have been on it and the time since their start. The agent logs a line for each and counts crashes and runs. No decision uses it yet.

Conclusion: a run that was on several crashed servers can now be named.

--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -126,6 +126,9 @@
 // applyEffects carries out the effects that the executor returned. The caller must
 // hold mu.
 func (d *Driver) applyEffects(now time.Duration, effects executor.Effects) {
+	for _, crash := range effects.Crashes {
+		d.recordCrash(crash)
+	}
 	for i := range effects.Ended {
 		d.recordRunEnd(&effects.Ended[i])
 	}
@@ -174,6 +177,18 @@
 		zap.Bool("told", e.Reported))
 }
 
+// recordCrash counts a crash of the backend server and logs the runs that it may have
+// taken along.
+func (d *Driver) recordCrash(crash executor.ServerCrash) {
+	d.metrics.serverCrashes.Inc()
+	d.metrics.crashedRuns.Add(float64(len(crash.Runs)))
+	d.logger.Warn("backend server crashed", zap.Uint64("incarnation", crash.Incarnation), zap.Int("runs", len(crash.Runs)))
+	for _, r := range crash.Runs {
+		d.logger.Info("run on crashed server", zap.String("request", r.Run.Job), zap.Int("task", r.Run.Index), zap.Int("run", r.Run.Number),
+			zap.Float64("age", r.Age.Seconds()), zap.Bool("started", r.Started), zap.String("entry", r.Entry))
+	}
+}
+
 // logState logs the state of the backend server as the agent reports it to the
 // entries.
 func (d *Driver) logState(now time.Duration) {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -153,6 +153,8 @@
 
 // Effects are what the driver must do after an event.
 type Effects struct {
+	// Crashes lists the crashes of the server that were detected.
+	Crashes []ServerCrash
 	// Ended lists the runs that ended, for the log.
 	Ended []EndedRun
 	// Notify lists the names of the entries that need an update now.
@@ -354,6 +356,7 @@
 
 // merge appends other effects.
 func (e *Effects) merge(other Effects) {
+	e.Crashes = append(e.Crashes, other.Crashes...)
 	e.Ended = append(e.Ended, other.Ended...)
 	e.Starts = append(e.Starts, other.Starts...)
 	e.Stops = append(e.Stops, other.Stops...)
--- a/executor/run.go
+++ b/executor/run.go
@@ -35,7 +35,9 @@
 	atMostOnce bool
 	// capacityRefusals is how often the server refused the run with ErrNoCapacity.
 	capacityRefusals int
-	entry            *entry
+	// crashed is whether the run was or may have been on the server when it crashed.
+	crashed bool
+	entry   *entry
 	// expectedRunTime is the run time on a server with a slowness of 1.
 	expectedRunTime time.Duration
 	// firstStartSent is when the first start request since the run left the queue
--- a/executor/server.go
+++ b/executor/server.go
@@ -19,10 +19,15 @@
 	// clockOffset is the server's clock minus the agent's.
 	clockOffset      time.Duration
 	clockOffsetKnown bool
+	// crashed is whether the process of this incarnation is known to have ended.
+	crashed bool
 	// draining is whether the server announced that it takes no new tasks.
-	draining    bool
-	incarnation uint64
-	labels      []string
+	draining bool
+	// failingSince is when a request failed without a response for the first time
+	// since the last response, and zero if none has.
+	failingSince time.Duration
+	incarnation  uint64
+	labels       []string
 	// lastRenewal is when the newest answered renewal was sent.
 	lastRenewal time.Duration
 	// lastResponse is when the server last responded to a request.
@@ -95,6 +100,9 @@
 // reported.
 func (x *Executor) handleNewIncarnation(now time.Duration, incarnation uint64, effects *Effects) {
 	former := x.server
+	if former.announced {
+		x.recordCrash(now, effects)
+	}
 	x.server = server{leaseExpiry: former.leaseExpiry, incarnation: incarnation}
 	if former.incarnation == 0 {
 		return
@@ -199,6 +207,7 @@
 	var effects Effects
 	before := x.server.unresponsive
 	x.recordResponse(now, err)
+	x.detectCrash(now, err, &effects)
 	if now-x.server.lastResponse >= renewalUnavailableTimeout {
 		x.server.unresponsive = true
 	}
--- a/executor/start.go
+++ b/executor/start.go
@@ -60,6 +60,7 @@
 	var effects Effects
 	x.recordClock(now, clock)
 	x.recordResponse(now, err)
+	x.detectCrash(now, err, &effects)
 	r, ok := x.runsByTask[request.Run.TaskID]
 	if !ok || r.id != request.Run || r.state == queued {
 		return effects
@@ -132,10 +133,14 @@
 	case errors.Is(err, pollenfront.ErrUnreachable):
 		x.server.lastUnanswered, x.server.unresponsive = now, true
 	case isDefinite(err):
-		x.server.lastResponse, x.server.unresponsive = now, false
+		x.server.lastResponse, x.server.unresponsive, x.server.failingSince = now, false, 0
+		return
 	default:
 		x.server.lastUnanswered = now
 	}
+	if x.server.failingSince == 0 {
+		x.server.failingSince = now
+	}
 }
 
 // isDefinite reports whether err determines if a request was carried out: nil means
