--- a/replay/agent.go
+++ b/replay/agent.go
@@ -86,6 +86,7 @@
 func newAgentNode(f *Fleet, i int, runTimeFactor float64) *agentNode {
 	a := &agentNode{node: node{fleet: f}, index: i, name: fmt.Sprintf("agent-%d", i), server: newServerNode(f, runTimeFactor), zone: f.zoneName(i)}
 	a.server.rack = a.rack()
+	a.server.announce = func() { a.handleEvent(a.generation, a.announceServer) }
 	if f.centralQueue == nil {
 		a.start()
 	}
@@ -141,19 +142,25 @@
 	return fmt.Sprintf("rack-%d", a.index%rackCount)
 }
 
-// announce passes an announcement of the server to the executor at regular intervals,
-// unless the server is unavailable.
+// announce announces the server at regular intervals.
 func (a *agentNode) announce() {
-	if !a.server.unavailable {
-		a.announcementSeqNum++
-		effects, _ := a.executor.HandleAnnouncement(a.fleet.now, pollenfront.Announcement{
-			Capacity: a.server.capacity, Clock: a.fleet.now, Incarnation: a.server.incarnation, Labels: []string{a.rack()}, SeqNum: a.announcementSeqNum, Zone: a.zone,
-		})
-		a.applyEffects(effects)
-	}
+	a.announceServer()
 	a.schedule(announcementInterval, a.announce)
 }
 
+// announceServer passes an announcement of the server to the executor, unless the server
+// is down.
+func (a *agentNode) announceServer() {
+	if a.server.unavailable || a.server.refusing {
+		return
+	}
+	a.announcementSeqNum++
+	effects, _ := a.executor.HandleAnnouncement(a.fleet.now, pollenfront.Announcement{
+		Capacity: a.server.capacity, Clock: a.fleet.now, Incarnation: a.server.incarnation, Labels: []string{a.rack()}, SeqNum: a.announcementSeqNum, Zone: a.zone,
+	})
+	a.applyEffects(effects)
+}
+
 // renew renews the lease of the server. The next renewal is sent when the response
 // arrives or the interval ends, whichever comes first. If the request times out before
 // that, the next renewal follows after executor.RenewalRetryDelay.
@@ -177,14 +184,18 @@
 	})
 	incarnation := a.server.incarnation
 	a.sendRenewal(request, func(response *pollenfront.RenewalResponse, err error) {
-		if responded || a.server.unavailable || a.server.incarnation != incarnation {
+		if responded || err == nil && (a.server.unavailable || a.server.incarnation != incarnation) {
 			return
 		}
 		responded = true
-		if err != nil {
-			a.executor.HandleRenewalFenced()
-		} else {
+		switch {
+		case err == nil:
 			a.applyEffects(a.executor.HandleRenewal(a.fleet.now, sent, response))
+		case errors.Is(err, pollenfront.ErrFenced):
+			a.executor.HandleRenewalFenced()
+		default:
+			a.applyEffects(a.executor.HandleRenewalError(a.fleet.now, err))
+			scheduleNext(executor.RenewalRetryDelay)
 		}
 		scheduleNext(0)
 	})
@@ -201,6 +212,10 @@
 	if s.unavailable {
 		return
 	}
+	if s.refusing {
+		a.schedule(2*agentServerDelay, func() { respond(nil, pollenfront.ErrUnreachable) })
+		return
+	}
 	a.fleet.schedule(delay, func() {
 		if s.incarnation != incarnation || s.unavailable {
 			return
@@ -239,13 +254,17 @@
 // errNoResponse. A delayed request is carried out seconds later and gets no response.
 func (a *agentNode) callServer(timeout time.Duration, handle func() error, respond func(err error)) {
 	incarnation := a.server.incarnation
+	refused := a.server.refusing
 	deliver := func() error {
+		if refused {
+			return pollenfront.ErrUnreachable
+		}
 		if a.server.incarnation != incarnation || a.server.unavailable {
 			return errNoResponse
 		}
 		return handle()
 	}
-	if a.server.drawDelayed() {
+	if !refused && a.server.drawDelayed() {
 		a.fleet.schedule(a.server.drawDelay(), func() { _ = deliver() })
 		a.schedule(timeout, func() { respond(errNoResponse) })
 		return
--- a/replay/faults_test.go
+++ b/replay/faults_test.go
@@ -38,11 +38,13 @@
 	entry := rapid.IntRange(0, s.Entries-1).Draw(t, "entry")
 	agent := rapid.IntRange(0, s.Agents-1).Draw(t, "agent")
 	switch rapid.SampledFrom([]string{
-		"crash-server", "partition", "partition-all", "delay-requests", "fail-server", "hang-server",
+		"crash-server", "crash-server-process", "partition", "partition-all", "delay-requests", "fail-server", "hang-server",
 		"kill-agent", "kill-entry", "reset-link", "slow-server", "suspend-agent", "suspend-entry",
 	}).Draw(t, "fault") {
 	case "crash-server":
 		f.CrashServer(at, agent, duration)
+	case "crash-server-process":
+		f.CrashServerProcess(at, agent, duration)
 	case "partition":
 		f.Partition(at, entry, agent, duration)
 	case "partition-all":
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -60,7 +60,8 @@
 	activeRuns       map[pollenfront.TaskID]*serverRun
 	agents           []*agentNode
 	centralQueue     *centralQueue // centralQueue is nil unless the fleet is clairvoyant.
-	earlyCancelShare float64       // earlyCancelShare is the share of new jobs whose callers leave before the answer is due.
+	crashCounts      map[pollenfront.TaskID]*crashCount
+	earlyCancelShare float64 // earlyCancelShare is the share of new jobs whose callers leave before the answer is due.
 	entries          []*entryNode
 	events           events
 	heldMessages     map[[2]int][]func() // heldMessages are the messages held up by a partition, by entry and agent.
@@ -79,9 +80,11 @@
 // keyed by the name of the job's kind, maps of values by the second in which the job
 // arrived.
 type Result struct {
+	Crashes           int             // Crashes is the number of servers that crashed under tasks.
 	EarnedValue       map[int]float64 // EarnedValue is the value of the answers.
 	History           []HistoryEvent  // History lists what callers and servers have seen, in order, if it is recorded.
 	Late              map[string]int
+	MaxCrashes        int             // MaxCrashes is the largest number of servers that crashed under one task.
 	Messages          int             // Messages is the number of messages between entries and agents.
 	OfferedValue      map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
 	OnTime            map[string]int
@@ -121,6 +124,8 @@
 			values[0][second] += value
 		}
 	}
+	r.Crashes += other.Crashes
+	r.MaxCrashes = max(r.MaxCrashes, other.MaxCrashes)
 	r.Messages += other.Messages
 	r.RefusalWait += other.RefusalWait
 	r.Starts += other.Starts
@@ -171,7 +176,8 @@
 		s.RunTimeFactors = []float64{1}
 	}
 	f := &Fleet{
-		activeRuns: make(map[pollenfront.TaskID]*serverRun), heldMessages: make(map[[2]int][]func()), jobs: make(map[string]*callerJob),
+		activeRuns: make(map[pollenfront.TaskID]*serverRun), crashCounts: make(map[pollenfront.TaskID]*crashCount),
+		heldMessages: make(map[[2]int][]func()), jobs: make(map[string]*callerJob),
 		loadRandom: rand.New(rand.NewPCG(s.Seed, 2)), now: time.Second, partitions: make(map[[2]int]int), //nolint:gosec // A seed makes runs reproducible.
 		random: rand.New(rand.NewPCG(s.Seed, 1)), result: newResult(), settings: s, //nolint:gosec // A seed makes runs reproducible.
 	}
--- a/replay/load.go
+++ b/replay/load.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"time"
@@ -26,14 +27,16 @@
 // A Kind is a kind of job. The sizes of its jobs vary around the means.
 type Kind struct {
 	AlwaysFails   bool          // AlwaysFails makes the tasks fail on every server.
+	CrashesAfter  time.Duration // CrashesAfter makes the first task of each job crash every server that long after its start. Zero means never.
 	DataRack      string        // DataRack is the label of the rack that holds the data. It is empty if any rack will do.
 	LatencyTarget time.Duration // LatencyTarget is the time that an answer may take on top of stretch times the work and still be on time.
 	MeanTasks     int
 	MeanWork      time.Duration // MeanWork is the mean run time of a task on a server with the run time factor 1.
 	Name          string
 	Priority      int
-	Rate          float64 // Rate is in jobs per second.
-	Value         float64 // Value is the value of an answer on time to a job of average size.
+	Rate          float64       // Rate is in jobs per second.
+	TimeLimit     time.Duration // TimeLimit is how long a caller waits for an answer. The default depends on the work of the job.
+	Value         float64       // Value is the value of an answer on time to a job of average size.
 }
 
 // Mix is the mix of jobs on a morning: many small jobs and few large ones.
@@ -99,7 +102,7 @@
 		kind:      kind,
 		need:      pollenfront.Resources{CPU: 4000 + f.loadRandom.IntN(5000), Memory: 64},
 		taskCount: max(1, int(float64(kind.MeanTasks)*f.logNormalFactor(0.4)+0.5)),
-		timeLimit: time.Duration(1500+float64(work.Milliseconds())*3) * time.Millisecond,
+		timeLimit: cmp.Or(kind.TimeLimit, time.Duration(1500+float64(work.Milliseconds())*3)*time.Millisecond),
 		work:      work,
 	}
 	f.jobs[j.id] = j
@@ -108,7 +111,7 @@
 	if !canceled {
 		cancelDelay = j.timeLimit
 	}
-	j.counted = !canceled && !kind.AlwaysFails
+	j.counted = !canceled && !kind.AlwaysFails && kind.CrashesAfter == 0
 	f.addValue(f.result.OfferedValue, j, 1)
 	f.countJob(f.result.Submitted, j)
 	if f.centralQueue != nil {
--- a/replay/server.go
+++ b/replay/server.go
@@ -11,7 +11,9 @@
 
 // A serverNode is a model of a backend server.
 type serverNode struct {
+	abortRenewal        func() // abortRenewal breaks the connection of the pending renewal. Further calls do nothing.
 	acknowledged        uint64 // acknowledged is the sequence number up to which the agent has acknowledged ended runs.
+	announce            func() // announce announces the server to its agent.
 	capacity            pollenfront.Resources
 	delayedRequestShare float64 // delayedRequestShare is the share of requests that are carried out seconds later and get no response.
 	endedRuns           []pollenfront.EndedRun
@@ -22,6 +24,7 @@
 	lastSeqNum          uint64        // lastSeqNum is the sequence number of the last ended run.
 	leaseExpiry         time.Duration // leaseExpiry is the time when all runs end, unless the lease is extended.
 	rack                string
+	refusing            bool   // refusing is set while the server's process does not run, so that connections are refused.
 	respondToRenewal    func() // respondToRenewal sends the response to the pending renewal. Further calls do nothing.
 	runs                map[pollenfront.TaskID]*serverRun
 	runTimeFactor       float64                    // runTimeFactor multiplies the work of tasks.
@@ -76,6 +79,7 @@
 		f.recordViolation("task %v runs twice at the same time", id)
 	}
 	f.activeRuns[id] = r
+	s.recordStart(id)
 	f.recordEvent(HistoryEvent{Job: id.Job, Kind: RunStarted, Task: id.Index})
 	if s.hanging {
 		return nil
@@ -85,6 +89,9 @@
 		ending = pollenfront.EndingFailed
 	}
 	r.runTime = s.runTime(job)
+	if job.kind.CrashesAfter > 0 && id.Index == 0 {
+		f.schedule(min(job.kind.CrashesAfter, r.runTime), func() { s.crashUnder(r) })
+	}
 	f.schedule(r.runTime, func() { s.endRun(r, ending) })
 	return nil
 }
@@ -210,6 +217,12 @@
 		}
 	}
 	s.respondToRenewal = respondOnce
+	s.abortRenewal = func() {
+		if !responded {
+			responded = true
+			respond(nil, errNoResponse)
+		}
+	}
 	s.fleet.schedule(request.Wait, respondOnce)
 }
 
@@ -239,6 +252,6 @@
 func (s *serverNode) crash() {
 	s.endAllRuns()
 	s.incarnation++
-	s.token, s.lastSeqNum, s.acknowledged, s.endedRuns, s.leaseExpiry, s.respondToRenewal = 0, 0, 0, nil, 0, nil
+	s.token, s.lastSeqNum, s.acknowledged, s.endedRuns, s.leaseExpiry, s.respondToRenewal, s.abortRenewal = 0, 0, 0, nil, 0, nil, nil
 	clear(s.supersededRuns)
 }
