Stop starting tasks under which servers have crashed, everywhere

Cause: a run that its server takes along counts as lost. Only failed runs count towards the limit of attempts, and nothing outlives the submission: another entry, a restarted entry or agent starts from zero.

Change: an agent that detects the crash of its server (connections refused, or another incarnation) records it with the tasks that were on it (package crashlog) and tells its entries. Entries and agents pass crashes on to their other peers, and to those that link later, for two minutes. An entry records the loss of an agent likewise. With the second crash under a task, one of them that of a server, or the third of agents only, the job fails at once, and later submissions of it too; agents refuse its start. Suspect tasks are placed apart. The protocol between entries and agents is now version 5.

Why this works: the record of a crash is made by the process beside the server, which outlives it, not by the entry that holds the job, and needs no store.

Tests of the executor's refused renewals now state when the renewal was sent: one that was refused before a server was up had marked its new incarnation as crashed (found by the case of callers that submit again).

The harm to other jobs remains: their runs still end only when the crashed server is back.

--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -77,7 +77,7 @@
 // of its requests start at the agent's incarnation.
 func New(self tasklink.Hello, server Server, store pollenfront.Store, registry *prometheus.Registry, logger *zap.Logger) *Driver {
 	return &Driver{
-		executor: executor.New(self.Service, self.Zone, self.Incarnation),
+		executor: executor.New(self.Name, self.Service, self.Zone, self.Incarnation),
 		links:    make(map[string]*entryLink),
 		logger:   logger,
 		metrics:  newMetrics(registry),
--- a/agent/internal/driver/renewals.go
+++ b/agent/internal/driver/renewals.go
@@ -69,7 +69,7 @@
 		d.mu.Unlock()
 	default:
 		now := bootclock.Now()
-		d.handleEvent(now, func() executor.Effects { return d.executor.HandleRenewalError(now, err) })
+		d.handleEvent(now, func() executor.Effects { return d.executor.HandleRenewalError(now, sent, err) })
 	}
 	return err
 }
--- /dev/null
+++ b/crash.go
@@ -0,0 +1,42 @@
+package pollenfront
+
+import "time"
+
+// A message that states more elements is rejected before memory is allocated for them.
+//
+//msgp:limit arrays:65536 maps:65536
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -file crash.go -o crash_gen.go -tests=false -io=false
+
+// A Crash is the end of a process without notice, with the tasks that it was working on.
+// An agent that is silent for so long that its runs count as lost may only be cut off.
+//
+//msgp:tuple Crash
+type Crash struct {
+	// Age is the time since the crash was detected.
+	Age     time.Duration
+	Process Process
+	// Reporter is the name of the entry or agent that has detected the crash. Several
+	// entries detect that of an agent, each for its own tasks.
+	Reporter string
+	Tasks    []TaskID
+}
+
+// A Process is one incarnation of a process.
+//
+//msgp:tuple Process
+type Process struct {
+	Incarnation uint64
+	Kind        ProcessKind
+	// Name is the name of the agent, also for the backend server beside it.
+	Name string
+}
+
+// A ProcessKind is what a process is.
+type ProcessKind string
+
+// Kinds of processes that work on tasks.
+const (
+	ProcessAgent  ProcessKind = "agent"
+	ProcessServer ProcessKind = "server"
+)
--- /dev/null
+++ b/crashlog/log.go
@@ -0,0 +1,161 @@
+// Package crashlog keeps the crashes of processes with the tasks that they were working
+// on, so that a task which crashes every process that works on it is not started without
+// a limit.
+//
+// Entries and agents each have a Log, and pass the crashes that they learn of to all of
+// their peers. A crash therefore reaches the entries and agents that have no link to the
+// crashed process, and those that start later. They need the store for neither.
+//
+// A process takes along tasks that have nothing to do with its crash. One crash
+// therefore only makes a task suspect. A task that has exceeded the limit must not be
+// started again.
+//
+// # Usage
+//
+//	log := crashlog.New()
+//	isNew := log.Add(now, crash, peer)
+//	crashes, cursor := log.Since(now, cursor, peer)
+//	if log.Exceeded(task) { … }
+package crashlog
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+)
+
+// Limits on crashes.
+const (
+	// batchSize is the largest number of crashes that Since returns.
+	batchSize = 64
+	// maxCrashes is the number of crashes with which a task exceeds the limit, if one of
+	// them is that of a server.
+	maxCrashes = 2
+	// maxAgentCrashes replaces maxCrashes if all of them are those of agents, which
+	// operators also kill and restart, and which the network may cut off.
+	maxAgentCrashes = 3
+	// maxRecords is the number of crashes that are kept.
+	maxRecords = 512
+	// retention is how long a crash is kept. It is longer than callers submit a job
+	// again.
+	retention = 2 * time.Minute
+)
+
+// A Log holds the crashes of the last minutes. It is not safe for concurrent use.
+type Log struct {
+	counts map[pollenfront.TaskID]count
+	// firstSeqNum is the sequence number of the first record.
+	firstSeqNum uint64
+	known       map[key]bool
+	// records lists the crashes in the order in which they were added.
+	records []record
+}
+
+// A count is how many processes have crashed while they were working on a task.
+type count struct {
+	all, servers int
+}
+
+// A key identifies a crash.
+type key struct {
+	process  pollenfront.Process
+	reporter string
+}
+
+// keyOf returns the key of a crash.
+func keyOf(crash *pollenfront.Crash) key {
+	return key{process: crash.Process, reporter: crash.Reporter}
+}
+
+// A record is a crash in a Log.
+type record struct {
+	at    time.Duration
+	crash pollenfront.Crash
+	// source is the peer from which the crash was learned, or empty.
+	source string
+}
+
+// New returns an empty Log.
+func New() *Log {
+	return &Log{counts: make(map[pollenfront.TaskID]count), firstSeqNum: 1, known: make(map[key]bool)}
+}
+
+// Add adds a crash that was learned from a peer, or detected here if peer is empty. It
+// returns false if the crash is known, without tasks, or too old to be kept.
+func (l *Log) Add(now time.Duration, crash pollenfront.Crash, peer string) bool {
+	if l.known[keyOf(&crash)] || len(crash.Tasks) == 0 || crash.Age > retention {
+		return false
+	}
+	if len(l.records) == maxRecords {
+		l.removeFirst()
+	}
+	l.known[keyOf(&crash)] = true
+	l.records = append(l.records, record{at: now - crash.Age, crash: crash, source: peer})
+	l.countTasks(&crash, 1)
+	return true
+}
+
+// countTasks adds change to the counts of the tasks of a crash.
+func (l *Log) countTasks(crash *pollenfront.Crash, change int) {
+	for _, task := range crash.Tasks {
+		c := l.counts[task]
+		c.all += change
+		if crash.Process.Kind == pollenfront.ProcessServer {
+			c.servers += change
+		}
+		l.counts[task] = c
+		if c.all == 0 {
+			delete(l.counts, task)
+		}
+	}
+}
+
+// removeFirst removes the first record.
+func (l *Log) removeFirst() {
+	crash := &l.records[0].crash
+	l.countTasks(crash, -1)
+	delete(l.known, keyOf(crash))
+	l.records = slices.Delete(l.records, 0, 1)
+	l.firstSeqNum++
+}
+
+// Expire removes the crashes that are older than retention.
+func (l *Log) Expire(now time.Duration) {
+	for len(l.records) > 0 && now-l.records[0].at > retention {
+		l.removeFirst()
+	}
+}
+
+// Since returns crashes that were added after the one at cursor and not learned from
+// peer, and the cursor for the next call. The first cursor is zero.
+func (l *Log) Since(now time.Duration, cursor uint64, peer string) ([]pollenfront.Crash, uint64) {
+	var crashes []pollenfront.Crash
+	next := max(cursor, l.firstSeqNum-1)
+	for _, r := range l.records[next-(l.firstSeqNum-1):] {
+		if len(crashes) == batchSize {
+			break
+		}
+		next++
+		if r.source == "" || r.source != peer {
+			r.crash.Age = now - r.at
+			crashes = append(crashes, r.crash)
+		}
+	}
+	return crashes, next
+}
+
+// Suspect reports whether a process has crashed while it was working on a task.
+func (l *Log) Suspect(task pollenfront.TaskID) bool {
+	return l.counts[task].all > 0
+}
+
+// Exceeded reports whether so many processes have crashed while they were working on a
+// task that it must not be started again.
+func (l *Log) Exceeded(task pollenfront.TaskID) bool {
+	c := l.counts[task]
+	if c.servers == 0 {
+		return c.all >= maxAgentCrashes
+	}
+	return c.all >= maxCrashes
+}
--- /dev/null
+++ b/crashlog/log_test.go
@@ -0,0 +1,125 @@
+package crashlog_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/crashlog"
+)
+
+// task returns the ID of a task of one job.
+func task(index int) pollenfront.TaskID {
+	return pollenfront.TaskID{Index: index, Job: "0a"}
+}
+
+// crash returns the crash of a process with tasks.
+func crash(kind pollenfront.ProcessKind, incarnation uint64, tasks ...int) pollenfront.Crash {
+	c := pollenfront.Crash{Process: pollenfront.Process{Incarnation: incarnation, Kind: kind, Name: "agent-1"}}
+	for _, index := range tasks {
+		c.Tasks = append(c.Tasks, task(index))
+	}
+	return c
+}
+
+func TestExceeded(t *testing.T) {
+	server, agent := pollenfront.ProcessServer, pollenfront.ProcessAgent
+	tests := []struct {
+		name     string
+		crashes  []pollenfront.Crash
+		suspect  bool
+		exceeded bool
+	}{
+		{name: "no crash"},
+		{name: "crash with another task", crashes: []pollenfront.Crash{crash(server, 1, 1)}},
+		{name: "one server", crashes: []pollenfront.Crash{crash(server, 1, 0, 1)}, suspect: true},
+		{name: "one server, learned twice", crashes: []pollenfront.Crash{crash(server, 1, 0), crash(server, 1, 0)}, suspect: true},
+		{name: "two servers", crashes: []pollenfront.Crash{crash(server, 1, 0), crash(server, 2, 1, 0)}, suspect: true, exceeded: true},
+		{name: "two agents", crashes: []pollenfront.Crash{crash(agent, 1, 0), crash(agent, 2, 0)}, suspect: true},
+		{name: "three agents", crashes: []pollenfront.Crash{crash(agent, 1, 0), crash(agent, 2, 0), crash(agent, 3, 0)}, suspect: true, exceeded: true},
+		{name: "an agent and a server", crashes: []pollenfront.Crash{crash(agent, 1, 0), crash(server, 1, 0)}, suspect: true, exceeded: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := crashlog.New()
+			for _, crash := range test.crashes {
+				l.Add(0, crash, "")
+			}
+			c.Assert(l.Suspect(task(0)), qt.Equals, test.suspect)
+			c.Assert(l.Exceeded(task(0)), qt.Equals, test.exceeded)
+		})
+	}
+}
+
+// TestExpire checks that a crash is forgotten at the same time by a peer that has learned
+// of it late, so that peers don't keep telling each other of it.
+func TestExpire(t *testing.T) {
+	c := qt.New(t)
+	first, second := crashlog.New(), crashlog.New()
+	first.Add(0, crash(pollenfront.ProcessServer, 1, 0), "")
+	crashes, _ := first.Since(time.Minute, 0, "second")
+	c.Assert(crashes, qt.HasLen, 1)
+	c.Assert(second.Add(time.Minute, crashes[0], "first"), qt.IsTrue)
+	for _, l := range []*crashlog.Log{first, second} {
+		l.Expire(2 * time.Minute)
+		c.Assert(l.Suspect(task(0)), qt.IsTrue)
+		l.Expire(2*time.Minute + time.Second)
+		c.Assert(l.Suspect(task(0)), qt.IsFalse)
+	}
+	c.Assert(second.Add(3*time.Minute, pollenfront.Crash{Age: 3 * time.Minute, Process: crashes[0].Process, Tasks: crashes[0].Tasks}, "first"), qt.IsFalse)
+}
+
+// TestSince checks that peers which pass on what they learn, over links that are opened
+// again at any time, all learn of every crash, and that none is sent back to its source.
+func TestSince(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const peers = 4
+		names := [peers]string{"a", "b", "c", "d"}
+		var logs [peers]*crashlog.Log
+		var cursors [peers][peers]uint64
+		for i := range logs {
+			logs[i] = crashlog.New()
+		}
+		send := func(from, to int) {
+			crashes, next := logs[from].Since(0, cursors[from][to], names[to])
+			cursors[from][to] = next
+			for _, c := range crashes {
+				if c.Process.Name == names[to] {
+					t.Fatalf("%s was told of its own crash by the peer that learned it there", names[to])
+				}
+				logs[to].Add(0, c, names[from])
+			}
+		}
+		total := rapid.IntRange(1, 200).Draw(t, "crashes")
+		for i := range total {
+			at := rapid.IntRange(0, peers-1).Draw(t, "at")
+			c := crash(pollenfront.ProcessServer, uint64(i), i) //nolint:gosec // Not negative.
+			c.Process.Name = names[at]
+			logs[at].Add(0, c, "")
+			// Peers are linked in a line.
+			from := rapid.IntRange(0, peers-2).Draw(t, "from")
+			if rapid.Bool().Draw(t, "relink") {
+				cursors[from][from+1], cursors[from+1][from] = 0, 0
+			}
+			send(from, from+1)
+			send(from+1, from)
+		}
+		for range peers * (total/64 + 1) {
+			for i := range peers - 1 {
+				send(i, i+1)
+				send(i+1, i)
+			}
+		}
+		for i, l := range logs {
+			for n := range total {
+				if !l.Suspect(task(n)) {
+					t.Fatalf("%s has not learned of crash %d", names[i], n)
+				}
+			}
+		}
+	})
+}
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -27,10 +27,11 @@
 	Started bool
 }
 
-// detectCrash records that the server's process has ended if err, the error of a
-// request, shows it. Each incarnation has one crash at most.
-func (x *Executor) detectCrash(now time.Duration, err error, effects *Effects) {
-	if errors.Is(err, pollenfront.ErrUnreachable) && x.server.announced {
+// detectCrash records that the server's process has ended if err, the error of a renewal
+// that was sent at the given time, shows it. An earlier renewal may have been refused
+// before this incarnation of the server was up.
+func (x *Executor) detectCrash(now, sent time.Duration, err error, effects *Effects) {
+	if errors.Is(err, pollenfront.ErrUnreachable) && x.server.announced && sent > x.server.seenAt {
 		x.recordCrash(now, effects)
 	}
 }
@@ -48,11 +49,16 @@
 		crashedAt = s.failingSince
 	}
 	crash := ServerCrash{Incarnation: s.incarnation}
+	record := pollenfront.Crash{Process: pollenfront.Process{Incarnation: s.incarnation, Kind: pollenfront.ProcessServer, Name: x.name}, Reporter: x.name}
 	for _, r := range x.acceptedRuns {
 		if r.state != queued && !r.crashed {
 			r.crashed = true
 			crash.Runs = append(crash.Runs, CrashedRun{Age: crashedAt - r.lastStartSent, Entry: r.entry.Name, Run: r.id, Started: r.started})
+			record.Tasks = append(record.Tasks, r.id.TaskID)
 		}
 	}
+	if x.crashes.Add(now, record, "") {
+		x.notifyAll(effects)
+	}
 	effects.Crashes = append(effects.Crashes, crash)
 }
--- a/executor/crash_test.go
+++ b/executor/crash_test.go
@@ -34,16 +34,16 @@
 		detect func(x *executor.Executor) executor.Effects
 	}{
 		{name: "connection refused", detect: func(x *executor.Executor) executor.Effects {
-			x.HandleRenewalError(at(40), fmt.Errorf("EOF"))
-			return x.HandleRenewalError(at(90), errRefused)
+			x.HandleRenewalError(at(40), at(40), fmt.Errorf("EOF"))
+			return x.HandleRenewalError(at(90), at(90), errRefused)
 		}},
 		{name: "next incarnation announces itself", detect: func(x *executor.Executor) executor.Effects {
-			x.HandleRenewalError(at(40), fmt.Errorf("EOF"))
+			x.HandleRenewalError(at(40), at(40), fmt.Errorf("EOF"))
 			effects, _ := x.HandleAnnouncement(at(90), pollenfront.Announcement{Clock: time.Second, Incarnation: 2, SeqNum: 1})
 			return effects
 		}},
 		{name: "next incarnation answers", detect: func(x *executor.Executor) executor.Effects {
-			x.HandleRenewalError(at(40), fmt.Errorf("EOF"))
+			x.HandleRenewalError(at(40), at(40), fmt.Errorf("EOF"))
 			return x.HandleRenewal(at(90), at(80), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 2})
 		}},
 	}
@@ -55,7 +55,7 @@
 			x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
 			x.HandleCommands(at(30), testEntry, startCommands(at(30), 1, 2))
 			c.Assert(crashedTasks(test.detect(x)), qt.DeepEquals, map[int]int64{0: 40, 1: 10}, qt.Commentf("task 2 is queued"))
-			effects := x.HandleRenewalError(at(95), errRefused)
+			effects := x.HandleRenewalError(at(95), at(95), errRefused)
 			c.Assert(crashedTasks(effects), qt.HasLen, 0, qt.Commentf("the runs were on one incarnation only"))
 		})
 	}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -11,6 +11,9 @@
 type entry struct {
 	EntryRef
 
+	// crashCursor is the position up to which the entry was told of crashes on its
+	// current link.
+	crashCursor uint64
 	// lastEcho is the newest reading of the agent's clock that the entry has
 	// echoed, or the time at which it linked if that is later.
 	lastEcho time.Duration
@@ -65,6 +68,7 @@
 		x.entries[ref.Name] = e
 	}
 	e.lastEcho, e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = now, 0, true, 0, false, nil
+	e.crashCursor = 0
 	return x.runStates(e), effects
 }
 
@@ -132,6 +136,7 @@
 		update.Report.State = tasklink.StateDraining
 	}
 	e.pendingEnds = nil
+	update.Crashes, e.crashCursor = x.crashes.Since(now, e.crashCursor, name)
 	return update, true
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -31,6 +31,7 @@
 //   - A server that leaves requests unanswered is first suspect, and requests are
 //     repeated sooner. If it does not respond for longer, it is unavailable and
 //     gets no tasks until it responds.
+//   - A task under which too many servers have crashed is refused.
 //   - The response to a renewal lists the runs on the server. A run that it
 //     should list but does not is lost.
 //
@@ -52,6 +53,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/crashlog"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -187,12 +189,15 @@
 	acceptedRuns []*run
 	// agentZone is the agent's own availability zone.
 	agentZone string
+	// crashes are the crashes of processes that the agent knows of.
+	crashes *crashlog.Log
 	// disabledZones is the newest list that an entry has sent.
 	disabledZones tasklink.DisabledZones
 	// draining is whether Drain was called, so that the agent takes no new tasks.
 	draining bool
 	// entries holds the known entries by name.
 	entries map[string]*entry
+	name    string
 	// noStartBefore is the time until which nothing starts.
 	noStartBefore time.Duration
 	// noUnknownRuns is whether the response to the newest renewal listed no run
@@ -212,13 +217,15 @@
 	token uint64
 }
 
-// New returns an Executor for an agent in a zone whose backend server belongs to
-// a service. Its requests carry fencing tokens from token upwards, which must be
+// New returns an Executor for the agent with the given name in a zone, whose backend
+// server belongs to a service. Its requests carry fencing tokens from token upwards, which must be
 // higher than those of earlier incarnations of the agent.
-func New(service, zone string, token uint64) *Executor {
+func New(name, service, zone string, token uint64) *Executor {
 	return &Executor{
 		agentZone:  zone,
+		crashes:    crashlog.New(),
 		entries:    make(map[string]*entry),
+		name:       name,
 		runsByTask: make(map[pollenfront.TaskID]*run),
 		service:    service,
 		stats:      newRunStats(),
@@ -241,6 +248,9 @@
 		e.stoppedForSilence = e.stoppedForSilence && e.silent(now)
 	}
 	x.recordDisabledZones(commands.DisabledZones)
+	for _, crash := range commands.Crashes {
+		x.crashes.Add(now, crash, e.Name)
+	}
 	for i := range commands.Starts {
 		x.acceptStart(now, e, &commands.Starts[i], now-echo > maxCommandAge, &effects)
 	}
@@ -272,6 +282,9 @@
 		if _, active := x.runsByTask[id.TaskID]; active && reason == "" {
 			reason = "an earlier run of the task has not ended"
 		}
+		if x.crashes.Exceeded(id.TaskID) && reason == "" {
+			reason = "too many servers have crashed under the task"
+		}
 		if reason == "" && x.exceedsMaxWait(now, start) {
 			reason = "the server is full"
 		}
@@ -389,6 +402,7 @@
 func (x *Executor) Tick(now time.Duration) Effects {
 	var effects Effects
 	x.stats.decay(now)
+	x.crashes.Expire(now)
 	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
 		e := x.entries[name]
 		if e.silent(now) && !e.stoppedForSilence {
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -23,7 +23,7 @@
 
 // newExecutor returns an executor whose server has the capacity for two tasks.
 func newExecutor() *executor.Executor {
-	x := executor.New("service", "west", 10)
+	x := executor.New("agent-1", "service", "west", 10)
 	x.HandleAnnouncement(at(0), pollenfront.Announcement{Capacity: pollenfront.Resources{CPU: 12000}, Clock: time.Second, Incarnation: 1, SeqNum: 1, Zone: "west"})
 	x.LinkEntry(at(0), testEntry)
 	return x
@@ -108,7 +108,7 @@
 			x.HandleCommands(at(1), testEntry, &tasklink.Commands{DisabledZones: tasklink.DisabledZones{Version: 2, Zones: []string{"west"}}, EchoedClock: int64(at(1))})
 		}},
 		{name: "agent is draining", now: at(1), before: func(x *executor.Executor) { x.Drain(at(1)) }},
-		{name: "server does not respond", now: at(1), before: func(x *executor.Executor) { x.HandleRenewalError(at(1), context.DeadlineExceeded) }},
+		{name: "server does not respond", now: at(1), before: func(x *executor.Executor) { x.HandleRenewalError(at(1), at(1), context.DeadlineExceeded) }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -330,7 +330,7 @@
 	for _, test := range tests {
 		for _, renewedFirst := range []bool{false, true} {
 			t.Run(test.name, func(t *testing.T) {
-				x := executor.New("service", "west", 10)
+				x := executor.New("agent-1", "service", "west", 10)
 				renew := func() {
 					x.HandleRenewal(at(10), at(5), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: test.incarnation})
 				}
--- a/executor/server.go
+++ b/executor/server.go
@@ -40,6 +40,8 @@
 	// leaseExpiry is the time on the agent's clock by which the server has killed
 	// all of its runs, unless the lease is extended before.
 	leaseExpiry time.Duration
+	// seenAt is when the agent learned of this incarnation.
+	seenAt time.Duration
 	// unresponsive is whether the server gets no tasks because it does not respond.
 	unresponsive bool
 	zone         string
@@ -103,7 +105,7 @@
 	if former.announced {
 		x.recordCrash(now, effects)
 	}
-	x.server = server{leaseExpiry: former.leaseExpiry, incarnation: incarnation}
+	x.server = server{incarnation: incarnation, leaseExpiry: former.leaseExpiry, seenAt: now}
 	if former.incarnation == 0 {
 		return
 	}
@@ -201,13 +203,13 @@
 	return effects
 }
 
-// HandleRenewalError handles a renewal that failed with an error other than
-// pollenfront.ErrFenced and pollenfront.ErrReplaced.
-func (x *Executor) HandleRenewalError(now time.Duration, err error) Effects {
+// HandleRenewalError handles a renewal that was sent at the given time and failed with an
+// error other than pollenfront.ErrFenced and pollenfront.ErrReplaced.
+func (x *Executor) HandleRenewalError(now, sent time.Duration, err error) Effects {
 	var effects Effects
 	before := x.server.unresponsive
 	x.recordResponse(now, err)
-	x.detectCrash(now, err, &effects)
+	x.detectCrash(now, sent, err, &effects)
 	if now-x.server.lastResponse >= renewalUnavailableTimeout {
 		x.server.unresponsive = true
 	}
--- a/executor/start.go
+++ b/executor/start.go
@@ -60,7 +60,6 @@
 	var effects Effects
 	x.recordClock(now, clock)
 	x.recordResponse(now, err)
-	x.detectCrash(now, err, &effects)
 	r, ok := x.runsByTask[request.Run.TaskID]
 	if !ok || r.id != request.Run || r.state == queued {
 		return effects
--- a/reason.go
+++ b/reason.go
@@ -14,6 +14,7 @@
 	ReasonNoServer          Reason = "no-server"    // No backend server of the service is known.
 	ReasonOverloaded        Reason = "overloaded"   // The job would be late.
 	ReasonRunLost           Reason = "lost"         // The job may run at most once, and one of its runs was lost.
+	ReasonServersCrashed    Reason = "crashes"      // Too many processes have crashed while they were working on a task.
 	ReasonStopping          Reason = "stopping"     // The entry is stopping.
 	ReasonStoreUnavailable  Reason = "store"        // The ID could not be claimed in the platform's store.
 	ReasonSuspended         Reason = "suspended"    // The entry's process was suspended.
@@ -35,6 +36,7 @@
 	ReasonNoServer:          "submit again after the stated time",
 	ReasonOverloaded:        "submit again after the stated time",
 	ReasonRunLost:           "look for the effects of the job before submitting it under a new ID",
+	ReasonServersCrashed:    "look at the task: servers crash while they run it",
 	ReasonStopping:          "submit again at once, to another entry",
 	ReasonStoreUnavailable:  "submit again under a new ID, or wait for the store",
 	ReasonSuspended:         "submit again at once",
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -97,7 +97,7 @@
 func (a *agentNode) start() {
 	a.up, a.startedAt = true, a.fleet.now
 	a.incarnation = uint64(a.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
-	a.executor = executor.New(service, a.zone, a.incarnation)
+	a.executor = executor.New(a.name, service, a.zone, a.incarnation)
 	a.linkEpochs = make(map[int]uint64)
 	a.lastReceived = make(map[int]time.Duration)
 	a.entryRefs = make(map[int]pollenfront.EntryRef)
@@ -178,7 +178,7 @@
 	a.schedule(request.Interval, func() { scheduleNext(0) })
 	a.schedule(request.Timeout, func() {
 		if !responded {
-			a.applyEffects(a.executor.HandleRenewalError(a.fleet.now, errNoResponse))
+			a.applyEffects(a.executor.HandleRenewalError(a.fleet.now, sent, errNoResponse))
 			scheduleNext(executor.RenewalRetryDelay)
 		}
 	})
@@ -194,7 +194,7 @@
 		case errors.Is(err, pollenfront.ErrFenced):
 			a.executor.HandleRenewalFenced()
 		default:
-			a.applyEffects(a.executor.HandleRenewalError(a.fleet.now, err))
+			a.applyEffects(a.executor.HandleRenewalError(a.fleet.now, sent, err))
 			scheduleNext(executor.RenewalRetryDelay)
 		}
 		scheduleNext(0)
--- a/replay/crash_test.go
+++ b/replay/crash_test.go
@@ -20,6 +20,12 @@
 	return kind
 }
 
+// insisting returns a kind whose callers submit a job again and again.
+func insisting(kind replay.Kind) replay.Kind {
+	kind.Patience = 20 * time.Second
+	return kind
+}
+
 // TestTaskCrashesServerAfterServer guards against a task that crashes every server that
 // starts it and is started again and again: by its entry, by others to which its caller
 // submits it again, and by entries and agents that were restarted meanwhile.
@@ -33,7 +39,7 @@
 		{name: "patient callers", settings: replay.Settings{Agents: 11, Entries: 3}, kind: deadly(12*time.Millisecond, 20*time.Second)},
 		{name: "crash at the end of the run", settings: replay.Settings{Agents: 11, Entries: 3}, kind: deadly(time.Second, 20*time.Second)},
 		{name: "crash before the start is answered", settings: replay.Settings{Agents: 11, Entries: 3}, kind: deadly(time.Microsecond, 20*time.Second)},
-		{name: "callers that submit again", settings: replay.Settings{Agents: 11, Entries: 3}, kind: deadly(12*time.Millisecond, 600*time.Millisecond)},
+		{name: "callers that submit again", settings: replay.Settings{Agents: 11, Entries: 3}, kind: insisting(deadly(12*time.Millisecond, 600*time.Millisecond))},
 		{
 			name: "entries are killed", settings: replay.Settings{Agents: 11, Entries: 3}, kind: deadly(12*time.Millisecond, 20*time.Second),
 			faults: func(f *replay.Fleet) {
--- a/replay/load.go
+++ b/replay/load.go
@@ -33,6 +33,7 @@
 	MeanTasks     int
 	MeanWork      time.Duration // MeanWork is the mean run time of a task on a server with the run time factor 1.
 	Name          string
+	Patience      time.Duration // Patience is how long a caller submits a job again after its time limit. By default it does not.
 	Priority      int
 	Rate          float64       // Rate is in jobs per second.
 	TimeLimit     time.Duration // TimeLimit is how long a caller waits for an answer. The default depends on the work of the job.
@@ -109,7 +110,7 @@
 	entry := f.loadRandom.IntN(len(f.entries))
 	canceled, cancelDelay := f.loadRandom.Float64() < f.earlyCancelShare, time.Duration(f.loadRandom.Float64()*float64(j.due()-j.arrived))
 	if !canceled {
-		cancelDelay = j.timeLimit
+		cancelDelay = j.timeLimit + kind.Patience
 	}
 	j.counted = !canceled && !kind.AlwaysFails && kind.CrashesAfter == 0
 	f.addValue(f.result.OfferedValue, j, 1)
--- a/result.go
+++ b/result.go
@@ -8,7 +8,7 @@
 // Verdicts.
 const (
 	VerdictCompleted Verdict = iota // Every task succeeded.
-	VerdictFailed                   // A task has failed as many times as its route allows.
+	VerdictFailed                   // A task has failed as many times as its route allows, or too many processes have crashed under it.
 	VerdictRefused                  // No task of this submission has started, and none will.
 	VerdictUnknown                  // The job did not complete, and tasks of it may have run.
 	VerdictConflict                 // Another job with the same ID is running.
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -14,6 +14,9 @@
 type agent struct {
 	pollenfront.AgentRef
 
+	// crashCursor is the position up to which the agent was told of crashes on its
+	// current link.
+	crashCursor uint64
 	// echo is the agent's clock in its newest update. Commands return it, so
 	// that the agent can tell how old they are.
 	echo int64
@@ -31,6 +34,8 @@
 	// tasks are the tasks that were sent to the agent and whose runs have not
 	// ended.
 	tasks map[pollenfront.RunID]*task
+	// suspects is the number of tasks that were suspect when they were sent.
+	suspects int
 	// unreported are the unreported starts, sorted by sequence number.
 	unreported []unreportedStart
 	zone       string
@@ -58,7 +63,7 @@
 		slices.SortFunc(s.sortedAgents, func(a, b *agent) int { return cmp.Compare(a.Name, b.Name) })
 	}
 	a.AgentRef = pollenfront.AgentRef{Incarnation: hello.Incarnation, Name: hello.Name}
-	a.echo, a.lastUpdate, a.linked, a.lastSeqNum, a.unreported = 0, now, true, 0, nil
+	a.crashCursor, a.echo, a.lastUpdate, a.linked, a.lastSeqNum, a.unreported = 0, 0, now, true, 0, nil
 	a.service, a.zone, a.report = hello.Service, hello.Zone, tasklink.Report{}
 	s.countAgents()
 	a.primary = s.isPrimary(a)
@@ -66,6 +71,7 @@
 	for _, r := range hello.Runs {
 		known[r.Run] = r
 	}
+	s.recordAgentRestart(now, a, known, effects)
 	for _, t := range a.sortedTasks() {
 		switch r, ok := known[t.run]; {
 		case !ok && a.mayHaveStarted(t):
@@ -134,6 +140,10 @@
 	if update.Report.DisabledZones.Version > s.disabledZones.Version {
 		s.disabledZones = update.Report.DisabledZones
 	}
+	for _, crash := range update.Crashes {
+		s.recordCrash(now, crash, name, effects)
+		unchanged = false
+	}
 	for i := range update.RunEnds {
 		end := &update.RunEnds[i]
 		if t, ok := a.tasks[end.Run]; ok {
@@ -159,7 +169,9 @@
 	if now-a.lastUpdate <= AgentLossTimeout {
 		return
 	}
-	for _, t := range a.sortedTasks() {
+	lost := a.sortedTasks()
+	s.recordAgentLoss(now, a.Name, a.Incarnation, lost, effects)
+	for _, t := range lost {
 		s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingLost}, effects)
 	}
 	if !a.linked {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -66,6 +66,8 @@
 	state  taskState
 	// stopRequested is set if the run is to be stopped.
 	stopRequested bool
+	// suspect is set if a process had crashed under the task when it was sent.
+	suspect bool
 }
 
 // A job is a job that has not ended.
@@ -90,7 +92,8 @@
 	expectedRunTime time.Duration
 	// expiry is the time at which a late answer stops being of use.
 	expiry time.Duration
-	// failed is set if a task has failed as often as its route allows.
+	// failed is set if a task has failed as often as its route allows, or too many
+	// processes have crashed under it.
 	failed bool
 	// latestStart is the latest time at which the job can start and be on time.
 	latestStart time.Duration
@@ -249,6 +252,10 @@
 	j := t.job
 	delete(t.agent.tasks, t.run)
 	a := t.agent
+	if t.suspect {
+		t.suspect = false
+		a.suspects--
+	}
 	j.trace.LastServer, j.trace.LastSent, j.trace.LastRunTime = a.Name, t.sentAt-j.arrived, time.Duration(end.Seconds*float64(time.Second))
 	t.agent, t.state, t.stopRequested = nil, taskWaiting, false
 	if end.Ending != pollenfront.EndingNotStarted {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -14,8 +14,9 @@
 	// avoidFailRate is the share of failed runs above which a server gets tasks
 	// only if no other server can run them.
 	avoidFailRate = 0.3
-	// avoidPenalty is the penalty of a server above avoidFailRate, and of one on
-	// which the task has failed, was slow or was stopped.
+	// avoidPenalty is the penalty of a server above avoidFailRate, of one on which the
+	// task has failed, was slow or was stopped, and for a suspect task of one that has
+	// another suspect task.
 	avoidPenalty = 10 * time.Second
 	// crossZoneDelay is the additional delay of a task on a server in another
 	// zone.
@@ -40,6 +41,9 @@
 	// free are the reported free resources, less the needs of unreported starts and
 	// of the tasks placed in this call. They can be negative.
 	free pollenfront.Resources
+	// suspects is the number of suspect tasks of this entry on the server, with those
+	// placed in this call.
+	suspects int
 }
 
 // place sends the tasks of queued jobs to servers, in the order of the queue. A
@@ -97,7 +101,7 @@
 		if !s.usable(now, a) {
 			continue
 		}
-		c := candidate{agent: a, free: a.report.Free}
+		c := candidate{agent: a, free: a.report.Free, suspects: a.suspects}
 		for _, start := range a.unreported {
 			c.free = c.free.Sub(start.need)
 		}
@@ -148,7 +152,7 @@
 	if !c.primary {
 		penalty += time.Duration(nonPrimaryPenalty * float64(t.job.expectedRunTime))
 	}
-	if c.report.FailRate > avoidFailRate || t.avoid == c.agent {
+	if c.report.FailRate > avoidFailRate || t.avoid == c.agent || c.suspects > 0 && s.crashes.Suspect(t.run.TaskID) {
 		penalty += avoidPenalty
 	}
 	return pollenfront.ServerCandidate{CanStart: delay <= maxServerWait, Free: c.free, Penalty: penalty, TimeToFinish: timeToFinish}
@@ -158,10 +162,14 @@
 // wait, it sends none and returns false.
 func (s *Scheduler) placeJob(now time.Duration, j *job, candidates []candidate, effects *Effects) bool {
 	chosen := make([]int, 0, j.toPlace)
+	suspects := make([]int, 0)
 	release := func() {
 		for _, i := range chosen {
 			candidates[i].free = candidates[i].free.Add(j.Need)
 		}
+		for _, i := range suspects {
+			candidates[i].suspects--
+		}
 	}
 	for _, t := range j.tasks {
 		if t.state != taskWaiting {
@@ -177,6 +185,10 @@
 		}
 		chosen = append(chosen, best)
 		candidates[best].free = candidates[best].free.Sub(j.Need)
+		if s.crashes.Suspect(t.run.TaskID) {
+			suspects = append(suspects, best)
+			candidates[best].suspects++
+		}
 	}
 	s.sendTasks(now, j, candidates, chosen, effects)
 	return true
@@ -286,5 +298,9 @@
 	t.agent, t.state, t.sentAt, t.agentIncarnation = a, taskSent, now, a.Incarnation
 	t.expectedRunTime = time.Duration(float64(s.expectedRunTimeOn(t.job, a)) * max(1, a.report.Slowness))
 	a.tasks[t.run] = t
+	t.suspect = s.crashes.Suspect(t.run.TaskID)
+	if t.suspect {
+		a.suspects++
+	}
 	a.unreported = append(a.unreported, unreportedStart{need: t.job.Need, seqNum: a.lastSeqNum})
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -34,6 +34,10 @@
 //   - A task that failed, was stopped or was lost is placed again, unless its job
 //     may run at most once: that job is canceled. A job fails when a task has failed
 //     as often as its route allows.
+//   - A task under which too many processes have crashed is not started again, here or
+//     after another submission, and its job fails. The entries and agents tell each
+//     other of crashes. A task under which one has crashed runs apart from others of
+//     its kind where possible, so that they are not taken along twice.
 //   - The first run of a task that may have started is stopped, and the task placed
 //     again, if it takes much longer than expected and the answer can still be of use
 //     after another run. Tasks of jobs that may run at most once are not stopped for this.
@@ -66,6 +70,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/crashlog"
 	"github.com/pollenfront/pollenfront/placement"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
@@ -138,6 +143,8 @@
 	agents      map[string]*agent
 	chooser     pollenfront.Chooser
 	corrector   estimateCorrector
+	// crashes are the crashes of processes that the entry knows of.
+	crashes *crashlog.Log
 	// disabledZones is the newest list received from operators or agents.
 	disabledZones tasklink.DisabledZones
 	// eligible has, for each element of evaluated, the index of its candidate. Both
@@ -185,8 +192,8 @@
 // start of the warm-up.
 func New(now time.Duration, name, zone string, options ...Option) *Scheduler {
 	s := &Scheduler{
-		agentCounts: make(map[string]int), agents: make(map[string]*agent), chooser: placement.EarliestFinish{}, corrector: make(estimateCorrector), jobs: make(map[string]*job),
-		name: name, remoteFactor: 1, retrySpreaders: make(map[string]*retrySpreader), warmUpStart: now, zone: zone,
+		agentCounts: make(map[string]int), agents: make(map[string]*agent), chooser: placement.EarliestFinish{}, corrector: make(estimateCorrector),
+		crashes: crashlog.New(), jobs: make(map[string]*job), name: name, remoteFactor: 1, retrySpreaders: make(map[string]*retrySpreader), warmUpStart: now, zone: zone,
 	}
 	for _, option := range options {
 		option(s)
@@ -227,6 +234,10 @@
 		return effects
 	}
 	j := newJob(now, sub, s.corrector.correct(sub.Route.Name, sub.Estimate))
+	if s.crashesExceeded(j) {
+		s.failForCrashes(j, effects)
+		return effects
+	}
 	s.submitCount++
 	j.seqNum = s.submitCount
 	s.jobs[sub.ID] = j
@@ -286,6 +297,7 @@
 func (s *Scheduler) Tick(now time.Duration) *Effects {
 	effects := &Effects{}
 	s.detectSuspension(now, effects)
+	s.crashes.Expire(now)
 	for _, a := range slices.Clone(s.sortedAgents) {
 		s.tickAgent(now, a, effects)
 	}
@@ -351,6 +363,7 @@
 			e.Commands = make(map[string]*tasklink.Commands)
 		}
 		commands = &tasklink.Commands{AgentCount: s.agentCounts[a.service], DisabledZones: s.disabledZones, EchoedClock: a.echo}
+		commands.Crashes, a.crashCursor = s.crashes.Since(s.lastEvent, a.crashCursor, a.Name)
 		e.Commands[a.Name] = commands
 	}
 	return commands
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -30,7 +30,7 @@
 
 // Version is the version of the protocol. Both sides close a link if the other
 // side uses a different version.
-const Version = 4
+const Version = 5
 
 // Hello is the first message on a link, in both directions.
 //
@@ -85,6 +85,8 @@
 	// RunEnds lists the runs of the entry that have ended since the previous
 	// update.
 	RunEnds []RunEnd
+	// Crashes lists crashes of processes that the agent has not told the entry of yet.
+	Crashes []pollenfront.Crash
 	// Config is the newest configuration that the agent knows. It is only in the first
 	// update to an entry that has none, since it may have started while the store is
 	// unavailable.
@@ -169,6 +171,8 @@
 	// AgentCount is the number of agents of the receiving agent's service to which
 	// the entry has links. Agents adapt the number of their links to it.
 	AgentCount int
+	// Crashes lists crashes of processes that the entry has not told the agent of yet.
+	Crashes []pollenfront.Crash
 	// Starts lists the runs to start.
 	Starts []StartCommand
 	// Stops lists the runs to stop. A run number also stands for all lower
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -16,8 +16,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendInt64(o, z.EchoedClock)
 	// array header, size 2
 	o = append(o, 0x92)
@@ -27,19 +27,27 @@
 		o = msgp.AppendString(o, z.DisabledZones.Zones[za0001])
 	}
 	o = msgp.AppendInt(o, z.AgentCount)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+	for za0002 := range z.Crashes {
+		o, err = z.Crashes[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0002)
+			return
+		}
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Starts)))
-	for za0002 := range z.Starts {
-		o, err = z.Starts[za0002].MarshalMsg(o)
+	for za0003 := range z.Starts {
+		o, err = z.Starts[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Starts", za0002)
+			err = msgp.WrapError(err, "Starts", za0003)
 			return
 		}
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Stops)))
-	for za0003 := range z.Stops {
-		o, err = z.Stops[za0003].MarshalMsg(o)
+	for za0004 := range z.Stops {
+		o, err = z.Stops[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Stops", za0003)
+			err = msgp.WrapError(err, "Stops", za0004)
 			return
 		}
 	}
@@ -63,8 +71,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.EchoedClock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -117,44 +125,66 @@
 	var zb0004 uint32
 	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Starts")
+		err = msgp.WrapError(err, "Crashes")
 		return
 	}
 	if zb0004 > zdc5d9100limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Starts) >= int(zb0004) {
-		z.Starts = (z.Starts)[:zb0004]
+	if cap(z.Crashes) >= int(zb0004) {
+		z.Crashes = (z.Crashes)[:zb0004]
 	} else {
-		z.Starts = make([]StartCommand, zb0004)
+		z.Crashes = make([]pollenfront.Crash, zb0004)
 	}
-	for za0002 := range z.Starts {
-		bts, err = z.Starts[za0002].UnmarshalMsg(bts)
+	for za0002 := range z.Crashes {
+		bts, err = z.Crashes[za0002].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Starts", za0002)
+			err = msgp.WrapError(err, "Crashes", za0002)
 			return
 		}
 	}
 	var zb0005 uint32
 	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Stops")
+		err = msgp.WrapError(err, "Starts")
 		return
 	}
 	if zb0005 > zdc5d9100limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Stops) >= int(zb0005) {
-		z.Stops = (z.Stops)[:zb0005]
+	if cap(z.Starts) >= int(zb0005) {
+		z.Starts = (z.Starts)[:zb0005]
 	} else {
-		z.Stops = make([]pollenfront.RunID, zb0005)
+		z.Starts = make([]StartCommand, zb0005)
 	}
-	for za0003 := range z.Stops {
-		bts, err = z.Stops[za0003].UnmarshalMsg(bts)
+	for za0003 := range z.Starts {
+		bts, err = z.Starts[za0003].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Stops", za0003)
+			err = msgp.WrapError(err, "Starts", za0003)
+			return
+		}
+	}
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stops")
+		return
+	}
+	if zb0006 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Stops) >= int(zb0006) {
+		z.Stops = (z.Stops)[:zb0006]
+	} else {
+		z.Stops = make([]pollenfront.RunID, zb0006)
+	}
+	for za0004 := range z.Stops {
+		bts, err = z.Stops[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stops", za0004)
 			return
 		}
 	}
@@ -185,12 +215,16 @@
 		s += msgp.StringPrefixSize + len(z.DisabledZones.Zones[za0001])
 	}
 	s += msgp.IntSize + msgp.ArrayHeaderSize
-	for za0002 := range z.Starts {
-		s += z.Starts[za0002].Msgsize()
+	for za0002 := range z.Crashes {
+		s += z.Crashes[za0002].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Starts {
+		s += z.Starts[za0003].Msgsize()
 	}
 	s += msgp.ArrayHeaderSize
-	for za0003 := range z.Stops {
-		s += z.Stops[za0003].Msgsize()
+	for za0004 := range z.Stops {
+		s += z.Stops[za0004].Msgsize()
 	}
 	if z.Config == nil {
 		s += msgp.NilSize
@@ -916,8 +950,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendInt64(o, z.Clock)
 	o = msgp.AppendUint64(o, z.LastSeqNum)
 	o, err = z.Report.MarshalMsg(o)
@@ -933,6 +967,14 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+	for za0002 := range z.Crashes {
+		o, err = z.Crashes[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0002)
+			return
+		}
+	}
 	if z.Config == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -953,8 +995,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -994,6 +1036,28 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
+	if zb0003 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Crashes) >= int(zb0003) {
+		z.Crashes = (z.Crashes)[:zb0003]
+	} else {
+		z.Crashes = make([]pollenfront.Crash, zb0003)
+	}
+	for za0002 := range z.Crashes {
+		bts, err = z.Crashes[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0002)
+			return
+		}
+	}
 	if msgp.IsNil(bts) {
 		bts, err = msgp.ReadNilBytes(bts)
 		if err != nil {
@@ -1020,6 +1084,10 @@
 	for za0001 := range z.RunEnds {
 		s += z.RunEnds[za0001].Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Crashes {
+		s += z.Crashes[za0002].Msgsize()
+	}
 	if z.Config == nil {
 		s += msgp.NilSize
 	} else {
