End the runs of a crashed server at once, not when it is back

Cause: an agent could not tell a crash from silence. Every renewal counted as an extension of the lease, although nothing listened at the server's address, so runs ended only when its next incarnation had confirmed a stop of each.

Evidence: TestRunsEndWithServer failed: no end was reported before the next incarnation.

Change: when a renewal is refused because nothing listens, the runs whose start was answered before that renewal was sent are lost at once. When the next incarnation shows up first, the same holds for runs started before the newest renewal that the former one had answered. A run with a start that was not answered is stopped in the next incarnation as before, since that may still carry out the request. Stops are not repeated while nothing listens, and the first failed renewal is repeated without delay.

Why this works: the process that answered the start has ended if a later connection is refused, and a server that has crashed runs nothing.

--- a/agent/internal/driver/renewals.go
+++ b/agent/internal/driver/renewals.go
@@ -17,6 +17,7 @@
 // It sends the next renewal when the previous one is answered, or at the latest
 // after the renewal's interval.
 func (d *Driver) renewLease(ctx context.Context) {
+	failedBefore := false
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
 		d.mu.Lock()
@@ -26,9 +27,10 @@
 		go func() { done <- d.sendRenewal(ctx, sent, request) }()
 		select {
 		case err := <-done:
-			if err != nil {
+			if err != nil && failedBefore { // The next renewal after a first failure shows whether the server has crashed.
 				program.Sleep(ctx, executor.RenewalRetryDelay)
 			}
+			failedBefore = err != nil
 		case <-time.After(request.Interval):
 		}
 	}
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/pollenfront/pollenfront"
@@ -33,6 +34,19 @@
 func (x *Executor) detectCrash(now, sent time.Duration, err error, effects *Effects) {
 	if errors.Is(err, pollenfront.ErrUnreachable) && x.server.announced && sent > x.server.seenAt {
 		x.recordCrash(now, effects)
+		x.endCrashedRuns(now, sent, effects)
+	}
+}
+
+// endCrashedRuns ends the runs that were on the server when its process ended. These are
+// the ones whose last start was answered before the given time, at which that process was
+// still up, or has ended before. A run with a start request that may still be carried out
+// is kept, since the next incarnation may get the request.
+func (x *Executor) endCrashedRuns(now, before time.Duration, effects *Effects) {
+	for _, r := range slices.Clone(x.acceptedRuns) {
+		if r.state != queued && r.openStarts == 0 && r.startAnswered < before {
+			x.endRun(now, r, pollenfront.EndingLost, "the server crashed", effects)
+		}
 	}
 }
 
--- a/executor/crash_test.go
+++ b/executor/crash_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +12,9 @@
 	"github.com/pollenfront/pollenfront/executor"
 )
 
+// errTimeout is the error of a request that was not answered.
+var errTimeout = errors.New("timeout")
+
 // errRefused is the error of a request to a server whose process has ended.
 var errRefused = fmt.Errorf("dial: %w", pollenfront.ErrUnreachable)
 
@@ -34,16 +38,16 @@
 		detect func(x *executor.Executor) executor.Effects
 	}{
 		{name: "connection refused", detect: func(x *executor.Executor) executor.Effects {
-			x.HandleRenewalError(at(40), at(40), fmt.Errorf("EOF"))
+			x.HandleRenewalError(at(40), at(40), errTimeout)
 			return x.HandleRenewalError(at(90), at(90), errRefused)
 		}},
 		{name: "next incarnation announces itself", detect: func(x *executor.Executor) executor.Effects {
-			x.HandleRenewalError(at(40), at(40), fmt.Errorf("EOF"))
+			x.HandleRenewalError(at(40), at(40), errTimeout)
 			effects, _ := x.HandleAnnouncement(at(90), pollenfront.Announcement{Clock: time.Second, Incarnation: 2, SeqNum: 1})
 			return effects
 		}},
 		{name: "next incarnation answers", detect: func(x *executor.Executor) executor.Effects {
-			x.HandleRenewalError(at(40), at(40), fmt.Errorf("EOF"))
+			x.HandleRenewalError(at(40), at(40), errTimeout)
 			return x.HandleRenewal(at(90), at(80), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 2})
 		}},
 	}
@@ -60,3 +64,39 @@
 		})
 	}
 }
+
+// TestRunsEndWithServer checks that the runs on a crashed server end as soon as connections
+// to it are refused, and not only when it is back. A run whose start was not answered must
+// wait, since the next incarnation of the server may still carry out the request.
+func TestRunsEndWithServer(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0, 1))
+	x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+	x.HandleStartResponse(at(35), pollenfront.StartRequest{Run: runID(1)}, 0, errTimeout)
+	x.HandleStartResponse(at(40), pollenfront.StartRequest{Run: runID(1)}, 0, nil)
+	x.HandleRenewalError(at(50), at(45), errTimeout)
+	x.HandleRenewalError(at(60), at(55), errRefused)
+	c.Assert(reportedEndings(x, at(60)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingLost})
+	x.HandleAnnouncement(at(3000), pollenfront.Announcement{Capacity: pollenfront.Resources{CPU: 12000}, Clock: time.Second, Incarnation: 2, SeqNum: 1, Zone: "west"})
+	c.Assert(reportedEndings(x, at(3000)), qt.HasLen, 0)
+	x.HandleStopResponse(at(3010), runID(1), 0, nil)
+	x.HandleRenewal(at(3030), at(3020), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 2})
+	c.Assert(reportedEndings(x, at(3030)), qt.DeepEquals, map[int]pollenfront.Ending{1: pollenfront.EndingStopped})
+}
+
+// TestRefusalBeforeIncarnation checks that a renewal which was refused before an incarnation
+// of the server was known does not count as the crash of that incarnation.
+func TestRefusalBeforeIncarnation(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	x.HandleRenewalError(at(10), at(5), errRefused)
+	x.HandleAnnouncement(at(3000), pollenfront.Announcement{Capacity: pollenfront.Resources{CPU: 12000}, Clock: time.Second, Incarnation: 2, SeqNum: 1, Zone: "west"})
+	x.HandleRenewalError(at(3001), at(2999), errRefused)
+	x.HandleRenewal(at(3010), at(3005), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 2})
+	x.LinkEntry(at(3010), testEntry)
+	x.HandleCommands(at(3011), testEntry, startCommands(at(3011), 0))
+	x.HandleStartResponse(at(3012), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+	effects := x.HandleRenewalError(at(3020), at(3015), errRefused)
+	c.Assert(crashedTasks(effects), qt.DeepEquals, map[int]int64{0: 9})
+}
--- a/executor/run.go
+++ b/executor/run.go
@@ -53,7 +53,10 @@
 	// latestStart is the latest time at which the run can start and be on time.
 	latestStart time.Duration
 	need        pollenfront.Resources
-	payload     string
+	// openStarts is the number of start requests that were neither answered nor
+	// refused, and so may still be carried out.
+	openStarts int
+	payload    string
 	// percent is the progress that the server last reported.
 	percent  int
 	priority int
@@ -63,6 +66,8 @@
 	rerun bool
 	// startAttempts is the number of start requests since the run left the queue.
 	startAttempts int
+	// startAnswered is when the server last answered a start request.
+	startAnswered time.Duration
 	// started is whether the server reported that the run has started, or the run
 	// may have started in an earlier incarnation of the server.
 	started bool
@@ -178,10 +183,11 @@
 	return projected > slowRunFactor*time.Duration(float64(r.expectedRunTime)*max(1, x.stats.slowness()))
 }
 
-// retryStops repeats stop requests that the server has not confirmed.
+// retryStops repeats stop requests that the server has not confirmed, unless its process
+// has ended. Its next incarnation gets all of them again.
 func (x *Executor) retryStops(now time.Duration, effects *Effects) {
 	for _, r := range x.acceptedRuns {
-		if r.state == stopping && r.stopConfirmed == 0 && now-r.lastStopSent > stopRetryInterval {
+		if r.state == stopping && r.stopConfirmed == 0 && !x.server.crashed && now-r.lastStopSent > stopRetryInterval {
 			x.sendStop(now, r, effects)
 		}
 	}
--- a/executor/server.go
+++ b/executor/server.go
@@ -97,14 +97,17 @@
 }
 
 // handleNewIncarnation replaces what is known of an earlier incarnation of the server,
-// and returns the queued runs. A start request that was on its way may have reached
-// either incarnation, so every other run is stopped in the new one before its end is
+// returns the queued runs, and ends those that were certainly on the earlier incarnation.
+// Any other run may be on either, so it is stopped in the new one before its end is
 // reported.
 func (x *Executor) handleNewIncarnation(now time.Duration, incarnation uint64, effects *Effects) {
 	former := x.server
 	if former.announced {
 		x.recordCrash(now, effects)
 	}
+	if former.incarnation != 0 {
+		x.endCrashedRuns(now, former.lastRenewal, effects)
+	}
 	x.server = server{incarnation: incarnation, leaseExpiry: former.leaseExpiry, seenAt: now}
 	if former.incarnation == 0 {
 		return
--- a/executor/start.go
+++ b/executor/start.go
@@ -37,6 +37,7 @@
 // sendStart sends a request to start a run. It can be repeated, as the server starts
 // each run at most once.
 func (x *Executor) sendStart(now time.Duration, r *run, effects *Effects) {
+	r.openStarts++
 	r.startAttempts++
 	r.lastStartSent, r.state, r.startRetryPending = now, starting, false
 	effects.Starts = append(effects.Starts, pollenfront.StartRequest{
@@ -64,6 +65,10 @@
 	if !ok || r.id != request.Run || r.state == queued {
 		return effects
 	}
+	if isDefinite(err) {
+		r.openStarts--
+		r.startAnswered = now
+	}
 	switch {
 	case !isDefinite(err):
 		x.handleUnansweredStart(now, r, &effects)
