Start jobs that may have crashed a server again as trials only

Cause: all runs of a crashed server were started again at once, the one that had caused the crash among them.

Change: the record of a crash tells how long each run had been on the server. The shorter, the likelier it has caused the crash. A job with a tenth or more of the suspicion is started again only if no other server has crashed for 3 s, one job at a time; otherwise its caller is told at once that the outcome is unknown, or that a submission was refused. All other jobs run again at once.

--- a/crash.go
+++ b/crash.go
@@ -19,7 +19,16 @@
 	// Reporter is the name of the entry or agent that has detected the crash. Several
 	// entries detect that of an agent, each for its own tasks.
 	Reporter string
-	Tasks    []TaskID
+	Tasks    []CrashedTask
+}
+
+// A CrashedTask is a task that a process was working on when it crashed.
+//
+//msgp:tuple CrashedTask
+type CrashedTask struct {
+	// Age is the time from the start of the task's run to the crash.
+	Age  time.Duration
+	Task TaskID
 }
 
 // A Process is one incarnation of a process.
--- a/crash_gen.go
+++ b/crash_gen.go
@@ -26,9 +26,12 @@
 	o = msgp.AppendString(o, z.Reporter)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
 	for za0001 := range z.Tasks {
-		o, err = z.Tasks[za0001].MarshalMsg(o)
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendDuration(o, z.Tasks[za0001].Age)
+		o, err = z.Tasks[za0001].Task.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001)
+			err = msgp.WrapError(err, "Tasks", za0001, "Task")
 			return
 		}
 	}
@@ -75,14 +78,29 @@
 	if cap(z.Tasks) >= int(zb0002) {
 		z.Tasks = (z.Tasks)[:zb0002]
 	} else {
-		z.Tasks = make([]TaskID, zb0002)
+		z.Tasks = make([]CrashedTask, zb0002)
 	}
 	for za0001 := range z.Tasks {
-		bts, err = z.Tasks[za0001].UnmarshalMsg(bts)
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Tasks", za0001)
 			return
 		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Tasks[za0001].Age, bts, err = msgp.ReadDurationBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tasks", za0001, "Age")
+			return
+		}
+		bts, err = z.Tasks[za0001].Task.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tasks", za0001, "Task")
+			return
+		}
 	}
 	o = bts
 	return
@@ -92,11 +110,57 @@
 func (z *Crash) Msgsize() (s int) {
 	s = 1 + msgp.DurationSize + z.Process.Msgsize() + msgp.StringPrefixSize + len(z.Reporter) + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
-		s += z.Tasks[za0001].Msgsize()
+		s += 1 + msgp.DurationSize + z.Tasks[za0001].Task.Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *CrashedTask) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendDuration(o, z.Age)
+	o, err = z.Task.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Task")
+		return
 	}
 	return
 }
 
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashedTask) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Age, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	bts, err = z.Task.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Task")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CrashedTask) Msgsize() (s int) {
+	s = 1 + msgp.DurationSize + z.Task.Msgsize()
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Process) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/crashlog/log.go
+++ b/crashlog/log.go
@@ -8,7 +8,8 @@
 //
 // A process takes along tasks that have nothing to do with its crash. One crash
 // therefore only makes a task suspect. A task that has exceeded the limit must not be
-// started again.
+// started again. The shorter a task had run when its server crashed, the likelier it has
+// caused the crash.
 //
 // # Usage
 //
@@ -19,6 +20,7 @@
 package crashlog
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -37,6 +39,9 @@
 	maxAgentCrashes = 3
 	// maxRecords is the number of crashes that are kept.
 	maxRecords = 512
+	// minAge is added to the age of a run, so that runs of a few milliseconds are about
+	// as suspicious as each other.
+	minAge = 5 * time.Millisecond
 	// retention is how long a crash is kept. It is longer than callers submit a job
 	// again.
 	retention = 2 * time.Minute
@@ -98,15 +103,15 @@
 
 // countTasks adds change to the counts of the tasks of a crash.
 func (l *Log) countTasks(crash *pollenfront.Crash, change int) {
-	for _, task := range crash.Tasks {
-		c := l.counts[task]
+	for _, crashed := range crash.Tasks {
+		c := l.counts[crashed.Task]
 		c.all += change
 		if crash.Process.Kind == pollenfront.ProcessServer {
 			c.servers += change
 		}
-		l.counts[task] = c
+		l.counts[crashed.Task] = c
 		if c.all == 0 {
-			delete(l.counts, task)
+			delete(l.counts, crashed.Task)
 		}
 	}
 }
@@ -159,3 +164,38 @@
 	}
 	return c.all >= maxCrashes
 }
+
+// Suspicion returns how likely it is that a job has caused a crash of a server that it was
+// on: its share in the suspicion of all jobs that were there, from 0 to 1. With several
+// crashes it is the largest share.
+func (l *Log) Suspicion(job string) float64 {
+	largest := 0.0
+	for i := range l.records {
+		if crash := &l.records[i].crash; crash.Process.Kind == pollenfront.ProcessServer {
+			largest = max(largest, suspicion(crash, job))
+		}
+	}
+	return largest
+}
+
+// suspicion returns the share of a job in the suspicion of all tasks of a crash.
+func suspicion(crash *pollenfront.Crash, job string) float64 {
+	own, all := 0.0, math.SmallestNonzeroFloat64 // A crash may have no tasks.
+	for _, crashed := range crash.Tasks {
+		weight := 1 / (max(0, crashed.Age) + minAge).Seconds()
+		all += weight
+		if crashed.Task.Job == job {
+			own += weight
+		}
+	}
+	return own / all
+}
+
+// ServerCrashed reports whether a server has crashed since the given time with tasks of
+// other jobs than the given one only.
+func (l *Log) ServerCrashed(since time.Duration, except string) bool {
+	return slices.ContainsFunc(l.records, func(r record) bool {
+		return r.at >= since && r.crash.Process.Kind == pollenfront.ProcessServer &&
+			!slices.ContainsFunc(r.crash.Tasks, func(crashed pollenfront.CrashedTask) bool { return crashed.Task.Job == except })
+	})
+}
--- a/crashlog/log_test.go
+++ b/crashlog/log_test.go
@@ -20,7 +20,7 @@
 func crash(kind pollenfront.ProcessKind, incarnation uint64, tasks ...int) pollenfront.Crash {
 	c := pollenfront.Crash{Process: pollenfront.Process{Incarnation: incarnation, Kind: kind, Name: "agent-1"}}
 	for _, index := range tasks {
-		c.Tasks = append(c.Tasks, task(index))
+		c.Tasks = append(c.Tasks, pollenfront.CrashedTask{Task: task(index)})
 	}
 	return c
 }
@@ -123,3 +123,29 @@
 		}
 	})
 }
+
+// TestSuspicion checks that a job is the more suspicious the shorter its tasks had run when
+// their server crashed, and that crashes of agents don't count.
+func TestSuspicion(t *testing.T) {
+	c := qt.New(t)
+	l := crashlog.New()
+	crashed := func(job string, age time.Duration) pollenfront.CrashedTask {
+		return pollenfront.CrashedTask{Age: age, Task: pollenfront.TaskID{Job: job}}
+	}
+	l.Add(time.Minute, pollenfront.Crash{Process: pollenfront.Process{Incarnation: 1, Kind: pollenfront.ProcessServer}, Tasks: []pollenfront.CrashedTask{
+		crashed("young", 10*time.Millisecond), crashed("middle", 100*time.Millisecond), crashed("old", time.Second),
+	}}, "")
+	c.Assert(l.Suspicion("young") > 0.8, qt.IsTrue)
+	c.Assert(l.Suspicion("middle") > 0.1 && l.Suspicion("middle") < 0.2, qt.IsTrue)
+	c.Assert(l.Suspicion("old") < 0.02, qt.IsTrue)
+	c.Assert(l.Suspicion("other"), qt.Equals, 0.0)
+	l.Add(time.Minute, pollenfront.Crash{Process: pollenfront.Process{Incarnation: 1, Kind: pollenfront.ProcessAgent}, Tasks: []pollenfront.CrashedTask{crashed("other", 0)}}, "")
+	c.Assert(l.Suspicion("other"), qt.Equals, 0.0)
+	for _, test := range []struct {
+		since  time.Duration
+		except string
+		want   bool
+	}{{since: 59 * time.Second, except: "young", want: false}, {since: 59 * time.Second, except: "other", want: true}, {since: 61 * time.Second, except: "other", want: false}} {
+		c.Check(l.ServerCrashed(test.since, test.except), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -65,11 +65,13 @@
 	crash := ServerCrash{Incarnation: s.incarnation}
 	record := pollenfront.Crash{Process: pollenfront.Process{Incarnation: s.incarnation, Kind: pollenfront.ProcessServer, Name: x.name}, Reporter: x.name}
 	for _, r := range x.acceptedRuns {
-		if r.state != queued && !r.crashed {
-			r.crashed = true
-			crash.Runs = append(crash.Runs, CrashedRun{Age: crashedAt - r.lastStartSent, Entry: r.entry.Name, Run: r.id, Started: r.started})
-			record.Tasks = append(record.Tasks, r.id.TaskID)
+		age := crashedAt - r.lastStartSent
+		if r.state == queued || r.crashed || age < 0 {
+			continue
 		}
+		r.crashed = true
+		crash.Runs = append(crash.Runs, CrashedRun{Age: age, Entry: r.entry.Name, Run: r.id, Started: r.started})
+		record.Tasks = append(record.Tasks, pollenfront.CrashedTask{Age: age, Task: r.id.TaskID})
 	}
 	if x.crashes.Add(now, record, "") {
 		x.notifyAll(effects)
--- a/reason.go
+++ b/reason.go
@@ -17,6 +17,7 @@
 	ReasonServersCrashed    Reason = "crashes"      // Too many processes have crashed while they were working on a task.
 	ReasonStopping          Reason = "stopping"     // The entry is stopping.
 	ReasonStoreUnavailable  Reason = "store"        // The ID could not be claimed in the platform's store.
+	ReasonSuspect           Reason = "suspect"      // The job may have crashed a server, and other servers have crashed since.
 	ReasonSuspended         Reason = "suspended"    // The entry's process was suspended.
 	ReasonTaskFailed        Reason = "task-failed"  // A task has failed as many times as its route allows.
 	ReasonTimeLimit         Reason = "time-limit"   // The caller's time limit has passed.
@@ -39,6 +40,7 @@
 	ReasonServersCrashed:    "look at the task: servers crash while they run it",
 	ReasonStopping:          "submit again at once, to another entry",
 	ReasonStoreUnavailable:  "submit again under a new ID, or wait for the store",
+	ReasonSuspect:           "submit again after the stated time, or in some seconds",
 	ReasonSuspended:         "submit again at once",
 	ReasonTaskFailed:        "look at the task: it fails on every server",
 	ReasonTimeLimit:         "submit again with a longer time limit",
--- a/replay/pattern.go
+++ b/replay/pattern.go
@@ -144,4 +144,18 @@
 		failing.AlwaysFails, failing.Name, failing.Value = true, "failing", 0
 		f.Load([]Kind{failing}, 3*time.Second, 7*time.Second, 0.4)
 	}},
+	{Name: "small jobs that crash their servers", Settings: SmallFleet, Setup: func(f *Fleet) {
+		f.loadMix(0.9)
+		f.Load([]Kind{crashing(Mix[0])}, 3*time.Second, 9*time.Second, 0.1)
+	}},
+	{Name: "large jobs that crash their servers", Settings: SmallFleet, Setup: func(f *Fleet) {
+		f.loadMix(0.9)
+		f.Load([]Kind{crashing(Mix[1])}, 3*time.Second, 9*time.Second, 0.2)
+	}},
+}
+
+// crashing returns a kind like the given one whose jobs crash the servers that start them.
+func crashing(kind Kind) Kind {
+	kind.CrashesAfter, kind.Value = 12*time.Millisecond, 0
+	return kind
 }
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -8,14 +8,24 @@
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
+// Parameters of jobs that may have crashed servers.
+const (
+	// minTrialSuspicion is the share in the suspicion of a crash from which on a job is
+	// started again as a trial only. A crash costs more than this share of it is worth.
+	minTrialSuspicion = 0.1
+	// trialQuietPeriod is the time without crashes of other servers after which a trial
+	// may start. A crashed server is back after some seconds.
+	trialQuietPeriod = 3 * time.Second
+)
+
 // recordCrash records a crash that was learned from an agent, or detected here if peer is
 // empty. It fails the jobs of the tasks under which too many processes have crashed now.
 func (s *Scheduler) recordCrash(now time.Duration, crash pollenfront.Crash, peer string, effects *Effects) {
 	if !s.crashes.Add(now, crash, peer) {
 		return
 	}
-	for _, id := range crash.Tasks {
-		if j, ok := s.jobs[id.Job]; ok && s.crashes.Exceeded(id) && !j.canceled {
+	for _, crashed := range crash.Tasks {
+		if j, ok := s.jobs[crashed.Task.Job]; ok && s.crashes.Exceeded(crashed.Task) && !j.canceled {
 			j.failed = true
 			s.cancelJob(now, j, pollenfront.ReasonServersCrashed, effects)
 		}
@@ -41,19 +51,43 @@
 func (s *Scheduler) recordAgentLoss(now time.Duration, name string, incarnation uint64, tasks []*task, effects *Effects) {
 	crash := pollenfront.Crash{Process: pollenfront.Process{Incarnation: incarnation, Kind: pollenfront.ProcessAgent, Name: name}, Reporter: s.name}
 	for _, t := range tasks {
-		crash.Tasks = append(crash.Tasks, t.run.TaskID)
+		crash.Tasks = append(crash.Tasks, pollenfront.CrashedTask{Age: now - t.sentAt, Task: t.run.TaskID})
 	}
 	s.recordCrash(now, crash, "", effects)
 }
 
-// crashesExceeded reports whether a task of a new job must not be started because of
-// crashes during earlier submissions.
+// crashesExceeded reports whether a task of a job must not be started because of crashes
+// during earlier submissions.
 func (s *Scheduler) crashesExceeded(j *job) bool {
 	return slices.ContainsFunc(j.tasks, func(t *task) bool { return s.crashes.Exceeded(t.run.TaskID) })
 }
 
-// failForCrashes answers a new job of which a task must not be started because of crashes
-// during earlier submissions.
-func (s *Scheduler) failForCrashes(j *job, effects *Effects) {
-	j.answer(pollenfront.VerdictFailed, pollenfront.ReasonServersCrashed, "", 0, effects)
+// answerForCrashes answers a new job that must not be started because of crashes during
+// earlier submissions, and reports whether it has.
+func (s *Scheduler) answerForCrashes(now time.Duration, j *job, effects *Effects) bool {
+	switch {
+	case s.crashesExceeded(j):
+		j.answer(pollenfront.VerdictFailed, pollenfront.ReasonServersCrashed, "", 0, effects)
+	case !s.mayRunAgain(now, j):
+		j.answer(pollenfront.VerdictRefused, pollenfront.ReasonSuspect, "", trialQuietPeriod, effects)
+	default:
+		return false
+	}
+	return true
+}
+
+// mayRunAgain reports whether the tasks of a job may be started with regard to the crashes
+// of servers. A job that is likely to have crashed one may be started again only as a
+// trial: if no other server has crashed for trialQuietPeriod, and one job at a time.
+// While jobs crash servers again and again, the servers are needed for others.
+func (s *Scheduler) mayRunAgain(now time.Duration, j *job) bool {
+	suspect := slices.ContainsFunc(j.tasks, func(t *task) bool { return s.crashes.Suspect(t.run.TaskID) })
+	if !suspect || s.trial == j.ID || s.crashes.Suspicion(j.ID) < minTrialSuspicion {
+		return true
+	}
+	if _, ok := s.jobs[s.trial]; ok || s.crashes.ServerCrashed(now-trialQuietPeriod, j.ID) {
+		return false
+	}
+	s.trial = j.ID
+	return true
 }
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -14,7 +15,7 @@
 func serverCrash(agent string, incarnation uint64, tasks ...int) pollenfront.Crash {
 	crash := pollenfront.Crash{Process: pollenfront.Process{Incarnation: incarnation, Kind: pollenfront.ProcessServer, Name: agent}, Reporter: agent}
 	for _, index := range tasks {
-		crash.Tasks = append(crash.Tasks, pollenfront.TaskID{Index: index, Job: "0a"})
+		crash.Tasks = append(crash.Tasks, pollenfront.CrashedTask{Age: time.Second, Task: pollenfront.TaskID{Index: index, Job: "0a"}})
 	}
 	return crash
 }
@@ -105,3 +106,52 @@
 		}
 	}
 }
+
+// youngCrash returns the crash of a server right after it had started a task of a job.
+func youngCrash(agent, job string) pollenfront.Crash {
+	return pollenfront.Crash{
+		Process: pollenfront.Process{Incarnation: 1, Kind: pollenfront.ProcessServer, Name: agent}, Reporter: agent,
+		Tasks: []pollenfront.CrashedTask{{Age: 10 * time.Millisecond, Task: pollenfront.TaskID{Job: job}}},
+	}
+}
+
+// TestSuspectJobRunsAgainAsTrial checks when a job that has most likely crashed a server is
+// started again: if no other server has crashed lately, and one such job at a time.
+// Otherwise its caller is told at once, and a later submission is refused.
+func TestSuspectJobRunsAgainAsTrial(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashes []pollenfront.Crash // crashes are known before the jobs are submitted.
+		reason  pollenfront.Reason  // reason is that of the answer to job 0a, or empty if it runs again.
+	}{
+		{name: "the only crash"},
+		{name: "another server has crashed lately", crashes: []pollenfront.Crash{youngCrash("agent-9", "0f")}, reason: pollenfront.ReasonSuspect},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newScheduler(64)
+			u := update(64)
+			u.Crashes = test.crashes
+			s.HandleUpdate(at(5), "agent-1", u)
+			s.Submit(at(10), submission("0a", 1))
+			u = update(64, lostRun(0))
+			u.Crashes = []pollenfront.Crash{youngCrash("agent-1", "0a")}
+			effects := s.HandleUpdate(at(20), "agent-1", u)
+			if test.reason == "" {
+				c.Assert(startedTasks(effects), qt.Equals, 1)
+				c.Assert(effects.Results, qt.HasLen, 0)
+				return
+			}
+			c.Assert(startedTasks(effects), qt.Equals, 0)
+			c.Assert(effects.Results[0].Reason, qt.Equals, test.reason)
+			c.Assert(effects.Results[0].Verdict, qt.Equals, pollenfront.VerdictUnknown)
+			effects = s.Submit(at(1500), submission("0a", 1))
+			c.Assert(effects.Results[0].Reason, qt.Equals, test.reason)
+			c.Assert(effects.Results[0].Verdict, qt.Equals, pollenfront.VerdictRefused)
+			c.Assert(effects.Results[0].RetryAfter > time.Second, qt.IsTrue)
+			s.HandleUpdate(at(4000), "agent-1", update(64))
+			c.Assert(startedTasks(s.Submit(at(4000), submission("0a", 1))), qt.Equals, 1)
+		})
+	}
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -287,6 +287,9 @@
 	if j.AtMostOnce && t.state == taskWaiting && end.Ending != pollenfront.EndingNotStarted {
 		s.cancelJob(now, j, pollenfront.ReasonRunLost, effects)
 	}
+	if t.state == taskWaiting && !j.canceled && !s.mayRunAgain(now, j) {
+		s.cancelJob(now, j, pollenfront.ReasonSuspect, effects)
+	}
 	if j.canceled {
 		s.finishCanceled(j, effects)
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -170,6 +170,9 @@
 	sortedAgents []*agent
 	// submitCount is the number of submissions, which numbers the jobs.
 	submitCount uint64
+	// trial is the ID of the job that runs again although it may have crashed a server,
+	// or empty.
+	trial string
 	// unplaceable are the jobs for which no server has free resources in the
 	// current call of place.
 	unplaceable []*job
@@ -234,8 +237,7 @@
 		return effects
 	}
 	j := newJob(now, sub, s.corrector.correct(sub.Route.Name, sub.Estimate))
-	if s.crashesExceeded(j) {
-		s.failForCrashes(j, effects)
+	if s.answerForCrashes(now, j, effects) {
 		return effects
 	}
 	s.submitCount++
