Confine routes whose jobs crash servers again and again to few servers

Cause: a job that crashes its server does so once before anybody can know, and each was placed on any server. With the crashes of single tasks limited, the first ones of many tasks still take server after server.

Change: entries name the route of a task to agents, and agents in the record of a crash. A route is confined to a fifth of the service's servers, the same at all entries, for 6 s after the last crash that it has likely caused, once three servers have crashed under jobs of it within 10 s and one of these jobs has most likely crashed two of them. Other jobs avoid these servers. What the confined servers can't take is refused at once. While servers crash, an entry starts one job of those that most likely cause it again every 3 s, until a route is confined.

Conclusion: what one kind of job does to servers stays on a fifth of them.

--- a/crash.go
+++ b/crash.go
@@ -27,8 +27,10 @@
 //msgp:tuple CrashedTask
 type CrashedTask struct {
 	// Age is the time from the start of the task's run to the crash.
-	Age  time.Duration
-	Task TaskID
+	Age time.Duration
+	// Route is the name of the job's route.
+	Route string
+	Task  TaskID
 }
 
 // A Process is one incarnation of a process.
--- a/crash_gen.go
+++ b/crash_gen.go
@@ -26,9 +26,10 @@
 	o = msgp.AppendString(o, z.Reporter)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
 	for za0001 := range z.Tasks {
-		// array header, size 2
-		o = append(o, 0x92)
+		// array header, size 3
+		o = append(o, 0x93)
 		o = msgp.AppendDuration(o, z.Tasks[za0001].Age)
+		o = msgp.AppendString(o, z.Tasks[za0001].Route)
 		o, err = z.Tasks[za0001].Task.MarshalMsg(o)
 		if err != nil {
 			err = msgp.WrapError(err, "Tasks", za0001, "Task")
@@ -87,8 +88,8 @@
 			err = msgp.WrapError(err, "Tasks", za0001)
 			return
 		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 			return
 		}
 		z.Tasks[za0001].Age, bts, err = msgp.ReadDurationBytes(bts)
@@ -96,6 +97,11 @@
 			err = msgp.WrapError(err, "Tasks", za0001, "Age")
 			return
 		}
+		z.Tasks[za0001].Route, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tasks", za0001, "Route")
+			return
+		}
 		bts, err = z.Tasks[za0001].Task.UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Tasks", za0001, "Task")
@@ -110,7 +116,7 @@
 func (z *Crash) Msgsize() (s int) {
 	s = 1 + msgp.DurationSize + z.Process.Msgsize() + msgp.StringPrefixSize + len(z.Reporter) + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
-		s += 1 + msgp.DurationSize + z.Tasks[za0001].Task.Msgsize()
+		s += 1 + msgp.DurationSize + msgp.StringPrefixSize + len(z.Tasks[za0001].Route) + z.Tasks[za0001].Task.Msgsize()
 	}
 	return
 }
@@ -118,9 +124,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *CrashedTask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendDuration(o, z.Age)
+	o = msgp.AppendString(o, z.Route)
 	o, err = z.Task.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Task")
@@ -137,8 +144,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Age, bts, err = msgp.ReadDurationBytes(bts)
@@ -146,6 +153,11 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	z.Route, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Route")
+		return
+	}
 	bts, err = z.Task.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Task")
@@ -157,7 +169,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CrashedTask) Msgsize() (s int) {
-	s = 1 + msgp.DurationSize + z.Task.Msgsize()
+	s = 1 + msgp.DurationSize + msgp.StringPrefixSize + len(z.Route) + z.Task.Msgsize()
 	return
 }
 
--- a/crashlog/log.go
+++ b/crashlog/log.go
@@ -20,7 +20,7 @@
 package crashlog
 
 import (
-	"math"
+	"maps"
 	"slices"
 	"time"
 
@@ -42,6 +42,9 @@
 	// minAge is added to the age of a run, so that runs of a few milliseconds are about
 	// as suspicious as each other.
 	minAge = 5 * time.Millisecond
+	// minSuspicion is the share in the suspicion of a crash from which on a job is a
+	// likely culprit. A crash costs more than this share of it is worth.
+	minSuspicion = 0.1
 	// retention is how long a crash is kept. It is longer than callers submit a job
 	// again.
 	retention = 2 * time.Minute
@@ -165,37 +168,85 @@
 	return c.all >= maxCrashes
 }
 
-// Suspicion returns how likely it is that a job has caused a crash of a server that it was
-// on: its share in the suspicion of all jobs that were there, from 0 to 1. With several
-// crashes it is the largest share.
-func (l *Log) Suspicion(job string) float64 {
-	largest := 0.0
+// LikelyCulprit reports whether a job is likely to have caused a crash of a server that it
+// was on.
+func (l *Log) LikelyCulprit(job string) bool {
+	return l.countCulprit(job, 0) > 0
+}
+
+// MostLikelyCulprit reports whether a job is the one that is most likely to have caused a
+// crash of a server that it was on.
+func (l *Log) MostLikelyCulprit(job string) bool {
+	return l.countCrashes(0, func(crash *pollenfront.Crash) bool {
+		shares := shares(crash, jobOf)
+		return shares[job] > 0 && shares[job] == slices.Max(slices.Collect(maps.Values(shares)))
+	}) > 0
+}
+
+// countCulprit returns the number of crashes since the given time that a job is likely to
+// have caused.
+func (l *Log) countCulprit(job string, since time.Duration) int {
+	return l.countCrashes(since, func(crash *pollenfront.Crash) bool { return shares(crash, jobOf)[job] >= minSuspicion })
+}
+
+// RouteCrashes returns the number of crashes of servers since the given time that a job of
+// a route is likely to have caused, and whether there is a job of it that is likely to have
+// caused two or more of them.
+func (l *Log) RouteCrashes(route string, since time.Duration) (crashes int, certain bool) {
+	crashes = l.countCrashes(since, func(crash *pollenfront.Crash) bool {
+		for i := range crash.Tasks {
+			crashed := &crash.Tasks[i]
+			certain = certain || crashed.Route == route && l.counts[crashed.Task].servers > 1 && l.countCulprit(crashed.Task.Job, since) > 1
+		}
+		return RouteSuspicion(crash, route) >= minSuspicion
+	})
+	return crashes, certain
+}
+
+// countCrashes returns the number of crashes of servers since the given time for which
+// condition holds.
+func (l *Log) countCrashes(since time.Duration, condition func(crash *pollenfront.Crash) bool) int {
+	n := 0
 	for i := range l.records {
-		if crash := &l.records[i].crash; crash.Process.Kind == pollenfront.ProcessServer {
-			largest = max(largest, suspicion(crash, job))
+		r := &l.records[i]
+		if r.at >= since && r.crash.Process.Kind == pollenfront.ProcessServer && condition(&r.crash) {
+			n++
 		}
 	}
-	return largest
+	return n
 }
 
-// suspicion returns the share of a job in the suspicion of all tasks of a crash.
-func suspicion(crash *pollenfront.Crash, job string) float64 {
-	own, all := 0.0, math.SmallestNonzeroFloat64 // A crash may have no tasks.
-	for _, crashed := range crash.Tasks {
+// RouteSuspicion returns how likely it is that a job of a route has caused a crash, from 0
+// to 1.
+func RouteSuspicion(crash *pollenfront.Crash, route string) float64 {
+	return shares(crash, func(crashed *pollenfront.CrashedTask) string { return crashed.Route })[route]
+}
+
+// jobOf returns the ID of the job of a task.
+func jobOf(crashed *pollenfront.CrashedTask) string {
+	return crashed.Task.Job
+}
+
+// shares divides the suspicion of having caused a crash among groups of its tasks. The
+// shares add up to 1.
+func shares(crash *pollenfront.Crash, group func(crashed *pollenfront.CrashedTask) string) map[string]float64 {
+	weights, sum := make(map[string]float64), 0.0
+	for i := range crash.Tasks {
+		crashed := &crash.Tasks[i]
 		weight := 1 / (max(0, crashed.Age) + minAge).Seconds()
-		all += weight
-		if crashed.Task.Job == job {
-			own += weight
-		}
+		weights[group(crashed)] += weight
+		sum += weight
 	}
-	return own / all
+	for name := range weights {
+		weights[name] /= sum
+	}
+	return weights
 }
 
 // ServerCrashed reports whether a server has crashed since the given time with tasks of
 // other jobs than the given one only.
 func (l *Log) ServerCrashed(since time.Duration, except string) bool {
-	return slices.ContainsFunc(l.records, func(r record) bool {
-		return r.at >= since && r.crash.Process.Kind == pollenfront.ProcessServer &&
-			!slices.ContainsFunc(r.crash.Tasks, func(crashed pollenfront.CrashedTask) bool { return crashed.Task.Job == except })
-	})
+	return l.countCrashes(since, func(crash *pollenfront.Crash) bool {
+		return !slices.ContainsFunc(crash.Tasks, func(crashed pollenfront.CrashedTask) bool { return crashed.Task.Job == except })
+	}) > 0
 }
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -47,6 +47,8 @@
 	hellos map[string]helloRecord
 	// links maps the name of each linked agent to its link.
 	links map[string]*agentLink
+	// loggedConfined lists the confined routes that were logged last.
+	loggedConfined []string
 	// loggedZones lists the disabled zones that were logged last.
 	loggedZones []string
 	logger      *zap.Logger
@@ -226,6 +228,17 @@
 		j.scheduler.MarkSent(now, name)
 	}
 	j.logDisabledZones()
+	j.logConfinedRoutes()
+}
+
+// logConfinedRoutes logs the confined routes if they differ from those logged last. The
+// caller must hold mu.
+func (j *Jobs) logConfinedRoutes() {
+	confined := j.scheduler.ConfinedRoutes()
+	if !slices.Equal(confined, j.loggedConfined) {
+		j.loggedConfined = confined
+		j.logger.Warn("routes confined to few servers", zap.Strings("routes", confined))
+	}
 }
 
 // logDisabledZones logs the disabled zones if they differ from those logged last. A
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -294,7 +294,7 @@
 		}
 		r := &run{
 			acceptedAt: now, atMostOnce: start.AtMostOnce, entry: e, expectedRunTime: time.Duration(start.ExpectedRunTime), id: id,
-			latestStart: now + time.Duration(start.Slack), need: start.Need, payload: start.Payload, priority: clampPriority(start), rerun: task.Rerun,
+			latestStart: now + time.Duration(start.Slack), need: start.Need, payload: start.Payload, priority: clampPriority(start), rerun: task.Rerun, route: start.Route,
 		}
 		x.runsByTask[id.TaskID] = r
 		x.acceptedRuns = append(x.acceptedRuns, r)
--- a/executor/run.go
+++ b/executor/run.go
@@ -62,6 +62,7 @@
 	priority int
 	// reportedAt is when the server last listed the run, with percent.
 	reportedAt time.Duration
+	route      string
 	// rerun is whether an earlier run of the task may have started.
 	rerun bool
 	// startAttempts is the number of start requests since the run left the queue.
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -45,7 +45,7 @@
 	if j.toPlace == 0 || j.sentAny || j.canceled || s.warmingUp(now) {
 		return
 	}
-	if delay := s.queueDelay(now, j.Route.Service, j); now+delay > j.latestStart {
+	if delay := s.queueDelay(now, s.pool(j), j); now+delay > j.latestStart {
 		s.refuseForDelay(now, j, delay, effects)
 	}
 }
@@ -65,11 +65,11 @@
 		usable, len(s.sortedAgents), free, len(s.queue), oldest.Round(time.Millisecond))
 }
 
-// queueDelay returns the time in which this entry's share of a service's servers
-// would complete the queued jobs ahead of the given job, or all queued jobs if it
-// is nil. If no server of the service is usable, queueDelay returns refusedRetryAfter.
-func (s *Scheduler) queueDelay(now time.Duration, service string, before *job) time.Duration {
-	capacity := s.serviceCapacity(now, service)
+// queueDelay returns the time in which this entry's share of the servers of a pool would
+// complete the queued jobs ahead of the given job, or all queued jobs if it is nil. If no
+// server of the pool is usable, queueDelay returns refusedRetryAfter.
+func (s *Scheduler) queueDelay(now time.Duration, p pool, before *job) time.Duration {
+	capacity := s.poolCapacity(now, p)
 	if capacity == 0 {
 		return refusedRetryAfter
 	}
@@ -78,7 +78,7 @@
 		if queued == before {
 			break
 		}
-		if queued.Route.Service != service {
+		if s.pool(queued) != p {
 			continue
 		}
 		work += queued.work()
@@ -93,12 +93,12 @@
 	return float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1) / float64(max(1, a.report.EntryCount))
 }
 
-// serviceCapacity returns this entry's share of the effective capacity of a service's
-// usable servers.
-func (s *Scheduler) serviceCapacity(now time.Duration, service string) float64 {
+// poolCapacity returns this entry's share of the effective capacity of the usable servers
+// of a pool.
+func (s *Scheduler) poolCapacity(now time.Duration, p pool) float64 {
 	capacity := 0.0
 	for _, a := range s.sortedAgents {
-		if a.service == service && s.usable(now, a) {
+		if p.contains(a) && s.usable(now, a) {
 			capacity += a.effectiveCapacity()
 		}
 	}
@@ -129,20 +129,20 @@
 	if s.warmingUp(now) {
 		return
 	}
-	work, capacities := make(map[string]float64), make(map[string]float64)
+	work, capacities := make(map[pool]float64), make(map[pool]float64)
 	for _, j := range slices.Clone(s.queue) {
-		service := j.Route.Service
-		if _, ok := capacities[service]; !ok {
-			capacities[service] = s.serviceCapacity(now, service)
+		p := s.pool(j)
+		if _, ok := capacities[p]; !ok {
+			capacities[p] = s.poolCapacity(now, p)
 		}
-		if capacities[service] == 0 {
+		if capacities[p] == 0 {
 			continue
 		}
-		if delay := time.Duration(work[service] / capacities[service]); !j.sentAny && now+delay > j.latestStart {
+		if delay := time.Duration(work[p] / capacities[p]); !j.sentAny && now+delay > j.latestStart {
 			s.refuseForDelay(now, j, delay, effects)
 			continue
 		}
-		work[service] += j.work()
+		work[p] += j.work()
 	}
 }
 
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -14,6 +14,8 @@
 type agent struct {
 	pollenfront.AgentRef
 
+	// confined is set if the jobs of confined routes may run on the agent's server.
+	confined bool
 	// crashCursor is the position up to which the agent was told of crashes on its
 	// current link.
 	crashCursor uint64
@@ -104,7 +106,7 @@
 	}
 }
 
-// countAgents updates agentCounts.
+// countAgents updates what depends on the number of linked agents.
 func (s *Scheduler) countAgents() {
 	clear(s.agentCounts)
 	for _, a := range s.sortedAgents {
@@ -112,6 +114,7 @@
 			s.agentCounts[a.service]++
 		}
 	}
+	s.selectConfined()
 }
 
 // commandsInterval returns the longest time between two Commands messages to the agent.
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -8,15 +8,9 @@
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
-// Parameters of jobs that may have crashed servers.
-const (
-	// minTrialSuspicion is the share in the suspicion of a crash from which on a job is
-	// started again as a trial only. A crash costs more than this share of it is worth.
-	minTrialSuspicion = 0.1
-	// trialQuietPeriod is the time without crashes of other servers after which a trial
-	// may start. A crashed server is back after some seconds.
-	trialQuietPeriod = 3 * time.Second
-)
+// trialQuietPeriod is the time without crashes of other servers after which a job that may
+// have crashed one may be started again. A crashed server is back after some seconds.
+const trialQuietPeriod = 3 * time.Second
 
 // recordCrash records a crash that was learned from an agent, or detected here if peer is
 // empty. It fails the jobs of the tasks under which too many processes have crashed now.
@@ -24,6 +18,7 @@
 	if !s.crashes.Add(now, crash, peer) {
 		return
 	}
+	s.confineRoutes(now, &crash)
 	for _, crashed := range crash.Tasks {
 		if j, ok := s.jobs[crashed.Task.Job]; ok && s.crashes.Exceeded(crashed.Task) && !j.canceled {
 			j.failed = true
@@ -51,7 +46,7 @@
 func (s *Scheduler) recordAgentLoss(now time.Duration, name string, incarnation uint64, tasks []*task, effects *Effects) {
 	crash := pollenfront.Crash{Process: pollenfront.Process{Incarnation: incarnation, Kind: pollenfront.ProcessAgent, Name: name}, Reporter: s.name}
 	for _, t := range tasks {
-		crash.Tasks = append(crash.Tasks, pollenfront.CrashedTask{Age: now - t.sentAt, Task: t.run.TaskID})
+		crash.Tasks = append(crash.Tasks, pollenfront.CrashedTask{Age: now - t.sentAt, Route: t.job.Route.Name, Task: t.run.TaskID})
 	}
 	s.recordCrash(now, crash, "", effects)
 }
@@ -78,16 +73,26 @@
 
 // mayRunAgain reports whether the tasks of a job may be started with regard to the crashes
 // of servers. A job that is likely to have crashed one may be started again only as a
-// trial: if no other server has crashed for trialQuietPeriod, and one job at a time.
-// While jobs crash servers again and again, the servers are needed for others.
+// trial, and one such job at a time.
 func (s *Scheduler) mayRunAgain(now time.Duration, j *job) bool {
 	suspect := slices.ContainsFunc(j.tasks, func(t *task) bool { return s.crashes.Suspect(t.run.TaskID) })
-	if !suspect || s.trial == j.ID || s.crashes.Suspicion(j.ID) < minTrialSuspicion {
+	if !suspect || s.trial == j.ID || !s.crashes.LikelyCulprit(j.ID) {
 		return true
 	}
-	if _, ok := s.jobs[s.trial]; ok || s.crashes.ServerCrashed(now-trialQuietPeriod, j.ID) {
+	if _, ok := s.jobs[s.trial]; ok || !s.mayStartTrial(now, j) {
 		return false
 	}
-	s.trial = j.ID
+	s.trial, s.trialStarted = j.ID, now
 	return true
 }
+
+// mayStartTrial reports whether a trial of a job may start. This is so if no other server
+// has crashed for trialQuietPeriod. While servers crash again and again, they are needed
+// for other jobs. Then a trial of a most likely culprit may start in each trialQuietPeriod,
+// until one has shown the route of the jobs that crash them.
+func (s *Scheduler) mayStartTrial(now time.Duration, j *job) bool {
+	if !s.crashes.ServerCrashed(now-trialQuietPeriod, j.ID) {
+		return true
+	}
+	return len(s.confinements) == 0 && now-s.trialStarted > trialQuietPeriod && s.crashes.MostLikelyCulprit(j.ID)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,6 +38,9 @@
 //     after another submission, and its job fails. The entries and agents tell each
 //     other of crashes. A task under which one has crashed runs apart from others of
 //     its kind where possible, so that they are not taken along twice.
+//   - A job that may have crashed a server is started again only while no other server
+//     crashes. A route whose jobs crash servers again and again is confined to a few
+//     servers, which other jobs avoid.
 //   - The first run of a task that may have started is stopped, and the task placed
 //     again, if it takes much longer than expected and the answer can still be of use
 //     after another run. Tasks of jobs that may run at most once are not stopped for this.
@@ -142,7 +145,9 @@
 	agentCounts map[string]int
 	agents      map[string]*agent
 	chooser     pollenfront.Chooser
-	corrector   estimateCorrector
+	// confinements holds the times until which routes are confined.
+	confinements map[string]time.Duration
+	corrector    estimateCorrector
 	// crashes are the crashes of processes that the entry knows of.
 	crashes *crashlog.Log
 	// disabledZones is the newest list received from operators or agents.
@@ -173,6 +178,8 @@
 	// trial is the ID of the job that runs again although it may have crashed a server,
 	// or empty.
 	trial string
+	// trialStarted is when the newest trial started.
+	trialStarted time.Duration
 	// unplaceable are the jobs for which no server has free resources in the
 	// current call of place.
 	unplaceable []*job
@@ -195,7 +202,8 @@
 // start of the warm-up.
 func New(now time.Duration, name, zone string, options ...Option) *Scheduler {
 	s := &Scheduler{
-		agentCounts: make(map[string]int), agents: make(map[string]*agent), chooser: placement.EarliestFinish{}, corrector: make(estimateCorrector),
+		agentCounts: make(map[string]int), agents: make(map[string]*agent), chooser: placement.EarliestFinish{},
+		confinements: make(map[string]time.Duration), corrector: make(estimateCorrector),
 		crashes: crashlog.New(), jobs: make(map[string]*job), name: name, remoteFactor: 1, retrySpreaders: make(map[string]*retrySpreader), warmUpStart: now, zone: zone,
 	}
 	for _, option := range options {
@@ -300,6 +308,7 @@
 	effects := &Effects{}
 	s.detectSuspension(now, effects)
 	s.crashes.Expire(now)
+	s.expireConfinements(now)
 	for _, a := range slices.Clone(s.sortedAgents) {
 		s.tickAgent(now, a, effects)
 	}
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -203,6 +203,8 @@
 	ExpectedRunTime int64
 	// Priority is the priority of the job's route; 0 is the most urgent one.
 	Priority int
+	// Route is the name of the job's route.
+	Route string
 	// Slack is the time in nanoseconds until the job's latest start, after which
 	// it can't be on time.
 	Slack int64
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -747,8 +747,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StartCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendString(o, z.Job)
 	o = msgp.AppendInt(o, z.Step)
 	o = msgp.AppendString(o, z.Payload)
@@ -760,6 +760,7 @@
 	o = msgp.AppendBool(o, z.AtMostOnce)
 	o = msgp.AppendInt64(o, z.ExpectedRunTime)
 	o = msgp.AppendInt(o, z.Priority)
+	o = msgp.AppendString(o, z.Route)
 	o = msgp.AppendInt64(o, z.Slack)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
@@ -781,8 +782,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Job, bts, err = msgp.ReadStringBytes(bts)
@@ -820,6 +821,11 @@
 		err = msgp.WrapError(err, "Priority")
 		return
 	}
+	z.Route, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Route")
+		return
+	}
 	z.Slack, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Slack")
@@ -858,7 +864,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StartCommand) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Job) + msgp.IntSize + msgp.StringPrefixSize + len(z.Payload) + z.Need.Msgsize() + msgp.BoolSize + msgp.Int64Size + msgp.IntSize + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Job) + msgp.IntSize + msgp.StringPrefixSize + len(z.Payload) + z.Need.Msgsize() + msgp.BoolSize + msgp.Int64Size + msgp.IntSize + msgp.StringPrefixSize + len(z.Route) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
 		s += z.Tasks[za0001].Msgsize()
 	}
