Soak fleets with tasks that crash the servers that start them

Cause: no soak run had tasks that end a server's process; its stand-in server could only forget its state behind open connections.

Change: the stand-in server's process can end and start again, so that connections break and are refused; a task's payload can make it do so. The soak checks that no task is started three times more after three servers have crashed under it.

--- a/soak/internal/callers/callers.go
+++ b/soak/internal/callers/callers.go
@@ -45,6 +45,9 @@
 	Prefix   string
 	Priority int
 
+	// crashAfter is the time after which each task crashes its server, or zero.
+	crashAfter time.Duration
+
 	// share is the share of the kind in all jobs; the shares add up to 1.
 	share float64
 
@@ -62,6 +65,13 @@
 	{Prefix: "/trade/", Priority: 2, share: 0.15, tasks: 4, work: 900 * time.Millisecond},
 }
 
+// Jobs of crashing crash every server that starts one of their tasks. Their callers are
+// patient, so that the tasks could crash many.
+var crashing = Kind{Prefix: "/lookup/", crashAfter: 12 * time.Millisecond, tasks: 2, work: 60 * time.Millisecond}
+
+// crashingPatience is how long callers wait for the answer to a job of crashing.
+const crashingPatience = 12 * time.Second
+
 // randomKind returns a random kind; the shares are the probabilities.
 func randomKind(random *rand.Rand) Kind {
 	rest := random.Float64()
@@ -107,14 +117,18 @@
 }
 
 // Run submits jobs at an average rate until ctx is done, and waits for their
-// outcomes. The pauses between jobs are distributed exponentially.
-func (c *Callers) Run(ctx context.Context, jobsPerSecond float64) {
+// outcomes. The pauses between jobs are distributed exponentially. One job in
+// crashInterval crashes servers, unless that is zero.
+func (c *Callers) Run(ctx context.Context, jobsPerSecond float64, crashInterval uint64) {
 	var submissions sync.WaitGroup
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		pause := time.Duration(c.random.ExpFloat64() / jobsPerSecond * float64(time.Second))
 		k := randomKind(c.random)
 		c.lastID++
+		if crashInterval > 0 && c.lastID%crashInterval == 0 {
+			k = crashing
+		}
 		id := fmt.Sprintf("%016x", c.lastID)
 		c.mu.Unlock()
 		time.Sleep(pause)
@@ -135,8 +149,12 @@
 // submit submits a job, and submits it again until its outcome is known or its
 // deadline has passed.
 func (c *Callers) submit(id string, k Kind) {
+	patience := 1500*time.Millisecond + 3*k.work
+	if k.crashAfter > 0 {
+		patience = crashingPatience
+	}
 	job := caller.Job{
-		CPU: taskCPU, Deadline: time.Now().Add(1500*time.Millisecond + 3*k.work), Host: Host, Path: k.Prefix + id, Tasks: k.tasks, Work: k.work,
+		CPU: taskCPU, CrashAfter: k.crashAfter, Deadline: time.Now().Add(patience), Host: Host, Path: k.Prefix + id, Tasks: k.tasks, Work: k.work,
 	}
 	for time.Now().Before(job.Deadline) {
 		c.checker.RecordSubmission(id, k.tasks)
@@ -147,13 +165,18 @@
 			return
 		case caller.Refused:
 			c.checker.RecordRefusal(id)
+			if k.crashAfter > 0 {
+				break // These callers don't give up.
+			}
 			c.updateCounts(func(counts *Counts) { counts.Refused++ })
 			return
 		case caller.Unknown:
 		}
 		time.Sleep(resendDelay)
 	}
-	c.updateCounts(func(counts *Counts) { counts.Lost++ })
+	if k.crashAfter == 0 {
+		c.updateCounts(func(counts *Counts) { counts.Lost++ })
+	}
 }
 
 // updateCounts calls update with the counts, under the lock.
--- a/soak/internal/fleet/fleet.go
+++ b/soak/internal/fleet/fleet.go
@@ -29,7 +29,9 @@
 
 // Ports and other parameters of a fleet.
 const (
-	linkPort = 7100
+	// crashDuration is how long a backend server is down after a task has crashed it.
+	crashDuration = 1500 * time.Millisecond
+	linkPort      = 7100
 
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay = 300 * time.Millisecond
@@ -196,10 +198,10 @@
 	announce, address := f.address(2, i+1, 7200), f.address(3, i+1, 7300)
 	runTimeFactor := []float64{0.55, 1.2, 1.2}[i%3]
 	server := backendserver.New(backendserver.Options{
-		Announce: announce, CPU: serverCPU, Name: serverName(i), Observer: f.Checker, RunTimeFactor: runTimeFactor, Service: callers.Service, Zone: Zone(i),
+		Announce: announce, CPU: serverCPU, CrashDuration: crashDuration, Name: serverName(i), Observer: f.Checker, RunTimeFactor: runTimeFactor, Service: callers.Service, Zone: Zone(i),
 	})
 	f.Servers = append(f.Servers, server)
-	if err := f.serve(address, server); err != nil {
+	if err := server.Listen(address); err != nil {
 		return err
 	}
 	go func() { _ = server.Run(ctx, address) }()
--- a/soak/internal/invariants/invariants.go
+++ b/soak/internal/invariants/invariants.go
@@ -24,6 +24,9 @@
 // A Checker records events and checks the invariants. It is safe for concurrent
 // use, and implements backendserver.Observer.
 type Checker struct {
+	// crashes has the servers that tasks have crashed, by task.
+	crashes map[string]*crashCount
+
 	// disabledSince has the times at which zones were taken out of service, by
 	// zone.
 	disabledSince map[string]time.Time
@@ -42,6 +45,24 @@
 	zoneOf map[string]string
 }
 
+// Limits on the starts of a task that crashes servers.
+const (
+	// crashLimit is the number of servers that a task has crashed from which on its
+	// starts are counted.
+	crashLimit = 3
+
+	// maxStartsAfterCrashes is the number of these starts that is not a violation.
+	maxStartsAfterCrashes = 2
+)
+
+// A crashCount counts the servers that a task has crashed.
+type crashCount struct {
+	crashes int
+
+	// starts is the number of starts since crashLimit was reached.
+	starts int
+}
+
 // A job records the submissions and outcomes of a job.
 type job struct {
 	completed bool
@@ -57,7 +78,7 @@
 // servers, by the name of the server.
 func New(zoneOf map[string]string) *Checker {
 	return &Checker{
-		disabledSince: make(map[string]time.Time), doneRuns: make(map[string]int), jobs: make(map[string]*job), serverOf: make(map[string]string),
+		crashes: make(map[string]*crashCount), disabledSince: make(map[string]time.Time), doneRuns: make(map[string]int), jobs: make(map[string]*job), serverOf: make(map[string]string),
 		zoneOf: zoneOf,
 	}
 }
@@ -104,6 +125,12 @@
 		c.violate("task %s runs on %s and on %s at the same time", task, other, server)
 	}
 	c.serverOf[task] = server
+	if count := c.crashes[task]; count != nil && count.crashes >= crashLimit {
+		count.starts++
+		if count.starts > maxStartsAfterCrashes {
+			c.violate("task %s was started %d times more after it had crashed %d servers", task, count.starts, crashLimit)
+		}
+	}
 	id := jobOf(task)
 	if c.jobs[id] == nil {
 		c.violate("task %s started, but its job was not submitted", task)
@@ -125,6 +152,28 @@
 	}
 }
 
+// ServerCrashed implements backendserver.Observer.
+func (c *Checker) ServerCrashed(task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.crashes[task] == nil {
+		c.crashes[task] = &crashCount{}
+	}
+	c.crashes[task].crashes++
+}
+
+// Crashes returns the number of servers that tasks have crashed, and the largest number for
+// one task.
+func (c *Checker) Crashes() (all, most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, count := range c.crashes {
+		all += count.crashes
+		most = max(most, count.crashes)
+	}
+	return all, most
+}
+
 // SetZoneDisabled records that a zone is taken out of service or returned to
 // service.
 func (c *Checker) SetZoneDisabled(zone string, disabled bool) {
--- a/soak/main.go
+++ b/soak/main.go
@@ -24,6 +24,7 @@
 	Agents  int           `default:"6" help:"number of agents, each with a backend server"`
 	Bin     string        `default:"bin" help:"folder with the built programs"`
 	Calm    bool          `help:"inject no faults; a lost or refused job is a violation"`
+	Crash   uint64        `default:"0" help:"one job in this number crashes each server that starts it, none with 0"`
 	Dir     string        `help:"folder for settings and logs [default: a new temporary folder]"`
 	Entries int           `default:"3" help:"number of entries"`
 	For     time.Duration `default:"20s" help:"how long faults are injected"`
@@ -97,15 +98,18 @@
 	if !o.Calm {
 		go injectFaults(ctx, f, o.Seed)
 	}
-	c.Run(ctx, o.Rate)
+	c.Run(ctx, o.Rate, o.Crash)
 	during := c.TakeCounts()
 	time.Sleep(settleTime)
 	finalCtx, cancelFinal := context.WithTimeout(context.Background(), finalTime)
 	defer cancelFinal()
-	c.Run(finalCtx, o.Rate)
+	c.Run(finalCtx, o.Rate, 0)
 	final := c.TakeCounts()
 	time.Sleep(lingerTime)
 	fmt.Printf("during: %+v; afterwards: %+v; %d starts\n", during, final, f.Checker.Starts())
+	if all, most := f.Checker.Crashes(); all > 0 {
+		fmt.Printf("%d servers were crashed by tasks, at most %d by one task\n", all, most)
+	}
 	return append(f.Checker.Violations(), checkCounts(o, during, final)...), nil
 }
 
--- a/standin/backendserver/request.go
+++ b/standin/backendserver/request.go
@@ -19,10 +19,12 @@
 }
 
 // A payload is the payload of a task for the stand-in. Work is the run time on a
-// server of normal speed, as a duration such as "60ms".
+// server of normal speed, as a duration such as "60ms". CrashMS is the time in
+// milliseconds after which the task crashes its server; with zero it does not.
 type payload struct {
-	CPU  int    `json:"cpu"`
-	Work string `json:"work"`
+	CPU     int    `json:"cpu"`
+	CrashMS int    `json:"crash-ms"`
+	Work    string `json:"work"`
 }
 
 // A response is the body of the response to any request.
@@ -101,18 +103,21 @@
 	}
 	s.token = req.Token
 	s.extendLease(req.DeadlineMS)
-	s.startRun(req, p.CPU, work)
+	r := s.startRun(req, p.CPU, work)
+	if p.CrashMS > 0 {
+		time.AfterFunc(time.Duration(p.CrashMS)*time.Millisecond, func() { s.crashUnder(req.Task, r) })
+	}
 	return ""
 }
 
 // startRun starts a run. With the fault Hangs it never ends by itself, and with
 // Fails it ends as failed. The caller holds mu.
-func (s *Server) startRun(req *request, cpu int, work time.Duration) {
+func (s *Server) startRun(req *request, cpu int, work time.Duration) *run {
 	r := &run{cpu: cpu, number: req.Run, started: time.Now()}
 	s.runs[req.Task] = r
 	s.options.Observer.RunStarted(req.Task, s.options.Name)
 	if s.fault.Hangs {
-		return
+		return r
 	}
 	ending := "done"
 	if s.fault.Fails {
@@ -124,6 +129,7 @@
 		defer s.mu.Unlock()
 		s.endRun(req.Task, r, ending)
 	})
+	return r
 }
 
 // usedCPU returns the CPU of all runs, in thousandths of a core. The caller holds
--- a/standin/backendserver/server.go
+++ b/standin/backendserver/server.go
@@ -50,6 +50,9 @@
 
 	// RunStarted is called when a run starts, with the name of the server.
 	RunStarted(task string, server string)
+
+	// ServerCrashed is called when a task crashes a server, before its run ends.
+	ServerCrashed(task string)
 }
 
 // Options describe a server.
@@ -58,9 +61,12 @@
 	Announce string
 
 	// CPU is the capacity of the server, in thousandths of a core.
-	CPU      int
-	Name     string
-	Observer Observer
+	CPU int
+
+	// CrashDuration is how long the server is down after a task has crashed it.
+	CrashDuration time.Duration
+	Name          string
+	Observer      Observer
 
 	// RunTimeFactor is the run time of a task as a multiple of that in the payload.
 	RunTimeFactor float64
@@ -90,6 +96,9 @@
 	// acknowledged.
 	acknowledged uint64
 
+	// address is the address at which the server listens.
+	address string
+
 	// announcementSeqNum is the sequence number of the newest announcement.
 	announcementSeqNum uint64
 	client             *http.Client
@@ -100,6 +109,9 @@
 	endedRuns []any
 	fault     Fault
 
+	// httpServer serves requests; it is nil while the server is down after a crash.
+	httpServer *http.Server
+
 	// lastSeqNum is the sequence number of the newest ending.
 	lastSeqNum uint64
 
@@ -214,14 +226,14 @@
 	if s.draining {
 		state = "draining"
 	}
-	dark := s.fault.Dark
+	silent := s.fault.Dark || s.address != "" && s.httpServer == nil
 	body, err := json.Marshal(map[string]any{
 		"address": address, "born": s.startTime.UnixMilli(), "capacity": map[string]int{"cpu": s.options.CPU, "mem-mb": 65536, "gpu": 0},
 		"clock-ms": s.clockMS(), "labels": []string{"a", "r1-1"}, "seq": s.announcementSeqNum, "service": s.options.Service, "slots": 8,
 		"state": state, "version": "v1", "zone": s.options.Zone,
 	})
 	s.mu.Unlock()
-	if dark || err != nil {
+	if silent || err != nil {
 		return
 	}
 	url := "http://" + s.options.Announce + "/pollenfront/instances/" + s.options.Name + "/heartbeat"
--- a/standin/backendserver/server_test.go
+++ b/standin/backendserver/server_test.go
@@ -29,6 +29,8 @@
 
 func (c *startCounter) RunEnded(string, string) {}
 
+func (c *startCounter) ServerCrashed(string) {}
+
 // total returns the number of starts so far.
 func (c *startCounter) total() int {
 	c.mu.Lock()
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -42,6 +42,10 @@
 	// CPU is the need of a task, in thousandths of a core.
 	CPU int
 
+	// CrashAfter is the time after which each task crashes its server. With zero they
+	// don't.
+	CrashAfter time.Duration
+
 	// Deadline is the time until which the caller waits.
 	Deadline time.Time
 	Host     string
@@ -68,7 +72,7 @@
 // Errors count as Unknown.
 func (c *Caller) Submit(ctx context.Context, entry string, job Job) Outcome {
 	body, err := json.Marshal(map[string]any{
-		"best-effort": true, "spec": fmt.Sprintf(`{"cpu":%d,"work":%q}`, job.CPU, job.Work),
+		"best-effort": true, "spec": fmt.Sprintf(`{"cpu":%d,"crash-ms":%d,"work":%q}`, job.CPU, job.CrashAfter.Milliseconds(), job.Work),
 		"steps": []map[string]any{{"count": job.Tasks, "cpu": job.CPU, "mem-mb": 64, "estimate-ms": job.Work.Milliseconds()}},
 	})
 	if err != nil {
