Tell the agents which job an entry was accepting when it panicked

Cause: the same class as tasks that crash servers. A panic of the scheduler ends the process; the caller's connection breaks, and it submits the job again to the next entry, which ends likewise. Nothing knew that they had the job in common. Not seen so far: found by looking for what one input can do to entry after entry.

Change: before the process ends after a panic, the entry reports the job that it was accepting as a crash to its agents, which pass it on like those of servers. After the third one the job fails at every entry without reaching the scheduler's queue. A process that is killed reports nothing; agents that end under a task count already.

--- a/crash.go
+++ b/crash.go
@@ -39,7 +39,7 @@
 type Process struct {
 	Incarnation uint64
 	Kind        ProcessKind
-	// Name is the name of the agent, also for the backend server beside it.
+	// Name is the name of the entry or agent. A backend server has that of its agent.
 	Name string
 }
 
@@ -49,5 +49,6 @@
 // Kinds of processes that work on tasks.
 const (
 	ProcessAgent  ProcessKind = "agent"
+	ProcessEntry  ProcessKind = "entry"
 	ProcessServer ProcessKind = "server"
 )
--- a/crashlog/log.go
+++ b/crashlog/log.go
@@ -34,9 +34,9 @@
 	// maxCrashes is the number of crashes with which a task exceeds the limit, if one of
 	// them is that of a server.
 	maxCrashes = 2
-	// maxAgentCrashes replaces maxCrashes if all of them are those of agents, which
-	// operators also kill and restart, and which the network may cut off.
-	maxAgentCrashes = 3
+	// maxOtherCrashes replaces maxCrashes if none of them is that of a server. Agents are
+	// also killed and restarted by operators, and cut off by the network.
+	maxOtherCrashes = 3
 	// maxRecords is the number of crashes that are kept.
 	maxRecords = 512
 	// minAge is added to the age of a run, so that runs of a few milliseconds are about
@@ -163,7 +163,7 @@
 func (l *Log) Exceeded(task pollenfront.TaskID) bool {
 	c := l.counts[task]
 	if c.servers == 0 {
-		return c.all >= maxAgentCrashes
+		return c.all >= maxOtherCrashes
 	}
 	return c.all >= maxCrashes
 }
@@ -250,3 +250,8 @@
 		return !slices.ContainsFunc(crash.Tasks, func(crashed pollenfront.CrashedTask) bool { return crashed.Task.Job == except })
 	}) > 0
 }
+
+// Len returns the number of crashes in the log.
+func (l *Log) Len() int {
+	return len(l.records)
+}
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -43,6 +43,8 @@
 	config atomic.Pointer[pollenfront.Config]
 	// configured is closed once there is a configuration.
 	configured chan struct{}
+	// handling is the job that is being passed to the scheduler, or nil.
+	handling *pollenfront.Submission
 	// hellos maps the name of each agent to the record of its newest hello.
 	hellos map[string]helloRecord
 	// links maps the name of each linked agent to its link.
@@ -85,7 +87,7 @@
 // New returns the Jobs of the entry that self describes. It registers its metrics
 // with registry.
 func New(self tasklink.Hello, store pollenfront.Store, registry *prometheus.Registry, logger *zap.Logger) *Jobs {
-	return &Jobs{
+	j := &Jobs{
 		configured:  make(chan struct{}),
 		hellos:      make(map[string]helloRecord),
 		links:       make(map[string]*agentLink),
@@ -96,6 +98,8 @@
 		store:       store,
 		submissions: make(map[string]*activeSubmission),
 	}
+	j.mu.OnPanic = j.reportPanic
+	return j
 }
 
 // Config implements pollenfront.Jobs.
@@ -163,7 +167,9 @@
 		j.logger.Info("job taken", zap.String("request", sub.ID), zap.String("route", sub.Route.Name), zap.Uint64("config-version", j.configVersion()),
 			zap.Int("tasks", sub.TaskCount), zap.Duration("estimate", sub.Estimate), zap.Duration("time-limit", sub.TimeLimit), zap.Int("cpu", sub.Need.CPU))
 	}
+	j.handling = &sub
 	j.applyEffects(now, j.scheduler.Submit(now, sub))
+	j.handling = nil
 	return true
 }
 
--- a/program/guard.go
+++ b/program/guard.go
@@ -13,6 +13,10 @@
 type Guard struct {
 	sync.Mutex
 
+	// OnPanic, if set, is called after a panic, before the process ends. The mutex is
+	// held.
+	OnPanic func()
+
 	// crash replaces the end of the process in tests.
 	crash func(cause any)
 }
@@ -26,8 +30,17 @@
 	g.Mutex.Unlock()
 }
 
+// callOnPanic calls OnPanic. A panic in it is ignored, since the process ends anyway.
+func (g *Guard) callOnPanic() {
+	defer func() { _ = recover() }()
+	if g.OnPanic != nil {
+		g.OnPanic()
+	}
+}
+
 // end ends the process with a trace of the panic.
 func (g *Guard) end(cause any) {
+	g.callOnPanic()
 	if g.crash != nil {
 		g.crash(cause)
 		return
--- a/program/guard_test.go
+++ b/program/guard_test.go
@@ -23,7 +23,12 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			var causes []any
-			g := &Guard{crash: func(cause any) { causes = append(causes, cause) }}
+			called := false
+			onPanic := func() {
+				called = true
+				panic("in OnPanic")
+			}
+			g := &Guard{OnPanic: onPanic, crash: func(cause any) { causes = append(causes, cause) }}
 			handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 				g.Lock()
 				defer g.Unlock()
@@ -31,6 +36,7 @@
 			})
 			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
 			c.Assert(len(causes) > 0, qt.Equals, test.crashed)
+			c.Assert(called, qt.Equals, test.crashed)
 			c.Assert(g.TryLock(), qt.IsTrue)
 		})
 	}
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -9,6 +9,10 @@
 // A Dump is the state of a Scheduler in a form for operators to read.
 type Dump struct {
 	Agents []AgentDump `json:"agents"`
+	// ConfinedRoutes are the names of the routes that are confined to few servers.
+	ConfinedRoutes []string `json:"confined-routes"`
+	// Crashes is the number of crashes of processes that the entry knows of.
+	Crashes int `json:"crashes"`
 	// EntryCount is the number of entries that share the servers.
 	EntryCount    int                    `json:"entries"`
 	Jobs          []JobDump              `json:"jobs"`
@@ -51,7 +55,7 @@
 
 // Dump returns the state of the Scheduler. The jobs are in no particular order.
 func (s *Scheduler) Dump(now time.Duration) Dump {
-	d := Dump{DisabledZones: s.disabledZones, EntryCount: len(s.entries)}
+	d := Dump{ConfinedRoutes: s.ConfinedRoutes(), Crashes: s.crashes.Len(), DisabledZones: s.disabledZones, EntryCount: len(s.entries)}
 	for _, a := range s.sortedAgents {
 		d.Agents = append(d.Agents, AgentDump{
 			LastUpdate: (now - a.lastUpdate).String(), Linked: a.linked, Name: a.Name, Primary: a.primary, Report: a.report, Runs: len(a.tasks),
