Limit what one absurd estimate does to the estimates of later jobs

Callers could see: after one job with an absurd estimate, those of its route were no longer corrected towards the mean of the route for dozens of jobs, so that later jobs were placed or refused by estimates that are off by half.

Cause: the statistics of a route took every deviation as it was.

Evidence: TestAbsurdEstimate failed for each of the five estimates.

Change: estimates are limited to an hour, and the deviation that enters the statistics to a factor of e^2.

--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -14,6 +14,11 @@
 	// firstVariance is the variance that is assumed for a route before its first
 	// estimate.
 	firstVariance = 0.29
+	// maxDeviation limits the deviation of an estimate from the mean of its route in the
+	// statistics, so that a single absurd estimate does not change those of later jobs.
+	maxDeviation = 2
+	// maxEstimate is the longest estimate; longer ones are lowered to it.
+	maxEstimate = time.Hour
 	// minEstimate is the shortest estimate; shorter ones are raised to it.
 	minEstimate = time.Millisecond
 	// routeWeight is the weight of a new estimate in the statistics of its route.
@@ -37,7 +42,7 @@
 // the larger the share of the variance that is due to errors, and the closer to the
 // mean the expected run time is.
 func (e estimateCorrector) correct(route string, estimate time.Duration) time.Duration {
-	value := math.Log(max(estimate, minEstimate).Seconds())
+	value := math.Log(min(max(estimate, minEstimate), maxEstimate).Seconds())
 	stats, ok := e[route]
 	if !ok {
 		stats = &routeStats{mean: value, variance: firstVariance}
@@ -46,6 +51,7 @@
 	weight := max(0, stats.variance-errorVariance) / stats.variance
 	deviation := value - stats.mean
 	expected := stats.mean + weight*deviation
+	deviation = min(max(deviation, -maxDeviation), maxDeviation)
 	stats.mean += deviation * routeWeight
 	stats.variance += (deviation*deviation - stats.variance) * routeWeight
 	return time.Duration(math.Exp(expected) * float64(time.Second))
--- a/scheduler/estimates_test.go
+++ b/scheduler/estimates_test.go
@@ -40,3 +40,17 @@
 		})
 	}
 }
+
+// TestAbsurdEstimate checks that a single absurd estimate changes those of later jobs of its
+// route only a little: they are still corrected towards the mean of the route.
+func TestAbsurdEstimate(t *testing.T) {
+	for _, absurd := range []time.Duration{math.MinInt64, 0, time.Nanosecond, 300 * time.Hour, math.MaxInt64} {
+		corrector := make(estimateCorrector)
+		for range 100 {
+			corrector.correct("route", 100*time.Millisecond)
+		}
+		corrector.correct("route", absurd)
+		corrected := corrector.correct("route", 200*time.Millisecond)
+		qt.Check(t, corrected > 90*time.Millisecond && corrected < 110*time.Millisecond, qt.IsTrue, qt.Commentf("%v: %v", absurd, corrected))
+	}
+}
