Fail a job only when two servers have certainly crashed under a task

Cause: a server that crashes takes along runs whose start it has not answered. It may never have started them, but they counted like the others.

Change: the record of a crash says whether a task had certainly been started. Two such crashes of servers fail the job. Three crashes of any processes, some uncertain, only keep it from being started again: its caller is told that the outcome is unknown, and later submissions are refused. The loss of an agent counts as uncertain too; with one crash of a server it had failed the job.

Why this works: 'started' is set only by the server's own answer.

--- a/crash.go
+++ b/crash.go
@@ -30,7 +30,9 @@
 	Age time.Duration
 	// Route is the name of the job's route.
 	Route string
-	Task  TaskID
+	// Started is whether the task had certainly been started.
+	Started bool
+	Task    TaskID
 }
 
 // A Process is one incarnation of a process.
--- a/crash_gen.go
+++ b/crash_gen.go
@@ -26,13 +26,9 @@
 	o = msgp.AppendString(o, z.Reporter)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
 	for za0001 := range z.Tasks {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendDuration(o, z.Tasks[za0001].Age)
-		o = msgp.AppendString(o, z.Tasks[za0001].Route)
-		o, err = z.Tasks[za0001].Task.MarshalMsg(o)
+		o, err = z.Tasks[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001, "Task")
+			err = msgp.WrapError(err, "Tasks", za0001)
 			return
 		}
 	}
@@ -82,31 +78,11 @@
 		z.Tasks = make([]CrashedTask, zb0002)
 	}
 	for za0001 := range z.Tasks {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Tasks[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Tasks", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Tasks[za0001].Age, bts, err = msgp.ReadDurationBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001, "Age")
-			return
-		}
-		z.Tasks[za0001].Route, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001, "Route")
-			return
-		}
-		bts, err = z.Tasks[za0001].Task.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001, "Task")
-			return
-		}
 	}
 	o = bts
 	return
@@ -116,7 +92,7 @@
 func (z *Crash) Msgsize() (s int) {
 	s = 1 + msgp.DurationSize + z.Process.Msgsize() + msgp.StringPrefixSize + len(z.Reporter) + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
-		s += 1 + msgp.DurationSize + msgp.StringPrefixSize + len(z.Tasks[za0001].Route) + z.Tasks[za0001].Task.Msgsize()
+		s += z.Tasks[za0001].Msgsize()
 	}
 	return
 }
@@ -124,10 +100,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *CrashedTask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendDuration(o, z.Age)
 	o = msgp.AppendString(o, z.Route)
+	o = msgp.AppendBool(o, z.Started)
 	o, err = z.Task.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Task")
@@ -144,8 +121,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Age, bts, err = msgp.ReadDurationBytes(bts)
@@ -158,6 +135,11 @@
 		err = msgp.WrapError(err, "Route")
 		return
 	}
+	z.Started, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Started")
+		return
+	}
 	bts, err = z.Task.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Task")
@@ -169,7 +151,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CrashedTask) Msgsize() (s int) {
-	s = 1 + msgp.DurationSize + msgp.StringPrefixSize + len(z.Route) + z.Task.Msgsize()
+	s = 1 + msgp.DurationSize + msgp.StringPrefixSize + len(z.Route) + msgp.BoolSize + z.Task.Msgsize()
 	return
 }
 
--- a/crashlog/log.go
+++ b/crashlog/log.go
@@ -30,12 +30,12 @@
 const (
 	// batchSize is the largest number of crashes that Since returns.
 	batchSize = 64
-	// maxCrashes is the number of crashes with which a task exceeds the limit, if one of
-	// them is that of a server.
+	// maxCrashes is the number of servers that may crash under a task.
 	maxCrashes = 2
-	// maxOtherCrashes replaces maxCrashes if none of them is that of a server. Agents are
-	// also killed and restarted by operators, and cut off by the network.
-	maxOtherCrashes = 3
+	// maxUncertainCrashes is the number of processes that may crash under a task if it is
+	// not certain that the task was running: an agent was lost, which operators also kill
+	// and the network cuts off, or a server did not answer its start.
+	maxUncertainCrashes = 3
 	// maxRecords is the number of crashes that are kept.
 	maxRecords = 512
 	// minAge is added to the age of a run, so that runs of a few milliseconds are about
@@ -59,7 +59,8 @@
 	records []record
 }
 
-// A count is how many processes have crashed while they were working on a task.
+// A count is how many processes have crashed while they were working on a task. servers are
+// those servers on which the task had certainly been started.
 type count struct {
 	all, servers int
 }
@@ -141,7 +142,7 @@
 	for _, crashed := range crash.Tasks {
 		c := l.counts[crashed.Task]
 		c.all += change
-		if crash.Process.Kind == pollenfront.ProcessServer {
+		if crash.Process.Kind == pollenfront.ProcessServer && crashed.Started {
 			c.servers += change
 		}
 		l.counts[crashed.Task] = c
@@ -193,11 +194,13 @@
 // Exceeded reports whether so many processes have crashed while they were working on a
 // task that it must not be started again.
 func (l *Log) Exceeded(task pollenfront.TaskID) bool {
-	c := l.counts[task]
-	if c.servers == 0 {
-		return c.all >= maxOtherCrashes
-	}
-	return c.all >= maxCrashes
+	return l.Failed(task) || l.counts[task].all >= maxUncertainCrashes
+}
+
+// Failed reports whether so many servers have certainly crashed under a task that its job
+// has failed.
+func (l *Log) Failed(task pollenfront.TaskID) bool {
+	return l.counts[task].servers >= maxCrashes
 }
 
 // LikelyCulprit reports whether a job is likely to have caused a crash of a server that it
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -71,7 +71,7 @@
 		}
 		r.crashed = true
 		crash.Runs = append(crash.Runs, CrashedRun{Age: age, Entry: r.entry.Name, Run: r.id, Started: r.started})
-		record.Tasks = append(record.Tasks, pollenfront.CrashedTask{Age: age, Route: r.route, Task: r.id.TaskID})
+		record.Tasks = append(record.Tasks, pollenfront.CrashedTask{Age: age, Route: r.route, Started: r.started, Task: r.id.TaskID})
 	}
 	if x.crashes.Add(now, record, "") {
 		x.notifyAll(effects)
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -13,7 +13,7 @@
 const trialQuietPeriod = 3 * time.Second
 
 // recordCrash records a crash that was learned from an agent, or detected here if peer is
-// empty. It fails the jobs of the tasks under which too many processes have crashed now.
+// empty. It ends the jobs of the tasks under which too many processes have crashed now.
 func (s *Scheduler) recordCrash(now time.Duration, crash pollenfront.Crash, peer string, effects *Effects) {
 	if !s.crashes.Add(now, crash, peer) {
 		return
@@ -21,7 +21,7 @@
 	s.confineRoutes(now, &crash)
 	for _, crashed := range crash.Tasks {
 		if j, ok := s.jobs[crashed.Task.Job]; ok && s.crashes.Exceeded(crashed.Task) && !j.canceled {
-			j.failed = true
+			j.failed = s.crashes.Failed(crashed.Task)
 			s.cancelJob(now, j, pollenfront.ReasonServersCrashed, effects)
 		}
 	}
@@ -51,18 +51,14 @@
 	s.recordCrash(now, crash, "", effects)
 }
 
-// crashesExceeded reports whether a task of a job must not be started because of crashes
-// during earlier submissions.
-func (s *Scheduler) crashesExceeded(j *job) bool {
-	return slices.ContainsFunc(j.tasks, func(t *task) bool { return s.crashes.Exceeded(t.run.TaskID) })
-}
-
 // answerForCrashes answers a new job that must not be started because of crashes during
 // earlier submissions, and reports whether it has.
 func (s *Scheduler) answerForCrashes(now time.Duration, j *job, effects *Effects) bool {
 	switch {
-	case s.crashesExceeded(j):
+	case j.anyTask(s.crashes.Failed):
 		j.answer(pollenfront.VerdictFailed, pollenfront.ReasonServersCrashed, "", 0, effects)
+	case j.anyTask(s.crashes.Exceeded):
+		j.answer(pollenfront.VerdictRefused, pollenfront.ReasonServersCrashed, "", 0, effects)
 	case !s.mayRunAgain(now, j):
 		j.answer(pollenfront.VerdictRefused, pollenfront.ReasonSuspect, "", trialQuietPeriod, effects)
 	default:
@@ -71,12 +67,16 @@
 	return true
 }
 
+// anyTask reports whether condition holds for a task of the job.
+func (j *job) anyTask(condition func(task pollenfront.TaskID) bool) bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return condition(t.run.TaskID) })
+}
+
 // mayRunAgain reports whether the tasks of a job may be started with regard to the crashes
 // of servers. A job that is likely to have crashed one may be started again only as a
 // trial, and one such job at a time.
 func (s *Scheduler) mayRunAgain(now time.Duration, j *job) bool {
-	suspect := slices.ContainsFunc(j.tasks, func(t *task) bool { return s.crashes.Suspect(t.run.TaskID) })
-	if !suspect || s.trial == j.ID || !s.crashes.LikelyCulprit(j.ID) {
+	if !j.anyTask(s.crashes.Suspect) || s.trial == j.ID || !s.crashes.LikelyCulprit(j.ID) {
 		return true
 	}
 	if _, ok := s.jobs[s.trial]; ok || !s.mayStartTrial(now, j) {
