Confine a route only while its crashes cost more than the confinement

Cause: three crashes in 10 s were enough, and one in 6 s kept the route confined, although less than a server was down on average. Besides, each entry started a likely culprit again every 3 s until a route was confined.

Change: a route is confined when its jobs crash 0.4 of the servers that the entry knows, at least three, within 4 s, which is how long a crashed server is down, and stays so while they crash three quarters of those it is confined to. Once a job of a route is known to have crashed two servers, no likely culprit of it is started again for a minute. Servers of other services do not count.

--- a/crashlog/log.go
+++ b/crashlog/log.go
@@ -221,18 +221,26 @@
 	return l.countServerCrashes(since, func(r *record) bool { return r.jobShares[job] >= minSuspicion })
 }
 
-// RouteCrashes returns the number of crashes of servers since the given time that a job of
-// a route is likely to have caused, and whether there is a job of it that is likely to have
-// caused two or more of them.
-func (l *Log) RouteCrashes(route string, since time.Duration) (crashes int, certain bool) {
-	crashes = l.countServerCrashes(since, func(r *record) bool {
-		for i := range r.crash.Tasks {
-			crashed := &r.crash.Tasks[i]
-			certain = certain || crashed.Route == route && l.counts[crashed.Task].servers > 1 && l.countCulprit(crashed.Task.Job, since) > 1
-		}
-		return r.routeShares[route] >= minSuspicion
-	})
-	return crashes, certain
+// Crashes returns the number of crashes since the given time, of servers for which
+// condition holds.
+func (l *Log) Crashes(since time.Duration, condition func(server pollenfront.Process) bool) int {
+	return l.countServerCrashes(since, func(r *record) bool { return condition(r.crash.Process) })
+}
+
+// RouteCrashes returns the number of crashes since the given time, of servers for which
+// condition holds, that a job of a route is likely to have caused.
+func (l *Log) RouteCrashes(route string, since time.Duration, condition func(server pollenfront.Process) bool) int {
+	return l.countServerCrashes(since, func(r *record) bool { return r.routeShares[route] >= minSuspicion && condition(r.crash.Process) })
+}
+
+// HasCulprit reports whether a job of a route is likely to have caused two or more crashes
+// since the given time.
+func (l *Log) HasCulprit(route string, since time.Duration) bool {
+	return l.countServerCrashes(since, func(r *record) bool {
+		return slices.ContainsFunc(r.crash.Tasks, func(crashed pollenfront.CrashedTask) bool {
+			return crashed.Route == route && l.Failed(crashed.Task) && l.countCulprit(crashed.Task.Job, since) >= maxCrashes
+		})
+	}) > 0
 }
 
 // RouteShares returns how likely it is that a job of each route has caused the crash that
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -86,13 +86,18 @@
 	return true
 }
 
-// mayStartTrial reports whether a trial of a job may start. This is so if no other server
-// has crashed for trialQuietPeriod. While servers crash again and again, they are needed
-// for other jobs. Then a trial of a most likely culprit may start in each trialQuietPeriod,
-// until one has shown the route of the jobs that crash them.
+// mayStartTrial reports whether a trial of a job may start. If jobs of its route are known
+// to crash servers, it may not. Otherwise it may if no other server has crashed for
+// trialQuietPeriod. While servers crash again and again, they are needed for other jobs. A
+// most likely culprit may then start in each trialQuietPeriod, to find the route of the
+// jobs that crash them.
 func (s *Scheduler) mayStartTrial(now time.Duration, j *job) bool {
+	if s.crashes.HasCulprit(j.Route.Name, now-culpritWindow) {
+		return false
+	}
 	if !s.crashes.ServerCrashed(now-trialQuietPeriod, j.ID) {
 		return true
 	}
-	return len(s.confinements) == 0 && now-s.trialStarted > trialQuietPeriod && s.crashes.MostLikelyCulprit(j.ID)
+	crashes := s.crashes.Crashes(now-confinementWindow, s.isServerOf(j.Route.Service))
+	return crashes >= minCrashes && now-s.trialStarted > trialQuietPeriod && s.crashes.MostLikelyCulprit(j.ID)
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -165,7 +165,7 @@
 	if c.suspects > 0 && s.crashes.Suspect(t.run.TaskID) {
 		return true
 	}
-	return c.confined && len(s.confinements) > 0 && !s.isConfined(t.job.Route.Name)
+	return c.confined && s.avoidsConfined(t.job.Route.Name, c.service)
 }
 
 // placeJob sends all waiting tasks of a job and returns true. If one of them has to
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -145,8 +145,8 @@
 	agentCounts map[string]int
 	agents      map[string]*agent
 	chooser     pollenfront.Chooser
-	// confinements holds the times until which routes are confined.
-	confinements map[string]time.Duration
+	// confinements holds the confined routes by name.
+	confinements map[string]confinement
 	corrector    estimateCorrector
 	// crashes are the crashes of processes that the entry knows of.
 	crashes *crashlog.Log
@@ -203,7 +203,7 @@
 func New(now time.Duration, name, zone string, options ...Option) *Scheduler {
 	s := &Scheduler{
 		agentCounts: make(map[string]int), agents: make(map[string]*agent), chooser: placement.EarliestFinish{},
-		confinements: make(map[string]time.Duration), corrector: make(estimateCorrector),
+		confinements: make(map[string]confinement), corrector: make(estimateCorrector),
 		crashes: crashlog.New(), jobs: make(map[string]*job), name: name, remoteFactor: 1, retrySpreaders: make(map[string]*retrySpreader), warmUpStart: now, zone: zone,
 	}
 	for _, option := range options {
