--- /dev/null
+++ b/executor/commands.go
@@ -0,0 +1,119 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// HandleCommands records what an entry echoes, queues or refuses the tasks that it
+// starts, and stops the runs that it names. Commands of an entry or incarnation
+// that has not linked are ignored.
+func (x *Executor) HandleCommands(now time.Duration, ref EntryRef, commands *tasklink.Commands) Effects {
+	var effects Effects
+	e, ok := x.entries[ref.Name]
+	if !ok || e.EntryRef != ref {
+		return effects
+	}
+	echo := time.Duration(commands.EchoedClock)
+	if echo > e.lastEcho {
+		e.lastEcho = echo
+		e.stoppedForSilence = e.stoppedForSilence && e.silent(now)
+	}
+	x.recordDisabledZones(commands.DisabledZones)
+	for _, crash := range commands.Crashes {
+		x.crashes.Add(now, crash, e.Name)
+	}
+	for i := range commands.Starts {
+		x.acceptStart(now, e, &commands.Starts[i], now-echo > maxCommandAge, &effects)
+	}
+	for _, id := range commands.Stops {
+		if r, ok := x.runsByTask[id.TaskID]; ok && r.entry == e && r.id.Number <= id.Number {
+			x.stopRun(now, r, "its entry stopped it", &effects)
+		}
+	}
+	x.startQueued(now, &effects)
+	return effects
+}
+
+// recordDisabledZones keeps a list of disabled zones if it is newer than the
+// known one.
+func (x *Executor) recordDisabledZones(zones tasklink.DisabledZones) {
+	if zones.Version > x.disabledZones.Version {
+		x.disabledZones = zones
+	}
+}
+
+// acceptStart queues the runs of a start command, or refuses them. If the command is
+// stale, it refuses all of them.
+func (x *Executor) acceptStart(now time.Duration, e *entry, start *tasklink.StartCommand, stale bool, effects *Effects) {
+	refusal := x.refusalReason(start, stale)
+	for _, task := range start.Tasks {
+		id := pollenfront.RunID{Number: task.Run, TaskID: pollenfront.TaskID{Index: task.Index, Job: start.Job, Step: start.Step}}
+		e.lastSeqNum = max(e.lastSeqNum, task.SeqNum)
+		reason := refusal
+		if reason == "" {
+			reason = x.taskRefusalReason(now, start, id.TaskID)
+		}
+		if reason != "" {
+			x.reportEnd(now, e, tasklink.RunEnd{Run: id, Ending: pollenfront.EndingNotStarted, Reason: reason}, effects)
+			continue
+		}
+		r := &run{
+			acceptedAt: now, atMostOnce: start.AtMostOnce, entry: e, expectedRunTime: time.Duration(start.ExpectedRunTime), id: id,
+			latestStart: now + time.Duration(start.Slack), need: start.Need, payload: start.Payload, priority: clampPriority(start), rerun: task.Rerun, route: start.Route,
+		}
+		x.runsByTask[id.TaskID] = r
+		x.acceptedRuns = append(x.acceptedRuns, r)
+		x.enqueue(r)
+		x.startQueued(now, effects) // exceedsMaxWait must see the resources that are left for the next task.
+	}
+}
+
+// taskRefusalReason returns why a task of a start command that is not refused as a whole
+// may not start, or "" if it may.
+func (x *Executor) taskRefusalReason(now time.Duration, start *tasklink.StartCommand, id pollenfront.TaskID) string {
+	_, active := x.runsByTask[id]
+	switch {
+	case active:
+		return "an earlier run of the task has not ended"
+	case x.crashes.Exceeded(id):
+		return "too many processes have crashed under the task"
+	case x.exceedsMaxWait(now, start):
+		return "the server is full"
+	}
+	return ""
+}
+
+// exceedsMaxWait reports whether a task of a start command would wait for longer
+// than maxQueueWait.
+func (x *Executor) exceedsMaxWait(now time.Duration, start *tasklink.StartCommand) bool {
+	if x.unreservedResources().Covers(start.Need) {
+		return false
+	}
+	return x.queueWaits(now)[clampPriority(start)] > int(maxQueueWait/time.Millisecond)
+}
+
+// clampPriority returns the priority of a start command, limited to the range that
+// the agent distinguishes.
+func clampPriority(start *tasklink.StartCommand) int {
+	return min(max(start.Priority, 0), numPriorities-1)
+}
+
+// refusalReason returns why no run of a start command may start, or "" if they may.
+func (x *Executor) refusalReason(start *tasklink.StartCommand, stale bool) string {
+	switch {
+	case stale:
+		return "the order was delayed"
+	case start.Service != x.service:
+		return "the server belongs to another service"
+	case x.State() == tasklink.StateUnavailable:
+		return "the server has not announced itself"
+	case x.State() == tasklink.StateDraining:
+		return "the server takes no new tasks"
+	case !x.server.capacity.Covers(start.Need):
+		return "the server is too small for the task"
+	}
+	return ""
+}
--- /dev/null
+++ b/executor/effects.go
@@ -0,0 +1,69 @@
+package executor
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Effects are what the driver must do after an event.
+type Effects struct {
+	// Crashes lists the crashes of the server that were detected.
+	Crashes []ServerCrash
+	// Ended lists the runs that ended, for the log.
+	Ended []EndedRun
+	// Notify lists the names of the entries that need an update now.
+	Notify []string
+	// Starts lists the start requests to send to the server.
+	Starts []pollenfront.StartRequest
+	// Stops lists the stop requests to send to the server.
+	Stops []StopRequest
+}
+
+// An EndedRun is a run that ended, or one whose start command was refused.
+type EndedRun struct {
+	tasklink.RunEnd
+
+	// Entry is the name of the entry that sent the start command.
+	Entry string
+	// Reported is whether the entry is linked, and so gets the end in an update.
+	Reported bool
+}
+
+// A StopRequest tells the server to stop a run, or not to start it.
+type StopRequest struct {
+	Run   pollenfront.RunID
+	Token uint64
+}
+
+// merge appends other effects.
+func (e *Effects) merge(other Effects) {
+	e.Crashes = append(e.Crashes, other.Crashes...)
+	e.Ended = append(e.Ended, other.Ended...)
+	e.Starts = append(e.Starts, other.Starts...)
+	e.Stops = append(e.Stops, other.Stops...)
+	for _, name := range other.Notify {
+		e.notify(name)
+	}
+}
+
+// notify adds an entry to those that need an update, if it is not among them.
+func (e *Effects) notify(name string) {
+	for _, n := range e.Notify {
+		if n == name {
+			return
+		}
+	}
+	e.Notify = append(e.Notify, name)
+}
+
+// notifyAll adds all linked entries to those that need an update.
+func (x *Executor) notifyAll(effects *Effects) {
+	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
+		if x.entries[name].linked {
+			effects.notify(name)
+		}
+	}
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -153,36 +153,6 @@
 // An EntryRef names one incarnation of an entry.
 type EntryRef = pollenfront.EntryRef
 
-// Effects are what the driver must do after an event.
-type Effects struct {
-	// Crashes lists the crashes of the server that were detected.
-	Crashes []ServerCrash
-	// Ended lists the runs that ended, for the log.
-	Ended []EndedRun
-	// Notify lists the names of the entries that need an update now.
-	Notify []string
-	// Starts lists the start requests to send to the server.
-	Starts []pollenfront.StartRequest
-	// Stops lists the stop requests to send to the server.
-	Stops []StopRequest
-}
-
-// An EndedRun is a run that ended, or one whose start command was refused.
-type EndedRun struct {
-	tasklink.RunEnd
-
-	// Entry is the name of the entry that sent the start command.
-	Entry string
-	// Reported is whether the entry is linked, and so gets the end in an update.
-	Reported bool
-}
-
-// A StopRequest tells the server to stop a run, or not to start it.
-type StopRequest struct {
-	Run   pollenfront.RunID
-	Token uint64
-}
-
 // An Executor holds the state of an agent.
 type Executor struct {
 	// acceptedRuns lists all runs that have not ended, in the order of acceptance.
@@ -233,108 +203,6 @@
 	}
 }
 
-// HandleCommands records what an entry echoes, queues or refuses the tasks that it
-// starts, and stops the runs that it names. Commands of an entry or incarnation
-// that has not linked are ignored.
-func (x *Executor) HandleCommands(now time.Duration, ref EntryRef, commands *tasklink.Commands) Effects {
-	var effects Effects
-	e, ok := x.entries[ref.Name]
-	if !ok || e.EntryRef != ref {
-		return effects
-	}
-	echo := time.Duration(commands.EchoedClock)
-	if echo > e.lastEcho {
-		e.lastEcho = echo
-		e.stoppedForSilence = e.stoppedForSilence && e.silent(now)
-	}
-	x.recordDisabledZones(commands.DisabledZones)
-	for _, crash := range commands.Crashes {
-		x.crashes.Add(now, crash, e.Name)
-	}
-	for i := range commands.Starts {
-		x.acceptStart(now, e, &commands.Starts[i], now-echo > maxCommandAge, &effects)
-	}
-	for _, id := range commands.Stops {
-		if r, ok := x.runsByTask[id.TaskID]; ok && r.entry == e && r.id.Number <= id.Number {
-			x.stopRun(now, r, "its entry stopped it", &effects)
-		}
-	}
-	x.startQueued(now, &effects)
-	return effects
-}
-
-// recordDisabledZones keeps a list of disabled zones if it is newer than the
-// known one.
-func (x *Executor) recordDisabledZones(zones tasklink.DisabledZones) {
-	if zones.Version > x.disabledZones.Version {
-		x.disabledZones = zones
-	}
-}
-
-// acceptStart queues the runs of a start command, or refuses them. If the command is
-// stale, it refuses all of them.
-func (x *Executor) acceptStart(now time.Duration, e *entry, start *tasklink.StartCommand, stale bool, effects *Effects) {
-	refusal := x.refusalReason(start, stale)
-	for _, task := range start.Tasks {
-		id := pollenfront.RunID{Number: task.Run, TaskID: pollenfront.TaskID{Index: task.Index, Job: start.Job, Step: start.Step}}
-		e.lastSeqNum = max(e.lastSeqNum, task.SeqNum)
-		reason := refusal
-		if _, active := x.runsByTask[id.TaskID]; active && reason == "" {
-			reason = "an earlier run of the task has not ended"
-		}
-		if x.crashes.Exceeded(id.TaskID) && reason == "" {
-			reason = "too many servers have crashed under the task"
-		}
-		if reason == "" && x.exceedsMaxWait(now, start) {
-			reason = "the server is full"
-		}
-		if reason != "" {
-			x.reportEnd(now, e, tasklink.RunEnd{Run: id, Ending: pollenfront.EndingNotStarted, Reason: reason}, effects)
-			continue
-		}
-		r := &run{
-			acceptedAt: now, atMostOnce: start.AtMostOnce, entry: e, expectedRunTime: time.Duration(start.ExpectedRunTime), id: id,
-			latestStart: now + time.Duration(start.Slack), need: start.Need, payload: start.Payload, priority: clampPriority(start), rerun: task.Rerun, route: start.Route,
-		}
-		x.runsByTask[id.TaskID] = r
-		x.acceptedRuns = append(x.acceptedRuns, r)
-		x.enqueue(r)
-		x.startQueued(now, effects) // exceedsMaxWait must see the resources that are left for the next task.
-	}
-}
-
-// exceedsMaxWait reports whether a task of a start command would wait for longer
-// than maxQueueWait.
-func (x *Executor) exceedsMaxWait(now time.Duration, start *tasklink.StartCommand) bool {
-	if x.unreservedResources().Covers(start.Need) {
-		return false
-	}
-	return x.queueWaits(now)[clampPriority(start)] > int(maxQueueWait/time.Millisecond)
-}
-
-// clampPriority returns the priority of a start command, limited to the range that
-// the agent distinguishes.
-func clampPriority(start *tasklink.StartCommand) int {
-	return min(max(start.Priority, 0), numPriorities-1)
-}
-
-// refusalReason returns why no run of a start command may start, or "" if they may.
-func (x *Executor) refusalReason(start *tasklink.StartCommand, stale bool) string {
-	switch {
-	case stale:
-		return "the order was delayed"
-	case start.Service != x.service:
-		return "the server belongs to another service"
-	case x.State() == tasklink.StateUnavailable:
-		return "the server has not announced itself"
-	case x.State() == tasklink.StateDraining:
-		return "the server takes no new tasks"
-	case !x.server.capacity.Covers(start.Need):
-		return "the server is too small for the task"
-	}
-	return ""
-}
-
 // State returns whether entries may send tasks to the server.
 func (x *Executor) State() tasklink.State {
 	switch {
@@ -367,36 +235,6 @@
 	return len(x.runsByTask) == 0
 }
 
-// merge appends other effects.
-func (e *Effects) merge(other Effects) {
-	e.Crashes = append(e.Crashes, other.Crashes...)
-	e.Ended = append(e.Ended, other.Ended...)
-	e.Starts = append(e.Starts, other.Starts...)
-	e.Stops = append(e.Stops, other.Stops...)
-	for _, name := range other.Notify {
-		e.notify(name)
-	}
-}
-
-// notify adds an entry to those that need an update, if it is not among them.
-func (e *Effects) notify(name string) {
-	for _, n := range e.Notify {
-		if n == name {
-			return
-		}
-	}
-	e.Notify = append(e.Notify, name)
-}
-
-// notifyAll adds all linked entries to those that need an update.
-func (x *Executor) notifyAll(effects *Effects) {
-	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
-		if x.entries[name].linked {
-			effects.notify(name)
-		}
-	}
-}
-
 // Tick applies all timeouts, repeats requests that failed, and starts queued runs.
 // The driver calls it every TickInterval.
 func (x *Executor) Tick(now time.Duration) Effects {
--- /dev/null
+++ b/scheduler/effects.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Effects are what the driver has to do after an event.
+type Effects struct {
+	// Commands are the messages to send to agents, by the agent's name. The
+	// driver calls MarkSent for each one that it sends.
+	Commands map[string]*tasklink.Commands
+	// Placements are the placements to log.
+	Placements []Placement
+	// Results are the answers to give to callers. Each submission gets one, unless
+	// its caller leaves before.
+	Results []pollenfront.Result
+}
+
+// A Placement describes tasks of a job that were sent to a server, and the state of
+// the server by which it was chosen.
+type Placement struct {
+	Agent string
+	// FreeCPU is the CPU, in thousandths of a core, that stays free on the server
+	// after the placement, as far as known. It can be negative.
+	FreeCPU int
+	Job     string
+	// MaxRunNumber is the highest run number among the tasks.
+	MaxRunNumber int
+	// ReportAge is the age of the agent's latest report.
+	ReportAge time.Duration
+	// Slowness is the server's slowness according to that report.
+	Slowness float64
+	Tasks    int
+	// Waited is the time since the job arrived.
+	Waited time.Duration
+}
+
+// addResult appends a result.
+func (e *Effects) addResult(result pollenfront.Result) {
+	e.Results = append(e.Results, result)
+}
+
+// commandsFor returns the commands in e for an agent, and creates them if there are
+// none yet.
+func (e *Effects) commandsFor(s *Scheduler, a *agent) *tasklink.Commands {
+	commands, ok := e.Commands[a.Name]
+	if !ok {
+		if e.Commands == nil {
+			e.Commands = make(map[string]*tasklink.Commands)
+		}
+		commands = &tasklink.Commands{AgentCount: s.agentCounts[a.service], DisabledZones: s.disabledZones, EchoedClock: a.echo}
+		commands.Crashes, a.crashCursor = s.crashes.Since(s.lastEvent, a.crashCursor, a.Name)
+		e.Commands[a.Name] = commands
+	}
+	return commands
+}
+
+// MarkSent records that commands were sent to the agent with the given name. Tick
+// then adds no commands just to keep the link alive until the agent's interval for
+// commands has passed.
+func (s *Scheduler) MarkSent(now time.Duration, name string) {
+	if a, ok := s.agents[name]; ok {
+		a.lastSent = now
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -172,7 +172,7 @@
 // wait, it sends none and returns false.
 func (s *Scheduler) placeJob(now time.Duration, j *job, candidates []candidate, effects *Effects) bool {
 	chosen := make([]int, 0, j.toPlace)
-	suspects := make([]int, 0)
+	var suspects []int
 	release := func() {
 		for _, i := range chosen {
 			candidates[i].free = candidates[i].free.Add(j.Need)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -108,37 +108,6 @@
 	suspensionLimit = 1100 * time.Millisecond
 )
 
-// Effects are what the driver has to do after an event.
-type Effects struct {
-	// Commands are the messages to send to agents, by the agent's name. The
-	// driver calls MarkSent for each one that it sends.
-	Commands map[string]*tasklink.Commands
-	// Placements are the placements to log.
-	Placements []Placement
-	// Results are the answers to give to callers. Each submission gets one, unless
-	// its caller leaves before.
-	Results []pollenfront.Result
-}
-
-// A Placement describes tasks of a job that were sent to a server, and the state of
-// the server by which it was chosen.
-type Placement struct {
-	Agent string
-	// FreeCPU is the CPU, in thousandths of a core, that stays free on the server
-	// after the placement, as far as known. It can be negative.
-	FreeCPU int
-	Job     string
-	// MaxRunNumber is the highest run number among the tasks.
-	MaxRunNumber int
-	// ReportAge is the age of the agent's latest report.
-	ReportAge time.Duration
-	// Slowness is the server's slowness according to that report.
-	Slowness float64
-	Tasks    int
-	// Waited is the time since the job arrived.
-	Waited time.Duration
-}
-
 // A Scheduler holds the jobs of an entry, and the agents that have linked to it.
 type Scheduler struct {
 	// agentCounts holds the number of linked agents by service.
@@ -325,66 +294,7 @@
 	return effects
 }
 
-// detectSuspension records the time of an event. If the process was suspended
-// before it, it aborts all jobs, whose callers have switched to other entries,
-// and starts another warm-up. Submit, Cancel, Tick, LinkAgent and HandleUpdate call it
-// before anything else, so that no task is placed for a caller that has left.
-func (s *Scheduler) detectSuspension(now time.Duration, effects *Effects) {
-	if s.lastEvent > 0 && now-s.lastEvent > suspensionLimit {
-		s.abortJobs(now, pollenfront.ReasonSuspended, effects)
-		s.warmUpStart = now // The known state of the servers is outdated.
-	}
-	s.lastEvent = now
-}
-
-// AbortAll aborts all jobs for the given reason. A job of which a task was sent
-// gets VerdictUnknown at once, any other is refused.
-func (s *Scheduler) AbortAll(now time.Duration, reason pollenfront.Reason) *Effects {
-	effects := &Effects{}
-	s.abortJobs(now, reason, effects)
-	return effects
-}
-
-// abortJobs implements AbortAll.
-func (s *Scheduler) abortJobs(now time.Duration, reason pollenfront.Reason, effects *Effects) {
-	for _, j := range s.sortedJobs() {
-		if j.sentAny {
-			j.answer(pollenfront.VerdictUnknown, reason, "", 0, effects)
-		}
-		s.cancelJob(now, j, reason, effects)
-	}
-}
-
 // sortedJobs returns the jobs in the order of their submission.
 func (s *Scheduler) sortedJobs() []*job {
 	return slices.SortedFunc(maps.Values(s.jobs), func(a, b *job) int { return cmp.Compare(a.seqNum, b.seqNum) })
 }
-
-// addResult appends a result.
-func (e *Effects) addResult(result pollenfront.Result) {
-	e.Results = append(e.Results, result)
-}
-
-// commandsFor returns the commands in e for an agent, and creates them if there are
-// none yet.
-func (e *Effects) commandsFor(s *Scheduler, a *agent) *tasklink.Commands {
-	commands, ok := e.Commands[a.Name]
-	if !ok {
-		if e.Commands == nil {
-			e.Commands = make(map[string]*tasklink.Commands)
-		}
-		commands = &tasklink.Commands{AgentCount: s.agentCounts[a.service], DisabledZones: s.disabledZones, EchoedClock: a.echo}
-		commands.Crashes, a.crashCursor = s.crashes.Since(s.lastEvent, a.crashCursor, a.Name)
-		e.Commands[a.Name] = commands
-	}
-	return commands
-}
-
-// MarkSent records that commands were sent to the agent with the given name. Tick
-// then adds no commands just to keep the link alive until the agent's interval for
-// commands has passed.
-func (s *Scheduler) MarkSent(now time.Duration, name string) {
-	if a, ok := s.agents[name]; ok {
-		a.lastSent = now
-	}
-}
