--- a/crashlog/log.go
+++ b/crashlog/log.go
@@ -4,7 +4,7 @@
 //
 // Entries and agents each have a Log, and pass the crashes that they learn of to all of
 // their peers. A crash therefore reaches the entries and agents that have no link to the
-// crashed process, and those that start later. They need the store for neither.
+// crashed process, and those that start later, without the store.
 //
 // A process takes along tasks that have nothing to do with its crash. One crash
 // therefore only makes a task suspect. A task that has exceeded the limit must not be
@@ -42,7 +42,7 @@
 	// as suspicious as each other.
 	minAge = 5 * time.Millisecond
 	// minSuspicion is the share in the suspicion of a crash from which on a job is a
-	// likely culprit. A crash costs more than this share of it is worth.
+	// likely culprit. Starting a less suspicious job again is worth the risk of a crash.
 	minSuspicion = 0.1
 	// retention is how long a crash is kept. It is longer than callers submit a job
 	// again.
