Play lost answers, planned replacements and flapping servers in the replay

Change: the replay's servers can lose answers of requests that they have carried out, and be replaced as planned (drain, notice, restart); the property test draws both. Three patterns with limits for the share of jobs on time.

--- a/replay/agent.go
+++ b/replay/agent.go
@@ -87,6 +87,9 @@
 	a := &agentNode{node: node{fleet: f}, index: i, name: fmt.Sprintf("agent-%d", i), server: newServerNode(f, runTimeFactor), zone: f.zoneName(i)}
 	a.server.rack = a.rack()
 	a.server.announce = func() { a.handleEvent(a.generation, a.announceServer) }
+	a.server.deregister = func() {
+		a.handleEvent(a.generation, func() { a.applyEffects(a.executor.HandleDeregistration(a.fleet.now)) })
+	}
 	if f.centralQueue == nil {
 		a.start()
 	}
@@ -156,7 +159,8 @@
 	}
 	a.announcementSeqNum++
 	effects, _ := a.executor.HandleAnnouncement(a.fleet.now, pollenfront.Announcement{
-		Capacity: a.server.capacity, Clock: a.fleet.now, Incarnation: a.server.incarnation, Labels: []string{a.rack()}, SeqNum: a.announcementSeqNum, Zone: a.zone,
+		Capacity: a.server.capacity, Clock: a.fleet.now, Draining: a.server.draining, Incarnation: a.server.incarnation, Labels: []string{a.rack()},
+		SeqNum: a.announcementSeqNum, Zone: a.zone,
 	})
 	a.applyEffects(effects)
 }
@@ -205,7 +209,7 @@
 // delayed renewal is carried out seconds later and gets no response.
 func (a *agentNode) sendRenewal(request pollenfront.RenewalRequest, respond func(*pollenfront.RenewalResponse, error)) {
 	s, incarnation, generation, delay := a.server, a.server.incarnation, a.generation, agentServerDelay
-	delayed := s.drawDelayed()
+	delayed, lost := s.drawDelayed(), s.drawLost()
 	if delayed {
 		delay = s.drawDelay()
 	}
@@ -221,7 +225,7 @@
 			return
 		}
 		s.renew(request, func(response *pollenfront.RenewalResponse, err error) {
-			if !delayed {
+			if !delayed && !lost {
 				a.fleet.schedule(agentServerDelay, func() { a.handleEvent(generation, func() { respond(response, err) }) })
 			}
 		})
@@ -269,9 +273,12 @@
 		a.schedule(timeout, func() { respond(errNoResponse) })
 		return
 	}
-	generation := a.generation
+	generation, lost := a.generation, a.server.drawLost()
 	a.fleet.schedule(agentServerDelay, func() {
 		err := deliver()
+		if lost {
+			err = errNoResponse
+		}
 		delay := agentServerDelay
 		if errors.Is(err, errNoResponse) {
 			delay = timeout
--- a/replay/faults_test.go
+++ b/replay/faults_test.go
@@ -39,7 +39,7 @@
 	agent := rapid.IntRange(0, s.Agents-1).Draw(t, "agent")
 	switch rapid.SampledFrom([]string{
 		"crash-server", "crash-server-process", "partition", "partition-all", "delay-requests", "fail-server", "hang-server",
-		"kill-agent", "kill-entry", "reset-link", "slow-server", "suspend-agent", "suspend-entry",
+		"kill-agent", "kill-entry", "lose-answers", "replace-server", "reset-link", "slow-server", "suspend-agent", "suspend-entry",
 	}).Draw(t, "fault") {
 	case "crash-server":
 		f.CrashServer(at, agent, duration)
@@ -61,6 +61,10 @@
 		f.KillAgent(at, agent, duration)
 	case "kill-entry":
 		f.KillEntry(at, entry, duration)
+	case "lose-answers":
+		f.LoseAnswers(at, rapid.SampledFrom([]float64{0.2, 0.8}).Draw(t, "share"), duration)
+	case "replace-server":
+		f.ReplaceServer(at, agent, duration)
 	case "reset-link":
 		f.ResetLink(at, entry, agent)
 	case "slow-server":
--- a/replay/fleet_test.go
+++ b/replay/fleet_test.go
@@ -33,6 +33,9 @@
 		{pattern: "a server that fails all that it starts", minShare: map[string]float64{"small": 0.9, "large": 0.9, "pair": 0.9}},
 		{pattern: "a server that turns slow", minShare: map[string]float64{"small": 0.95, "large": 0.95, "pair": 0.95}},
 		{pattern: "orders that are carried out late", minShare: map[string]float64{"small": 0.9, "large": 0.9, "pair": 0.9}},
+		{pattern: "servers that lose their answers", minShare: map[string]float64{"small": 0.9, "large": 0.9, "pair": 0.9}},
+		{pattern: "servers that go down and up by turns", minShare: map[string]float64{"small": 0.9, "large": 0.9, "pair": 0.9}},
+		{pattern: "servers that are replaced one after the other", minShare: map[string]float64{"small": 0.97, "large": 0.97, "pair": 0.97}},
 	}
 	for _, test := range tests {
 		t.Run(test.pattern, func(t *testing.T) {
--- a/replay/pattern.go
+++ b/replay/pattern.go
@@ -124,6 +124,22 @@
 		f.loadMix(quietLoad)
 		f.DelayRequests(3*time.Second, 0.3, 5*time.Second)
 	}},
+	{Name: "servers that lose their answers", Settings: SmallFleet, Setup: func(f *Fleet) {
+		f.loadMix(quietLoad)
+		f.LoseAnswers(3*time.Second, 0.3, 5*time.Second)
+	}},
+	{Name: "servers that go down and up by turns", Settings: SmallFleet, Setup: func(f *Fleet) {
+		f.loadMix(quietLoad)
+		for i := range 12 {
+			f.CrashServerProcess(3*time.Second+time.Duration(i)*500*time.Millisecond, i%3, 700*time.Millisecond)
+		}
+	}},
+	{Name: "servers that are replaced one after the other", Settings: SmallFleet, Setup: func(f *Fleet) {
+		f.loadMix(quietLoad)
+		for i := range 11 {
+			f.ReplaceServer(2*time.Second+time.Duration(i)*600*time.Millisecond, i, 300*time.Millisecond)
+		}
+	}},
 	{Name: "a wave of callers that leave", Settings: SmallFleet, Setup: func(f *Fleet) {
 		f.loadMix(busyLoad)
 		f.CancelEarly(3*time.Second, 0.5, 4*time.Second)
--- a/replay/server.go
+++ b/replay/server.go
@@ -15,13 +15,16 @@
 	acknowledged        uint64 // acknowledged is the sequence number up to which the agent has acknowledged ended runs.
 	announce            func() // announce announces the server to its agent.
 	capacity            pollenfront.Resources
+	deregister          func()  // deregister tells the agent that the server shuts down.
 	delayedRequestShare float64 // delayedRequestShare is the share of requests that are carried out seconds later and get no response.
+	draining            bool    // draining is whether the server announces that it takes no new tasks.
 	endedRuns           []pollenfront.EndedRun
 	failing             bool // failing makes new runs fail.
 	fleet               *Fleet
 	hanging             bool // hanging makes new runs hang: they make no progress and do not end by themselves.
 	incarnation         uint64
 	lastSeqNum          uint64        // lastSeqNum is the sequence number of the last ended run.
+	lostAnswerShare     float64       // lostAnswerShare is the share of requests that are carried out at once and get no response.
 	leaseExpiry         time.Duration // leaseExpiry is the time when all runs end, unless the lease is extended.
 	rack                string
 	refusing            bool   // refusing is set while the server's process does not run, so that connections are refused.
@@ -110,6 +113,11 @@
 	return s.fleet.random.Float64() < s.delayedRequestShare
 }
 
+// drawLost draws whether the response to a request is lost.
+func (s *serverNode) drawLost() bool {
+	return s.lostAnswerShare > 0 && s.fleet.random.Float64() < s.lostAnswerShare
+}
+
 // drawDelay draws the time after which a delayed request is carried out.
 func (s *serverNode) drawDelay() time.Duration {
 	return minRequestDelay + time.Duration(s.fleet.random.Int64N(int64(requestDelayRange)))
