Let soaks choose a free range of loopback addresses

A fleet now reserves the first free range by listening at the address of its store, prints the range and the addresses of its entries, and names the range if a requested one is in use. It creates the folder for its logs, which had failed after the fleet had begun to start.

--- a/soak/explain_test.go
+++ b/soak/explain_test.go
@@ -28,9 +28,6 @@
 	// that runs a task of largeCPU has no capacity for one of smallCPU.
 	largeCPU = 60000
 	smallCPU = 6000
-
-	// testOctet keeps the addresses apart from those of other fleets.
-	testOctet = 90
 )
 
 // buildPrograms builds the programs that the test needs into a temporary folder,
@@ -98,7 +95,7 @@
 		},
 	}
 	bin, dir := buildPrograms(t), t.TempDir()
-	f, err := fleet.Start(fleet.Options{Agents: agentCount, Bin: bin, Dir: dir, Entries: 1, Octet: testOctet})
+	f, err := fleet.Start(fleet.Options{Agents: agentCount, Bin: bin, Dir: dir, Entries: 1})
 	qt.Assert(t, err, qt.IsNil)
 	defer f.Stop()
 	time.Sleep(settleTime)
--- a/soak/internal/fleet/fleet.go
+++ b/soak/internal/fleet/fleet.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	f, err := fleet.Start(fleet.Options{Agents: 5, Dir: dir, Entries: 3, Octet: 40})
+//	f, err := fleet.Start(fleet.Options{Agents: 5, Dir: dir, Entries: 3})
 //	defer f.Stop()
 package fleet
 
@@ -32,6 +32,7 @@
 	// crashDuration is how long a backend server is down after a task has crashed it.
 	crashDuration = 1500 * time.Millisecond
 	linkPort      = 7100
+	storePort     = 7000
 
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay = 300 * time.Millisecond
@@ -61,7 +62,7 @@
 	Entries int
 
 	// Octet is the second octet of all addresses, so that fleets can run side by
-	// side in 127.0.0.0/8.
+	// side in 127.0.0.0/8. With zero, Start uses the first range that is free.
 	Octet int
 }
 
@@ -103,17 +104,24 @@
 }
 
 // Start starts the store, then the entries, then the agents with their backend
-// servers. It does not wait until they are ready.
+// servers. It does not wait until they are ready. The settings and logs are written
+// to o.Dir, which is created if it does not exist.
 func Start(o Options) (*Fleet, error) {
+	if err := os.MkdirAll(o.Dir, 0o750); err != nil {
+		return nil, fmt.Errorf("create the folder for settings and logs: %w", err)
+	}
+	listener, octet, err := reserveRange(o.Octet)
+	if err != nil {
+		return nil, err
+	}
+	o.Octet = octet
 	ctx, cancel := context.WithCancel(context.Background())
 	zoneOf := make(map[string]string)
 	for i := range o.Agents {
 		zoneOf[serverName(i)] = Zone(i)
 	}
 	f := &Fleet{Checker: invariants.New(zoneOf), Store: store.New(store.Rates{Reads: 2000, Writes: 800}), cancel: cancel, options: o}
-	if err := f.serve(f.address(0, 1, 7000), f.Store); err != nil {
-		return nil, err
-	}
+	serve(listener, f.Store)
 	f.Configure(1)
 	for i := range o.Entries {
 		if err := f.startEntry(i); err != nil {
@@ -150,7 +158,7 @@
 // store, 1 the entries, 2 the agents, 3 the backend servers, and 4 the listeners
 // of the entries for links, behind the proxies.
 func (f *Fleet) address(group, i, port int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", f.options.Octet, group, i, port)
+	return address(f.options.Octet, group, i, port)
 }
 
 // serverName returns the name of the backend server of agent i.
@@ -158,15 +166,15 @@
 	return fmt.Sprintf("server-%d", i)
 }
 
-// serve serves HTTP at an address until this process ends.
-func (f *Fleet) serve(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
+// Range returns the range of loopback addresses that the fleet uses.
+func (f *Fleet) Range() string {
+	return addressRange(f.options.Octet)
+}
+
+// serve serves HTTP on a listener until this process ends.
+func serve(listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
-	return nil
 }
 
 // startEntry starts an entry and the proxy for its links. The entry advertises the
@@ -188,7 +196,7 @@
 stop-limit = %q
 store = %q
 zone = %q
-`, proxyAddress, f.address(1, i+1, 8081), f.address(1, i+1, 8080), linkAddress, i, f.address(1, i+1, 8082), stopLimit, f.address(0, 1, 7000), Zone(i)))
+`, proxyAddress, f.address(1, i+1, 8081), f.address(1, i+1, 8080), linkAddress, i, f.address(1, i+1, 8082), stopLimit, f.address(0, 1, storePort), Zone(i)))
 	f.Entries = append(f.Entries, process)
 	return err
 }
@@ -215,7 +223,7 @@
 stop-limit = %q
 store = %q
 zone = %q
-`, announce, f.address(2, i+1, 8081), linkPort, i, f.address(1, 1, linkPort), address, callers.Service, stopLimit, f.address(0, 1, 7000), Zone(i)))
+`, announce, f.address(2, i+1, 8081), linkPort, i, f.address(1, 1, linkPort), address, callers.Service, stopLimit, f.address(0, 1, storePort), Zone(i)))
 	f.Agents = append(f.Agents, process)
 	return err
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -25,10 +26,10 @@
 	Bin     string        `default:"bin" help:"folder with the built programs"`
 	Calm    bool          `help:"inject no faults; a lost or refused job is a violation"`
 	Crash   uint64        `default:"0" help:"one job in this number crashes each server that starts it, none with 0"`
-	Dir     string        `help:"folder for settings and logs [default: a new temporary folder]"`
+	Dir     string        `help:"folder for settings and logs, created if needed [default: a new temporary folder]"`
 	Entries int           `default:"3" help:"number of entries"`
 	For     time.Duration `default:"20s" help:"how long faults are injected"`
-	Octet   int           `default:"40" help:"second octet of the addresses in 127.0.0.0/8"`
+	Octet   int           `help:"second octet of the addresses in 127.0.0.0/8 [default: of a free range]"`
 	Rate    float64       `default:"20" help:"jobs submitted per second"`
 	Seed    uint64        `default:"1" help:"seed of the load and of the schedule of faults"`
 }
@@ -91,6 +92,7 @@
 		return nil, err
 	}
 	defer f.Stop()
+	fmt.Printf("addresses %s, entries at %s\n", f.Range(), strings.Join(f.CallerAddresses, ", "))
 	time.Sleep(settleTime)
 	c := callers.New(f.CallerAddresses, f.Checker, o.Seed)
 	ctx, cancel := context.WithTimeout(context.Background(), o.For)
