Pace the copies of the configuration that agents keep

Cause: after a loss of power everywhere, an entry sent the configuration to all agents that it is the primary entry of as soon as it had read it. With a configuration of 1,001 routes on a link of 25 Mbit/s, copies and the agents' first messages share the link for a third of a second or more, while callers come back and their start commands wait behind the copies.

Change: copies are sent one after the other at 1 MiB/s, small ones as before. An agent that becomes the entry's own later gets its copy too.

--- a/entry/internal/jobs/config.go
+++ b/entry/internal/jobs/config.go
@@ -1,16 +1,26 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/scheduler"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
-// copyDelay is the time within which most agents link to an entry after the first one has.
-const copyDelay = 200 * time.Millisecond
+const (
+	// copyDelay is the time within which most agents link to an entry after the first one has.
+	copyDelay = 200 * time.Millisecond
+	// copyRate limits the copies of the configuration that are sent to agents, in bytes
+	// per second. All agents link at the same time when a fleet starts, and copies of a
+	// large configuration must not delay start commands on a slow network link.
+	copyRate = 1 << 20
+)
 
 // setConfig puts a configuration from the store in force, and sends a new version to the
 // agents that keep it for entries which start without the store. The caller must hold mu.
@@ -24,20 +34,32 @@
 		return
 	}
 	j.logger.Info("configuration in force", zap.Uint64("version", config.Version), zap.Int("routes", len(config.Routes)))
-	for _, link := range j.links {
-		j.sendConfig(link)
-	}
+	j.sendCopies(bootclock.Now())
 }
 
-// sendConfig sends the configuration in force to an agent, if this entry is the primary
-// entry of its server. The caller must hold mu.
-func (j *Jobs) sendConfig(link *agentLink) {
+// sendCopies sends the configuration in force to the agents whose servers have this entry
+// as their primary entry and which do not have it yet, as far as copyRate allows. A later
+// call sends the remaining copies. The caller must hold mu.
+func (j *Jobs) sendCopies(now time.Duration) {
 	config := j.config.Load()
-	if config == nil || !j.scheduler.IsPrimary(link.hello.Name) {
+	if config == nil || now < j.nextCopy {
 		return
 	}
-	if err := link.Send(&tasklink.Commands{Config: config}); err != nil {
-		link.Close() // receiveUpdates then returns an error, and serveLink removes the link.
+	transmissionTime := time.Duration(float64(config.Msgsize()) / copyRate * float64(time.Second))
+	j.nextCopy = max(j.nextCopy, now-scheduler.TickInterval)
+	for _, name := range slices.Sorted(maps.Keys(j.links)) {
+		link := j.links[name]
+		if link.configVersion == config.Version || !j.scheduler.IsPrimary(name) {
+			continue
+		}
+		if now < j.nextCopy {
+			return
+		}
+		j.nextCopy += transmissionTime
+		link.configVersion = config.Version
+		if err := link.Send(&tasklink.Commands{Config: config}); err != nil {
+			link.Close() // receiveUpdates then returns an error, and serveLink removes the link.
+		}
 	}
 }
 
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -57,6 +57,9 @@
 	metrics     *metrics
 	// mu guards the fields that change after New, but for config.
 	mu program.Guard
+	// nextCopy is the time from which the next copy of the configuration may be sent to an
+	// agent.
+	nextCopy time.Duration
 	// offered is the newest copy of the configuration that agents keep, until one is read
 	// from the store.
 	offered *pollenfront.Config
@@ -344,6 +347,7 @@
 	defer j.mu.Unlock()
 	now := bootclock.Now()
 	j.adoptConfig(now)
+	j.sendCopies(now)
 	j.applyEffects(now, j.scheduler.Tick(now))
 	j.evictHellos(now)
 	for _, agent := range j.scheduler.SilentAgents(now) {
--- a/entry/internal/jobs/link.go
+++ b/entry/internal/jobs/link.go
@@ -17,7 +17,10 @@
 type agentLink struct {
 	*tasklink.Link
 
-	hello tasklink.Hello
+	// configVersion is the version of the configuration that was sent last on the link, or
+	// zero if none was.
+	configVersion uint64
+	hello         tasklink.Hello
 }
 
 // helloRetention is how long the record of an agent's newest hello is kept after the
@@ -124,7 +127,7 @@
 	now := bootclock.Now()
 	j.logger.Info("agent linked", zap.String("agent", link.hello.Name), zap.Uint64("incarnation", link.hello.Incarnation), zap.Int("runs", len(link.hello.Runs)))
 	j.applyEffects(now, j.scheduler.LinkAgent(now, &link.hello))
-	j.sendConfig(link)
+	j.sendCopies(now)
 	return nil
 }
 
