--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -12,11 +12,8 @@
 import (
 	"cmp"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -210,86 +207,6 @@
 	Version uint64 `json:"ver"`
 }
 
-// A transaction is the body of a call that writes. It is applied only if all rows
-// in Expected have the given versions.
-type transaction struct {
-	Expected []struct {
-		rowKey
-
-		Version uint64 `json:"ver"`
-	} `json:"expected-rev"`
-	Remove []rowKey `json:"remove"`
-	Writes []struct {
-		rowKey
-
-		Value string `json:"value"`
-	} `json:"writes"`
-}
-
-// check returns an error if the transaction is not permitted.
-func (t *transaction) check(operatorsMayWrite bool) error {
-	if len(t.Expected)+len(t.Remove)+len(t.Writes) > maxEntries {
-		return fmt.Errorf("the transaction has %d entries; at most %d are allowed", len(t.Expected)+len(t.Remove)+len(t.Writes), maxEntries)
-	}
-	for _, w := range t.Writes {
-		if (w.Table == "op" || w.Table == "servers") && !operatorsMayWrite {
-			return fmt.Errorf("table %q can only be written by operators", w.Table)
-		}
-	}
-	return nil
-}
-
-// transact applies a transaction, or responds with the first row whose version is
-// not the expected one.
-func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
-	var t transaction
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&t); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	if err := t.check(s.OperatorsMayWrite); err != nil {
-		http.Error(w, err.Error(), http.StatusForbidden)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range t.Expected {
-		if s.rows[e.rowKey].Version != e.Version {
-			s.writeResponse(w, http.StatusPreconditionFailed, []Row{s.rows[e.rowKey]}, false)
-			return
-		}
-	}
-	s.version++
-	for _, key := range t.Remove {
-		s.apply(Row{Deleted: true, Key: key.Key, Part: key.Part, Table: key.Table, Version: s.version})
-	}
-	for _, row := range t.Writes {
-		s.apply(Row{Key: row.Key, Part: row.Part, Table: row.Table, Value: row.Value, Version: s.version})
-	}
-	if s.fault == ResponseLost {
-		panic(http.ErrAbortHandler)
-	}
-	s.writeResponse(w, http.StatusOK, nil, false)
-}
-
-// apply applies a change, records it in the history and wakes waiting feeds. The
-// caller holds mu.
-func (s *Store) apply(row Row) {
-	key := rowKey{Key: row.Key, Part: row.Part, Table: row.Table}
-	if row.Deleted {
-		delete(s.rows, key)
-	} else {
-		s.rows[key] = row
-	}
-	s.history = append(s.history, row)
-	if excess := len(s.history) - maxHistory; excess > 0 {
-		s.discardedUpTo = s.history[excess-1].Version
-		s.history = slices.Clone(s.history[excess:])
-	}
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // get responds with a page of the rows of a part of a table, sorted by key.
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
@@ -306,65 +223,6 @@
 	s.writeResponse(w, http.StatusOK, rows[:min(len(rows), pageSize)], more)
 }
 
-// feed responds with the changes of a table after a version. If there are none, it
-// waits for one, up to wait-ms and at most maxWait. It responds with status 410 if
-// the history no longer has all changes after the version.
-func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	after, afterErr := strconv.ParseUint(query.Get("after"), 10, 64)
-	waitMS, waitErr := strconv.Atoi(query.Get("wait-ms"))
-	if err := errors.Join(afterErr, waitErr); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	deadline := time.Now().Add(min(time.Duration(waitMS)*time.Millisecond, maxWait))
-	for {
-		s.mu.Lock()
-		rows, gone := s.changesAfter(query.Get("table"), after)
-		changed := s.changed
-		remaining := time.Until(deadline)
-		if gone || len(rows) > 0 || remaining <= 0 {
-			defer s.mu.Unlock()
-			if gone {
-				w.WriteHeader(http.StatusGone)
-				return
-			}
-			s.writeResponse(w, http.StatusOK, rows, false)
-			return
-		}
-		s.mu.Unlock()
-		if !wait(r, remaining, changed) {
-			return
-		}
-	}
-}
-
-// changesAfter returns the changes of a table after a version, or reports that
-// the history no longer has all of them. The caller holds mu.
-func (s *Store) changesAfter(table string, after uint64) (rows []Row, gone bool) {
-	if after < s.discardedUpTo {
-		return nil, true
-	}
-	for _, row := range s.history {
-		if row.Table == table && row.Version > after {
-			rows = append(rows, row)
-		}
-	}
-	return rows, false
-}
-
-// wait waits for a duration or until changed is closed. It reports false if the
-// client has closed the connection.
-func wait(r *http.Request, d time.Duration, changed <-chan struct{}) bool {
-	select {
-	case <-r.Context().Done():
-		return false
-	case <-changed:
-	case <-time.After(d):
-	}
-	return true
-}
-
 // writeResponse writes a response with rows. The caller holds mu.
 func (s *Store) writeResponse(w http.ResponseWriter, status int, rows []Row, more bool) {
 	w.Header().Set("Content-Type", "application/json")
