Let the replay shrink the capacity of servers without an announcement

Cause: the model had no server that provides less than it announces, so the starts that such a server rejects could not be counted, nor one that does not enforce its capacity.

Change: Fleet.ShrinkServer, Fleet.StopEnforcing, counts of rejected starts and of jobs refused although all of their tasks would have fitted, and the time until a shrunk server is used again after its capacity has returned.

--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -80,22 +80,26 @@
 // keyed by the name of the job's kind, maps of values by the second in which the job
 // arrived.
 type Result struct {
-	Crashes           int             // Crashes is the number of servers that crashed under tasks.
-	EarnedValue       map[int]float64 // EarnedValue is the value of the answers.
-	History           []HistoryEvent  // History lists what callers and servers have seen, in order, if it is recorded.
-	Late              map[string]int
-	MaxCrashes        int             // MaxCrashes is the largest number of servers that crashed under one task.
-	Messages          int             // Messages is the number of messages between entries and agents.
-	OfferedValue      map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
-	OnTime            map[string]int
-	RefusalWait       time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
-	Refused           map[string]int
-	Starts            int // Starts is the number of runs that were started.
-	Submitted         map[string]int
-	Unknown           map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
-	UsefulCoreSeconds float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
-	Violations        []string       // Violations are the violated invariants, each with its time.
-	WastedCoreSeconds float64        // WastedCoreSeconds is the CPU time of the runs that ended in any other way.
+	CapacityRegained   []time.Duration // CapacityRegained lists how long after its return the capacity of each shrunk server was used again.
+	Crashes            int             // Crashes is the number of servers that crashed under tasks.
+	EarnedValue        map[int]float64 // EarnedValue is the value of the answers.
+	History            []HistoryEvent  // History lists what callers and servers have seen, in order, if it is recorded.
+	Late               map[string]int
+	MaxCrashes         int             // MaxCrashes is the largest number of servers that crashed under one task.
+	MaxRejectedStarts  int             // MaxRejectedStarts is the largest number of starts that one server rejected because they did not fit.
+	Messages           int             // Messages is the number of messages between entries and agents.
+	OfferedValue       map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
+	OnTime             map[string]int
+	RefusalWait        time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
+	Refused            map[string]int
+	RefusedDespiteRoom int // RefusedDespiteRoom is the number of refused jobs whose tasks would all have fitted on the servers.
+	RejectedStarts     int // RejectedStarts is the number of starts that servers rejected because they did not fit.
+	Starts             int // Starts is the number of runs that were started.
+	Submitted          map[string]int
+	Unknown            map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
+	UsefulCoreSeconds  float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
+	Violations         []string       // Violations are the violated invariants, each with its time.
+	WastedCoreSeconds  float64        // WastedCoreSeconds is the CPU time of the runs that ended in any other way.
 }
 
 // newResult returns a result without jobs.
@@ -124,10 +128,14 @@
 			values[0][second] += value
 		}
 	}
+	r.CapacityRegained = append(r.CapacityRegained, other.CapacityRegained...)
 	r.Crashes += other.Crashes
 	r.MaxCrashes = max(r.MaxCrashes, other.MaxCrashes)
+	r.MaxRejectedStarts = max(r.MaxRejectedStarts, other.MaxRejectedStarts)
 	r.Messages += other.Messages
 	r.RefusalWait += other.RefusalWait
+	r.RefusedDespiteRoom += other.RefusedDespiteRoom
+	r.RejectedStarts += other.RejectedStarts
 	r.Starts += other.Starts
 	r.UsefulCoreSeconds += other.UsefulCoreSeconds
 	r.WastedCoreSeconds += other.WastedCoreSeconds
--- a/replay/load.go
+++ b/replay/load.go
@@ -246,7 +246,7 @@
 			f.scheduleRetry(j, result.RetryAfter)
 			return
 		}
-		f.countJob(f.result.Refused, j)
+		f.recordRefusal(j)
 		f.result.RefusalWait += f.now - j.arrived
 		j.done = true
 	case pollenfront.VerdictFailed, pollenfront.VerdictConflict:
--- a/replay/server.go
+++ b/replay/server.go
@@ -11,13 +11,14 @@
 
 // A serverNode is a model of a backend server.
 type serverNode struct {
-	abortRenewal        func() // abortRenewal breaks the connection of the pending renewal. Further calls do nothing.
-	acknowledged        uint64 // acknowledged is the sequence number up to which the agent has acknowledged ended runs.
-	announce            func() // announce announces the server to its agent.
-	capacity            pollenfront.Resources
-	deregister          func()  // deregister tells the agent that the server shuts down.
-	delayedRequestShare float64 // delayedRequestShare is the share of requests that are carried out seconds later and get no response.
-	draining            bool    // draining is whether the server announces that it takes no new tasks.
+	abortRenewal        func()                // abortRenewal breaks the connection of the pending renewal. Further calls do nothing.
+	acknowledged        uint64                // acknowledged is the sequence number up to which the agent has acknowledged ended runs.
+	announce            func()                // announce announces the server to its agent.
+	capacity            pollenfront.Resources // capacity is what the server announces.
+	capacityFactor      float64               // capacityFactor is the share of the capacity that the server really provides.
+	deregister          func()                // deregister tells the agent that the server shuts down.
+	delayedRequestShare float64               // delayedRequestShare is the share of requests that are carried out seconds later and get no response.
+	draining            bool                  // draining is whether the server announces that it takes no new tasks.
 	endedRuns           []pollenfront.EndedRun
 	failing             bool // failing makes new runs fail.
 	fleet               *Fleet
@@ -27,12 +28,14 @@
 	lostAnswerShare     float64       // lostAnswerShare is the share of requests that are carried out at once and get no response.
 	leaseExpiry         time.Duration // leaseExpiry is the time when all runs end, unless the lease is extended.
 	rack                string
+	rejectedStarts      int    // rejectedStarts is the number of starts that were rejected because they did not fit.
 	refusing            bool   // refusing is set while the server's process does not run, so that connections are refused.
 	respondToRenewal    func() // respondToRenewal sends the response to the pending renewal. Further calls do nothing.
 	runs                map[pollenfront.TaskID]*serverRun
 	runTimeFactor       float64                    // runTimeFactor multiplies the work of tasks.
 	supersededRuns      map[pollenfront.TaskID]int // supersededRuns holds the highest run number that has ended or was stopped.
 	token               uint64                     // token is the highest fencing token received.
+	unenforced          bool                       // unenforced is set if the server carries out starts that exceed its capacity.
 	unavailable         bool                       // unavailable is set while the server runs nothing and does not respond.
 }
 
@@ -49,7 +52,7 @@
 // newServerNode returns a server without runs.
 func newServerNode(f *Fleet, runTimeFactor float64) *serverNode {
 	return &serverNode{
-		capacity: pollenfront.Resources{CPU: serverCPU, Memory: serverMemory}, delayedRequestShare: f.settings.DelayedRequestShare, fleet: f, incarnation: 1,
+		capacity: pollenfront.Resources{CPU: serverCPU, Memory: serverMemory}, capacityFactor: 1, delayedRequestShare: f.settings.DelayedRequestShare, fleet: f, incarnation: 1,
 		runs: make(map[pollenfront.TaskID]*serverRun), runTimeFactor: runTimeFactor, supersededRuns: make(map[pollenfront.TaskID]int),
 	}
 }
@@ -68,7 +71,7 @@
 		return pollenfront.ErrRunSuperseded
 	case s.runs[id] != nil:
 		return nil
-	case !s.free().Covers(job.need):
+	case !s.admits(job.need):
 		return pollenfront.ErrNoCapacity
 	}
 	s.token = request.Token
@@ -125,7 +128,7 @@
 
 // free returns the free resources.
 func (s *serverNode) free() pollenfront.Resources {
-	free := s.capacity
+	free := s.providedCapacity()
 	for id := range s.runs {
 		free = free.Sub(s.fleet.jobs[id.Job].need)
 	}
