Learn from rejected starts what a server really provides

Cause: the agent trusted the announced capacity. A server that provided less rejected starts again and again: each task was tried up to six times, 10 ms apart, while entries sent more, since the report showed free capacity.

Change: effectiveCapacity lowers the learned capacity to what was in use when the server rejects a start that it covers, and raises it by probes, one at a time, with a pause of 50 to 500 ms after a rejection. The report states it (protocol version 6), and free capacity, waits, admission and the spread of retries use it. Whether a job is too large still depends on the announced capacity. A rejected task goes back to its entry at once unless it would start here within 40 ms.

--- a/executor/commands.go
+++ b/executor/commands.go
@@ -89,7 +89,7 @@
 // exceedsMaxWait reports whether a task of a start command would wait for longer
 // than maxQueueWait.
 func (x *Executor) exceedsMaxWait(now time.Duration, start *tasklink.StartCommand) bool {
-	if x.unreservedResources().Covers(start.Need) {
+	if x.unreservedResources(now).Covers(start.Need) {
 		return false
 	}
 	return x.queueWaits(now)[clampPriority(start)] > int(maxQueueWait/time.Millisecond)
@@ -112,7 +112,7 @@
 		return "the server has not announced itself"
 	case x.State() == tasklink.StateDraining:
 		return "the server takes no new tasks"
-	case !x.server.capacity.Covers(start.Need):
+	case !x.server.capacity.announced.Covers(start.Need):
 		return "the server is too small for the task"
 	}
 	return ""
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -86,9 +86,6 @@
 	acknowledgeWindow = 250 * time.Millisecond
 	// leaseExpiryMargin covers the time that the server takes to kill its runs.
 	leaseExpiryMargin = 30 * time.Millisecond
-	// maxCapacityRefusals is how often the server may refuse a task with
-	// ErrNoCapacity. With the next such refusal the task goes back to its entry.
-	maxCapacityRefusals = 5
 	// maxClockDrift is the highest ratio of the speed of the agent's clock to that
 	// of the server's clock.
 	maxClockDrift = 1.03
@@ -110,7 +107,7 @@
 	// its entry.
 	maxStartAttempts = 6
 	// noCapacityPause is how long nothing starts after the server refused a start
-	// with ErrNoCapacity although it should have had enough free resources.
+	// with ErrNoCapacity although the learned capacity covered it.
 	noCapacityPause = 10 * time.Millisecond
 	// numPriorities is the number of priorities that the agent distinguishes.
 	numPriorities = 3
@@ -175,6 +172,8 @@
 	noUnknownRuns bool
 	// queue lists the runs that wait to be started, by their latest start.
 	queue []*run
+	// releases lists the newest ends of runs that were on the server, the oldest first.
+	releases []release
 	// restoredAnnouncement is what the server announced to an earlier
 	// incarnation of the agent.
 	restoredAnnouncement pollenfront.Announcement
@@ -283,15 +282,16 @@
 // Report returns the state of the server and the queue as entries see it.
 func (x *Executor) Report(now time.Duration) tasklink.Report {
 	return tasklink.Report{
-		Capacity:      x.server.capacity,
-		DisabledZones: x.disabledZones,
-		EntryCount:    x.linkedEntries(),
-		FailRate:      x.stats.failRate,
-		Free:          x.unreservedResources(),
-		Labels:        x.server.labels,
-		RunSeconds:    x.stats.meanRunTime.Seconds(),
-		Slowness:      x.slowness(now),
-		State:         x.State(),
-		Waits:         x.queueWaits(now),
+		Capacity:          x.server.capacity.announced,
+		DisabledZones:     x.disabledZones,
+		EffectiveCapacity: x.server.capacity.learned,
+		EntryCount:        x.linkedEntries(),
+		FailRate:          x.stats.failRate,
+		Free:              x.unreservedResources(now),
+		Labels:            x.server.labels,
+		RunSeconds:        x.stats.meanRunTime.Seconds(),
+		Slowness:          x.slowness(now),
+		State:             x.State(),
+		Waits:             x.queueWaits(now),
 	}
 }
--- a/executor/run.go
+++ b/executor/run.go
@@ -33,8 +33,6 @@
 	// atMostOnce is whether the task must not run twice, so that a slow or stuck run
 	// of it is not stopped.
 	atMostOnce bool
-	// capacityRefusals is how often the server refused the run with ErrNoCapacity.
-	capacityRefusals int
 	// crashed is whether the run was or may have been on the server when it crashed.
 	crashed bool
 	entry   *entry
@@ -60,6 +58,10 @@
 	// percent is the progress that the server last reported.
 	percent  int
 	priority int
+	// probe is whether the start in progress exceeds the learned capacity.
+	probe bool
+	// rejectedForCapacity is whether the server has refused the run with ErrNoCapacity.
+	rejectedForCapacity bool
 	// reportedAt is when the server last listed the run, with percent.
 	reportedAt time.Duration
 	route      string
@@ -115,22 +117,16 @@
 	}
 }
 
-// freeResources returns the resources of the server less the needs of the runs for
-// which a start request was sent.
-func (x *Executor) freeResources() pollenfront.Resources {
-	free := x.server.capacity
-	for _, r := range x.acceptedRuns {
-		if r.state != queued {
-			free = free.Sub(r.need)
-		}
-	}
-	return free
+// freeResources returns the resources that the server offers less the needs of the runs
+// for which a start request was sent.
+func (x *Executor) freeResources(now time.Duration) pollenfront.Resources {
+	return x.server.capacity.offered(now).Sub(x.inUse())
 }
 
 // unreservedResources returns the free resources less the needs of the queued runs.
 // It may be negative.
-func (x *Executor) unreservedResources() pollenfront.Resources {
-	free := x.freeResources()
+func (x *Executor) unreservedResources(now time.Duration) pollenfront.Resources {
+	free := x.freeResources(now)
 	for _, r := range x.queue {
 		free = free.Sub(r.need)
 	}
@@ -208,6 +204,10 @@
 		runTime := now - r.lastStartSent
 		end.Seconds = runTime.Seconds()
 		x.stats.record(now, ending, runTime, r.expectedRunTime)
+		x.endProbe(r)
+	}
+	if ending != pollenfront.EndingNotStarted {
+		x.recordRelease(now, r)
 	}
 	if x.entries[r.entry.Name] != r.entry {
 		effects.Ended = append(effects.Ended, EndedRun{RunEnd: end, Entry: r.entry.Name})
--- a/executor/run_stats.go
+++ b/executor/run_stats.go
@@ -152,7 +152,7 @@
 // is accepted now would start.
 func (x *Executor) queueWaits(now time.Duration) []int {
 	waits := make([]int, numPriorities)
-	free := x.freeResources().CPU
+	free := x.freeResources(now).CPU
 	if len(x.queue) == 0 && free >= typicalCPU {
 		return waits
 	}
@@ -182,8 +182,8 @@
 			need -= next.cpu
 			wait = next.after
 		}
-		if need > 0 && x.server.capacity.CPU > 0 {
-			wait += time.Duration(float64(x.stats.meanRunTime) * float64(need) / float64(x.server.capacity.CPU))
+		if need > 0 && x.server.capacity.learned.CPU > 0 {
+			wait += time.Duration(float64(x.stats.meanRunTime) * float64(need) / float64(x.server.capacity.learned.CPU))
 		}
 		waits[priority] = int(wait / time.Millisecond)
 	}
--- a/executor/server.go
+++ b/executor/server.go
@@ -15,7 +15,8 @@
 	announced bool
 	// announcementSeqNum is the sequence number of the newest announcement.
 	announcementSeqNum uint64
-	capacity           pollenfront.Resources
+	// capacity is what the server announced and what the agent has learned of it.
+	capacity effectiveCapacity
 	// clockOffset is the server's clock minus the agent's.
 	clockOffset      time.Duration
 	clockOffsetKnown bool
@@ -58,7 +59,8 @@
 		x.handleNewIncarnation(now, a.Incarnation, &effects)
 	}
 	before := x.State()
-	s.capacity, s.draining, s.announced, s.labels, s.announcementSeqNum, s.zone = a.Capacity, a.Draining, true, a.Labels, a.SeqNum, a.Zone
+	s.capacity.announce(a.Capacity)
+	s.draining, s.announced, s.labels, s.announcementSeqNum, s.zone = a.Draining, true, a.Labels, a.SeqNum, a.Zone
 	x.recordClock(now, a.Clock)
 	x.startQueued(now, &effects)
 	if x.State() != before {
--- a/executor/start.go
+++ b/executor/start.go
@@ -20,15 +20,21 @@
 	if now < x.noStartBefore || !x.server.clockOffsetKnown {
 		return
 	}
-	free := x.freeResources()
-	for len(x.queue) > 0 && free.Covers(x.queue[0].need) {
+	inUse := x.inUse()
+	for len(x.queue) > 0 {
 		r := x.queue[0]
+		ok, probe := x.server.capacity.admits(now, inUse, r.need)
+		if !ok {
+			return
+		}
+		r.probe = probe
 		x.queue = x.queue[1:]
 		if r.entry.silent(now) {
+			x.endProbe(r)
 			x.endRun(now, r, pollenfront.EndingNotStarted, entrySilent, effects)
 			continue
 		}
-		free = free.Sub(r.need)
+		inUse = inUse.Add(r.need)
 		r.firstStartSent = now
 		x.sendStart(now, r, effects)
 	}
@@ -77,6 +83,8 @@
 		if r.state == starting {
 			r.state = running
 		}
+		x.recordAcceptedStart(now, r)
+		x.endProbe(r)
 	case r.startAttempts > 1:
 		x.handleRefusedRetry(now, r, err, &effects)
 	case r.state == stopping:
@@ -121,6 +129,7 @@
 // have been carried out or may still be, so the run is stopped. A superseded run
 // was carried out, and counts as running until a renewal reports its end.
 func (x *Executor) handleRefusedRetry(now time.Duration, r *run, err error, effects *Effects) {
+	x.endProbe(r)
 	if errors.Is(err, pollenfront.ErrRunSuperseded) && r.state == starting {
 		r.started, r.lastProgress, r.state = true, now, running
 		return
@@ -128,6 +137,9 @@
 	if errors.Is(err, pollenfront.ErrFenced) {
 		x.token += tokenIncrement
 	}
+	if errors.Is(err, pollenfront.ErrNoCapacity) {
+		x.recordRejectedStart(now, r, effects)
+	}
 	x.stopRun(now, r, err.Error(), effects)
 }
 
@@ -170,10 +182,11 @@
 func (x *Executor) handleRefusedStart(now time.Duration, r *run, err error, effects *Effects) {
 	switch {
 	case errors.Is(err, pollenfront.ErrNoCapacity):
-		r.capacityRefusals++
-		x.noStartBefore = now + noCapacityPause
-		if r.capacityRefusals <= maxCapacityRefusals {
+		x.recordRejectedStart(now, r, effects)
+		if !r.rejectedForCapacity {
+			r.rejectedForCapacity = true
 			x.requeue(r)
+			x.returnUnfit(now, effects)
 			return
 		}
 	case errors.Is(err, pollenfront.ErrFenced):
@@ -196,6 +209,7 @@
 
 // requeue puts a run whose only start request was refused back into the queue.
 func (x *Executor) requeue(r *run) {
+	x.endProbe(r)
 	r.startAttempts, r.state = 0, queued
 	x.enqueue(r)
 }
--- a/replay/capacity.go
+++ b/replay/capacity.go
@@ -29,11 +29,12 @@
 	})
 }
 
-// awaitRegained records how long after its return the capacity of an agent's server is
-// used again.
+// awaitRegained records how long after its return the agent of a server counts on the
+// announced capacity, and uses it, again.
 func (f *Fleet) awaitRegained(a *agentNode, returned time.Duration) {
 	used := a.server.capacity.CPU - a.server.free().CPU
-	if float64(used) >= regainedUseShare*float64(a.server.capacity.CPU) {
+	report := a.executor.Report(f.now)
+	if report.EffectiveCapacity == report.Capacity && float64(used) >= regainedUseShare*float64(a.server.capacity.CPU) {
 		f.result.CapacityRegained = append(f.result.CapacityRegained, f.now-returned)
 		return
 	}
--- a/replay/capacity_test.go
+++ b/replay/capacity_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,13 @@
 const (
 	shrunkCount = 3
 	shrunkFor   = 14 * time.Second
+	// maxRegainDelay is the target for the time from the return of a server's capacity until
+	// the agent counts on all of it and uses it.
+	maxRegainDelay = 2 * time.Second
+	// maxRejectedStarts is the largest number of starts that a shrunk server may reject. It
+	// is derived in docs/design/10-server-capacity.md: 2 a second from probes, 4 while their
+	// pause grows, and one for each of the smallest tasks, of 4 cores, in 0.45 of 64 cores.
+	maxRejectedStarts = 2*14 + 4 + 8
 )
 
 // TestShrunkServers guards against agents that send starts to a server again and again
@@ -35,4 +43,24 @@
 		result.RejectedStarts, result.MaxRejectedStarts, result.OnTimeShare(), all, worst, result.RefusedDespiteRoom, result.CapacityRegained)
 	t.Logf("submitted %v, refused %v, late %v, unknown %v", result.Submitted, result.Refused, result.Late, result.Unknown)
 	c.Assert(result.Violations, qt.HasLen, 0)
+	c.Check(result.MaxRejectedStarts <= maxRejectedStarts, qt.IsTrue)
+	c.Assert(result.CapacityRegained, qt.HasLen, seedCount*shrunkCount)
+	c.Check(slices.Max(result.CapacityRegained) <= maxRegainDelay, qt.IsTrue)
+}
+
+// TestUnenforcedCapacity guards against overrunning a server that does not enforce its
+// capacity. Such a server rejects nothing, so nothing may be learned from its answers but
+// that it accepts all. Agents restart under an overload, since theirs is then lost.
+func TestUnenforcedCapacity(t *testing.T) {
+	c := qt.New(t)
+	result := simulateSeeds(replay.Pattern{Duration: 14 * time.Second, Settings: replay.SmallFleet, Setup: func(f *replay.Fleet) {
+		f.Load(replay.Mix, time.Second, 10*time.Second, 2.1)
+		for i := range replay.SmallFleet(0).Agents {
+			f.StopEnforcing(0, i)
+		}
+		f.KillAgent(4*time.Second, 0, 500*time.Millisecond)
+		f.KillAgent(6*time.Second, 1, 100*time.Millisecond)
+	}}, false)
+	c.Assert(result.Violations, qt.HasLen, 0)
+	c.Assert(result.RejectedStarts, qt.Equals, 0)
 }
--- a/replay/faults_test.go
+++ b/replay/faults_test.go
@@ -39,7 +39,7 @@
 	agent := rapid.IntRange(0, s.Agents-1).Draw(t, "agent")
 	switch rapid.SampledFrom([]string{
 		"crash-server", "crash-server-process", "partition", "partition-all", "delay-requests", "fail-server", "hang-server",
-		"kill-agent", "kill-entry", "lose-answers", "replace-server", "reset-link", "slow-server", "suspend-agent", "suspend-entry",
+		"kill-agent", "kill-entry", "lose-answers", "replace-server", "reset-link", "shrink-server", "slow-server", "suspend-agent", "suspend-entry",
 	}).Draw(t, "fault") {
 	case "crash-server":
 		f.CrashServer(at, agent, duration)
@@ -67,6 +67,8 @@
 		f.ReplaceServer(at, agent, duration)
 	case "reset-link":
 		f.ResetLink(at, entry, agent)
+	case "shrink-server":
+		f.ShrinkServer(at, agent, rapid.SampledFrom([]float64{0.05, 0.55}).Draw(t, "factor"), duration)
 	case "slow-server":
 		f.SlowServer(at, agent, 6, duration)
 	case "suspend-agent":
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -90,7 +90,7 @@
 // thousandths of a core of a server of slowness 1. A server that is twice as slow counts
 // half. The entries that share the server have equal shares.
 func (a *agent) effectiveCapacity() float64 {
-	return float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1) / float64(max(1, a.report.EntryCount))
+	return float64(a.providedCPU()) / max(a.report.Slowness, 0.1) / float64(max(1, a.report.EntryCount))
 }
 
 // poolCapacity returns this entry's share of the effective capacity of the usable servers
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -162,7 +162,7 @@
 // sameRoom reports whether two reports of an agent are the same for placement. An update
 // that changes nothing need not cause a pass over the queue, as the next tick does.
 func sameRoom(a, b *tasklink.Report) bool {
-	return a.State == b.State && a.Capacity == b.Capacity && a.Free == b.Free && a.Slowness == b.Slowness && a.FailRate == b.FailRate &&
+	return a.State == b.State && a.Capacity == b.Capacity && a.EffectiveCapacity == b.EffectiveCapacity && a.Free == b.Free && a.Slowness == b.Slowness && a.FailRate == b.FailRate &&
 		slices.Equal(a.Waits, b.Waits)
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -127,7 +127,7 @@
 	if c.report.Free.CPU < 0 {
 		lacking += c.report.Free.CPU // The reported wait covers this part.
 	}
-	share := float64(max(0, lacking)) / float64(max(1, c.report.Capacity.CPU))
+	share := float64(max(0, lacking)) / float64(max(1, c.providedCPU()))
 	return reported + time.Duration(share*c.report.RunSeconds*float64(time.Second)) + time.Millisecond
 }
 
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -30,7 +30,7 @@
 
 // Version is the version of the protocol. Both sides close a link if the other
 // side uses a different version.
-const Version = 5
+const Version = 6
 
 // Hello is the first message on a link, in both directions.
 //
@@ -118,6 +118,9 @@
 	Labels []string
 	// EntryCount is the number of entries that share the server.
 	EntryCount int
+	// EffectiveCapacity is the part of Capacity that the server provides, as the agent has
+	// learned from rejected starts. If all of its fields are zero, it is not stated.
+	EffectiveCapacity pollenfront.Resources
 }
 
 // A State is whether tasks may be sent to a backend server, and if not, why.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -435,8 +435,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint8(o, uint8(z.State))
 	o, err = z.Capacity.MarshalMsg(o)
 	if err != nil {
@@ -467,6 +467,11 @@
 		o = msgp.AppendString(o, z.Labels[za0003])
 	}
 	o = msgp.AppendInt(o, z.EntryCount)
+	o, err = z.EffectiveCapacity.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "EffectiveCapacity")
+		return
+	}
 	return
 }
 
@@ -478,8 +483,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	{
@@ -602,6 +607,11 @@
 		err = msgp.WrapError(err, "EntryCount")
 		return
 	}
+	bts, err = z.EffectiveCapacity.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "EffectiveCapacity")
+		return
+	}
 	o = bts
 	return
 }
@@ -616,7 +626,7 @@
 	for za0003 := range z.Labels {
 		s += msgp.StringPrefixSize + len(z.Labels[za0003])
 	}
-	s += msgp.IntSize
+	s += msgp.IntSize + z.EffectiveCapacity.Msgsize()
 	return
 }
 
