--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -43,6 +44,9 @@
 type Driver struct {
 	// announcement is the newest announcement to be saved in the store.
 	announcement pollenfront.Announcement
+	// capacityReduced is whether the log tells that the backend server provides less than it
+	// announces.
+	capacityReduced bool
 	// config is the newest configuration that an entry has sent. It is kept for entries
 	// that start while the store is unavailable.
 	config   *pollenfront.Config
@@ -140,6 +144,7 @@
 		d.metrics.stopRequests.Inc()
 		go d.stopRun(request)
 	}
+	d.recordCapacity(now)
 	for _, entry := range effects.Notify {
 		d.sendUpdate(now, entry)
 	}
@@ -196,7 +201,7 @@
 	defer d.mu.Unlock()
 	report := d.executor.Report(now)
 	d.logger.Info("state", zap.Uint8("state", uint8(report.State)), zap.Int("free-cpu", report.Free.CPU), zap.Int("cpu", report.Capacity.CPU),
-		zap.Ints("waits-ms", report.Waits), zap.Float64("slowness", report.Slowness), zap.Float64("fail-rate", report.FailRate),
+		zap.Int("effective-cpu", report.EffectiveCapacity.CPU), zap.Ints("waits-ms", report.Waits), zap.Float64("slowness", report.Slowness), zap.Float64("fail-rate", report.FailRate),
 		zap.Int("entries", len(d.links)))
 }
 
@@ -216,6 +221,9 @@
 	defer cancel()
 	sent := bootclock.Now()
 	clock, err := d.server.Start(ctx, request)
+	if errors.Is(err, pollenfront.ErrNoCapacity) {
+		d.metrics.startsRejected.Inc()
+	}
 	if err != nil || observe.Sampled(request.Run.Job) {
 		d.logger.Info("start answered", zap.String("request", request.Run.Job), zap.Int("task", request.Run.Index),
 			zap.Int("run", request.Run.Number), zap.Duration("after", bootclock.Now()-sent), zap.Error(err))
--- a/agent/internal/driver/metrics.go
+++ b/agent/internal/driver/metrics.go
@@ -2,22 +2,27 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// metrics holds the Prometheus counters of an agent.
+// metrics holds the Prometheus metrics of an agent.
 type metrics struct {
 	crashedRuns          prometheus.Counter
+	effectiveCPURatio    prometheus.Gauge
 	invalidAnnouncements prometheus.Counter
 	runsEnded            *prometheus.CounterVec
 	serverCrashes        prometheus.Counter
 	startRequests        prometheus.Counter
+	startsRejected       prometheus.Counter
 	stopRequests         prometheus.Counter
 }
 
-// newMetrics returns counters that are registered with registry.
+// newMetrics returns metrics that are registered with registry.
 func newMetrics(registry *prometheus.Registry) *metrics {
 	m := &metrics{
 		crashedRuns: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_crashed_runs_total", Help: "Runs that were on the backend server when it crashed.",
 		}),
+		effectiveCPURatio: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pollenfront_server_effective_cpu_ratio", Help: "CPU that the backend server provides, as a fraction of what it announces.",
+		}),
 		invalidAnnouncements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_announcements_ignored_total", Help: "Announcements that could not be used.",
 		}),
@@ -30,10 +35,13 @@
 		startRequests: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_start_orders_total", Help: "Orders to the backend server to start a run.",
 		}),
+		startsRejected: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollenfront_starts_rejected_total", Help: "Starts that the backend server rejected for lack of capacity.",
+		}),
 		stopRequests: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_stop_orders_total", Help: "Orders to the backend server to stop a run.",
 		}),
 	}
-	registry.MustRegister(m.crashedRuns, m.runsEnded, m.invalidAnnouncements, m.serverCrashes, m.startRequests, m.stopRequests)
+	registry.MustRegister(m.crashedRuns, m.effectiveCPURatio, m.runsEnded, m.invalidAnnouncements, m.serverCrashes, m.startRequests, m.startsRejected, m.stopRequests)
 	return m
 }
--- a/pollenctl/main_test.go
+++ b/pollenctl/main_test.go
@@ -23,7 +23,7 @@
 		_ = json.NewEncoder(w).Encode(scheduler.Dump{
 			Agents: []scheduler.AgentDump{{
 				LastUpdate: "80ms", Name: "agent-1", Runs: 3, Usable: true, Zone: "west", Report: tasklink.Report{
-					Capacity: pollenfront.Resources{CPU: 64000}, FailRate: 0.4, Free: pollenfront.Resources{CPU: 12000}, Slowness: 1.25,
+					Capacity: pollenfront.Resources{CPU: 64000}, EffectiveCapacity: pollenfront.Resources{CPU: 35000}, FailRate: 0.4, Free: pollenfront.Resources{CPU: 12000}, Slowness: 1.25,
 				},
 			}},
 			Jobs: []scheduler.JobDump{{Age: "20ms", DoneCount: 1, ID: "5c0e7a21d94b36f8", Route: "lookups", Tasks: 4, ToPlace: 2}},
--- a/pollenctl/showcmd.go
+++ b/pollenctl/showcmd.go
@@ -61,10 +61,10 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	switch c.What {
 	case "servers":
-		fmt.Fprintln(w, "SERVER\tZONE\tUSABLE\tHOME\tCPU\tFREE\tRUNS\tSLOWNESS\tFAILING\tHEARD")
+		fmt.Fprintln(w, "SERVER\tZONE\tUSABLE\tHOME\tCPU\tEFFECTIVE\tFREE\tRUNS\tSLOWNESS\tFAILING\tHEARD")
 		for _, a := range dump.Agents {
-			fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%d\t%d\t%d\t%.2f\t%.2f\t%s\n", a.Name, a.Zone, a.Usable, a.Primary, a.Report.Capacity.CPU, a.Report.Free.CPU,
-				a.Runs, a.Report.Slowness, a.Report.FailRate, a.LastUpdate)
+			fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%s\n", a.Name, a.Zone, a.Usable, a.Primary, a.Report.Capacity.CPU,
+				a.Report.EffectiveCapacity.CPU, a.Report.Free.CPU, a.Runs, a.Report.Slowness, a.Report.FailRate, a.LastUpdate)
 		}
 	case "jobs":
 		fmt.Fprintln(w, "JOB\tROUTE\tAGE\tTASKS\tDONE\tWAITING\tENDING")
