Detect a server that turns slow with few runs a second

Cause: without an end of a run for one second the newest ratios of run times were dropped, and a run that was stopped as too slow did not count as an end. A server with one run a second never had the seven ratios that show a change of its speed.

Change: the ratios decay like the slowness, but only after 3 s, and a run that is stopped as too slow counts as an end.

--- a/executor/run.go
+++ b/executor/run.go
@@ -163,7 +163,7 @@
 			x.stats.record(now, pollenfront.EndingFailed, 0, r.expectedRunTime)
 			x.stopRun(now, r, "it made no progress", effects)
 		case !r.rerun && x.tooSlow(r):
-			x.stats.recordRatio(slowRunFactor * x.stats.slowness())
+			x.stats.recordTooSlow(now)
 			x.stopRun(now, r, "it was far too slow", effects)
 		}
 	}
--- a/executor/run_stats.go
+++ b/executor/run_stats.go
@@ -16,9 +16,13 @@
 	// idleDecay is the fraction by which the slowness and the share of failed runs
 	// move towards those of a new server in each TickInterval while no run ends.
 	idleDecay = 0.002
-	// idleDecayDelay is the time since the newest run that was done or failed after
-	// which the decay starts.
+	// idleDecayDelay is the time since the newest run that was done, failed or too slow
+	// after which the decay starts.
 	idleDecayDelay = time.Second
+	// ratioDecayDelay replaces idleDecayDelay for the newest ratios of run times, so that a
+	// server with one run a second has enough of them to show that it has become slow. The
+	// slowness decays by less than speedChangeRatio in the time between.
+	ratioDecayDelay = 3 * time.Second
 	// maxRunTimeRatio limits the ratio of the actual to the expected run time, and its
 	// inverse. A larger ratio tells nothing more about the server.
 	maxRunTimeRatio = 8.0
@@ -40,7 +44,7 @@
 type runStats struct {
 	// failRate is the share of recent runs that failed, from 0 to 1.
 	failRate float64
-	// lastEnd is when the newest run that was done or failed ended.
+	// lastEnd is when the newest run that was done, failed or too slow ended.
 	lastEnd time.Duration
 	// logSlowness is the mean logarithm of the ratios of actual to expected run times.
 	logSlowness float64
@@ -78,6 +82,13 @@
 	}
 }
 
+// recordTooSlow adds a run that is stopped since it would take more than slowRunFactor
+// times as long as expected.
+func (s *runStats) recordTooSlow(now time.Duration) {
+	s.lastEnd = now
+	s.recordRatio(slowRunFactor * s.slowness())
+}
+
 // recordRatio adds the ratio of the actual to the expected time of a run. A single run
 // may take far longer than estimated, so it changes the slowness only a little. If the
 // median of several runs shows that the speed of the server has changed, the slowness
@@ -108,14 +119,20 @@
 }
 
 // decay moves the slowness and the share of failed runs towards those of a new server
-// while no run ends, so that a server that was slow or failing is tried again.
+// while no run ends, so that a server that was slow or failing is tried again. The newest
+// ratios do so too, but later.
 func (s *runStats) decay(now time.Duration) {
 	if now-s.lastEnd < idleDecayDelay {
 		return
 	}
-	s.recentLogRatios = nil
 	s.logSlowness -= s.logSlowness * idleDecay
 	s.failRate -= s.failRate * idleDecay
+	if now-s.lastEnd < ratioDecayDelay {
+		return
+	}
+	for i := range s.recentLogRatios {
+		s.recentLogRatios[i] -= s.recentLogRatios[i] * idleDecay
+	}
 }
 
 // slowness returns the mean slowness. If the newest runs, together with those that
