--- a/executor/executor.go
+++ b/executor/executor.go
@@ -12,6 +12,8 @@
 //   - Several entries may see the same resources as free. Tasks therefore wait
 //     in a queue here, ordered by their latest start, and a task that waits or
 //     would wait for longer than maxQueueWait goes back to its entry.
+//   - A server may provide less than it announces, and then rejects starts. The agent learns
+//     from accepted and rejected starts what it provides, and reports that.
 //   - Each update to an entry carries the agent's clock, and the entry echoes
 //     it. When the newest echo is older than EntrySilenceTimeout, the entry is
 //     silent and its runs are stopped. Start commands with an echo older than
