Let replay servers fail a share of their runs

The model only had servers that fail every run at its end, and rates that stay the same.

The result counts jobs answered as failed, starts on servers with a failure rate, and starts on a server where the task had failed while another one could run it in time.

--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -32,6 +32,7 @@
 	Clairvoyant         bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
 	DelayedRequestShare float64             // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
 	Entries             int
+	FailShare           float64       // FailShare is the share of all runs that fail on their own, shortly after their start.
 	FullMesh            bool          // FullMesh makes each agent link to all entries, instead of those of its cell.
 	OneWayDelay         time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
 	RecordHistory       bool          // RecordHistory fills Result.History.
@@ -64,6 +65,7 @@
 	earlyCancelShare float64 // earlyCancelShare is the share of new jobs whose callers leave before the answer is due.
 	entries          []*entryNode
 	events           events
+	faultyServers    int                 // faultyServers is the number of servers with a failure rate.
 	heldMessages     map[[2]int][]func() // heldMessages are the messages held up by a partition, by entry and agent.
 	jobs             map[string]*callerJob
 	lastSeqNum       uint64     // lastSeqNum numbers events and link epochs.
@@ -82,6 +84,9 @@
 type Result struct {
 	Crashes           int             // Crashes is the number of servers that crashed under tasks.
 	EarnedValue       map[int]float64 // EarnedValue is the value of the answers.
+	Failed            map[string]int  // Failed counts the jobs answered as failed, with those that always fail. Unknown includes the others.
+	FailedWait        time.Duration   // FailedWait is the sum of the times after which jobs that always fail were answered as failed.
+	FaultyStarts      int             // FaultyStarts is the number of starts on servers with a failure rate.
 	History           []HistoryEvent  // History lists what callers and servers have seen, in order, if it is recorded.
 	Late              map[string]int
 	MaxCrashes        int             // MaxCrashes is the largest number of servers that crashed under one task.
@@ -90,7 +95,9 @@
 	OnTime            map[string]int
 	RefusalWait       time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
 	Refused           map[string]int
+	RepeatedStarts    int // RepeatedStarts is the number of starts on a server with a failure rate where the task had failed, while another one could run it in time.
 	Starts            int // Starts is the number of runs that were started.
+	StartsInFaults    int // StartsInFaults is the number of runs that were started while some server had a failure rate.
 	Submitted         map[string]int
 	Unknown           map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
 	UsefulCoreSeconds float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
@@ -101,7 +108,7 @@
 // newResult returns a result without jobs.
 func newResult() Result {
 	return Result{
-		EarnedValue: make(map[int]float64), Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
+		EarnedValue: make(map[int]float64), Failed: make(map[string]int), Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
 		Refused: make(map[string]int), Submitted: make(map[string]int), Unknown: make(map[string]int),
 	}
 }
@@ -113,7 +120,7 @@
 		*r = newResult()
 	}
 	for _, counts := range [][2]map[string]int{
-		{r.OnTime, other.OnTime}, {r.Late, other.Late}, {r.Refused, other.Refused}, {r.Submitted, other.Submitted}, {r.Unknown, other.Unknown},
+		{r.Failed, other.Failed}, {r.OnTime, other.OnTime}, {r.Late, other.Late}, {r.Refused, other.Refused}, {r.Submitted, other.Submitted}, {r.Unknown, other.Unknown},
 	} {
 		for kind, n := range counts[1] {
 			counts[0][kind] += n
@@ -127,8 +134,12 @@
 	r.Crashes += other.Crashes
 	r.MaxCrashes = max(r.MaxCrashes, other.MaxCrashes)
 	r.Messages += other.Messages
+	r.FailedWait += other.FailedWait
+	r.RepeatedStarts += other.RepeatedStarts
+	r.FaultyStarts += other.FaultyStarts
 	r.RefusalWait += other.RefusalWait
 	r.Starts += other.Starts
+	r.StartsInFaults += other.StartsInFaults
 	r.UsefulCoreSeconds += other.UsefulCoreSeconds
 	r.WastedCoreSeconds += other.WastedCoreSeconds
 	r.Violations = append(r.Violations, other.Violations...)
--- a/replay/load.go
+++ b/replay/load.go
@@ -251,6 +251,11 @@
 		j.done = true
 	case pollenfront.VerdictFailed, pollenfront.VerdictConflict:
 		f.countJob(f.result.Unknown, j)
+		f.countJob(f.result.Failed, j)
+		if j.kind.AlwaysFails {
+			f.result.FailedWait += f.now - j.arrived
+			f.result.Failed[j.kind.Name]++
+		}
 		j.done = true
 	case pollenfront.VerdictUnknown:
 		f.resubmit(j.id, attempt)
--- a/replay/server.go
+++ b/replay/server.go
@@ -19,10 +19,13 @@
 	delayedRequestShare float64 // delayedRequestShare is the share of requests that are carried out seconds later and get no response.
 	draining            bool    // draining is whether the server announces that it takes no new tasks.
 	endedRuns           []pollenfront.EndedRun
-	failing             bool // failing makes new runs fail.
+	failedTasks         map[pollenfront.TaskID]bool // failedTasks are the tasks of which a run has failed on the server.
+	failing             bool                        // failing makes new runs fail.
+	failShare           float64                     // failShare is the share of new runs that fail shortly after their start.
 	fleet               *Fleet
 	hanging             bool // hanging makes new runs hang: they make no progress and do not end by themselves.
 	incarnation         uint64
+	lastEnd             time.Duration // lastEnd is the time when a run last ended.
 	lastSeqNum          uint64        // lastSeqNum is the sequence number of the last ended run.
 	lostAnswerShare     float64       // lostAnswerShare is the share of requests that are carried out at once and get no response.
 	leaseExpiry         time.Duration // leaseExpiry is the time when all runs end, unless the lease is extended.
@@ -49,7 +52,8 @@
 // newServerNode returns a server without runs.
 func newServerNode(f *Fleet, runTimeFactor float64) *serverNode {
 	return &serverNode{
-		capacity: pollenfront.Resources{CPU: serverCPU, Memory: serverMemory}, delayedRequestShare: f.settings.DelayedRequestShare, fleet: f, incarnation: 1,
+		capacity: pollenfront.Resources{CPU: serverCPU, Memory: serverMemory}, delayedRequestShare: f.settings.DelayedRequestShare,
+		failedTasks: make(map[pollenfront.TaskID]bool), fleet: f, incarnation: 1,
 		runs: make(map[pollenfront.TaskID]*serverRun), runTimeFactor: runTimeFactor, supersededRuns: make(map[pollenfront.TaskID]int),
 	}
 }
@@ -83,6 +87,7 @@
 	}
 	f.activeRuns[id] = r
 	s.recordStart(id)
+	s.recordAttempt(id)
 	f.recordEvent(HistoryEvent{Job: id.Job, Kind: RunStarted, Task: id.Index})
 	if s.hanging {
 		return nil
@@ -92,6 +97,9 @@
 		ending = pollenfront.EndingFailed
 	}
 	r.runTime = s.runTime(job)
+	if after, fails := s.drawFailure(); fails {
+		r.runTime, ending = min(r.runTime, after), pollenfront.EndingFailed
+	}
 	if job.kind.CrashesAfter > 0 && id.Index == 0 {
 		f.schedule(min(job.kind.CrashesAfter, r.runTime), func() { s.crashUnder(r) })
 	}
@@ -160,12 +168,16 @@
 	}
 	s.fleet.recordEvent(HistoryEvent{Ending: ending, Job: id.Job, Kind: RunEnded, Task: id.Index})
 	s.supersededRuns[id] = max(s.supersededRuns[id], r.id.Number)
+	if ending == pollenfront.EndingFailed {
+		s.failedTasks[id] = true
+	}
 	coreSeconds := float64(s.fleet.jobs[id.Job].need.CPU) / 1000 * (s.fleet.now - r.startedAt).Seconds()
 	if ending == pollenfront.EndingDone {
 		s.fleet.result.UsefulCoreSeconds += coreSeconds
 	} else {
 		s.fleet.result.WastedCoreSeconds += coreSeconds
 	}
+	s.lastEnd = s.fleet.now
 	s.lastSeqNum++
 	s.endedRuns = append(s.endedRuns, pollenfront.EndedRun{Ending: ending, Run: r.id, SeqNum: s.lastSeqNum})
 	if s.respondToRenewal != nil {
