Decide by expected value where an attempt of a task goes

A task that failed again went to any server with free resources.

Package attempts estimates the probability that a run fails on a server, and compares sending a task now with waiting for another server. The scheduler uses it for tasks that have failed or have one attempt, remembers all servers on which a task failed, and holds the resources of runs that failed on failing servers. A metric and a log message tell which agents attempts were withheld from.

--- /dev/null
+++ b/attempts/value.go
@@ -0,0 +1,164 @@
+package attempts
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of the value of an attempt.
+const (
+	// failedHereShare is the least probability that a task fails again where it has failed.
+	failedHereShare = 0.5
+	// lateValue is the value of a late answer above that of a failed job, as a share of the
+	// value of one on time above it. A late answer is worth a fifth of one on time, and a
+	// failed job costs as much as an answer on time is worth: (0.2 + 1) / (1 + 1).
+	lateValue = 0.6
+	// smallFailShare is the probability of failure up to which the time that another attempt
+	// takes is left out, as it changes the value by less than a hundredth.
+	smallFailShare = 0.01
+	// uselessValue is the value of an answer that comes too late to be of use. It is not
+	// zero, since such an answer is still delivered.
+	uselessValue = 0.01
+	// workDeviation is the standard deviation of the logarithm of the ratio of actual to
+	// expected run times.
+	workDeviation = 0.4
+)
+
+// A Task is a task that waits to be sent. Times are from now on.
+type Task struct {
+	// Attempts is the number of runs that the task may still start.
+	Attempts int
+	// Fails is the probability that the task fails on every server.
+	Fails float64
+	// UntilDue is the time until an answer is late, UntilExpiry until it is of no use,
+	// UntilDeadline until there is none.
+	UntilDue, UntilExpiry, UntilDeadline time.Duration
+}
+
+// An Option is a server that a task could be sent to.
+type Option struct {
+	// CanStart is set if the task can be sent now.
+	CanStart bool
+	// Delay is the expected time until the server starts the task.
+	Delay time.Duration
+	// FailedHere is set if the task has failed on the server.
+	FailedHere bool
+	// FailShare is the probability that a run fails there, whatever its task.
+	FailShare float64
+	// RunTime is the expected run time there.
+	RunTime time.Duration
+}
+
+// failShare returns the probability that the task fails on the server, unless it fails
+// everywhere.
+func (o *Option) failShare() float64 {
+	if o.FailedHere {
+		return max(failedHereShare, o.FailShare)
+	}
+	return o.FailShare
+}
+
+// A Choice is what sending a task to each of some servers is worth, as a share of the value
+// of an answer on time.
+type Choice struct {
+	// Values has the expected value for each Option.
+	Values []float64
+
+	sending float64 // sending is the highest value among the Options that can start the task now.
+	task    Task
+	waiting int // waiting is the best Option that can't start the task now, or -1.
+}
+
+// Withholds reports whether waiting for another server is worth more than sending the task
+// to an Option now.
+func (c *Choice) Withholds(i int) bool {
+	return c.waiting >= 0 && c.Values[i] < c.Values[c.waiting]
+}
+
+// Loss returns how much less sending the task to an Option now is worth than sending it to
+// the best one that can start it now. It is small for a task that fails everywhere, which
+// must not take the best servers from others.
+func (c *Choice) Loss(i int) float64 {
+	return (1 - c.task.Fails) * max(0, c.sending-c.Values[i])
+}
+
+// Compare returns the expected values of sending a task to some servers, now or as soon
+// as they can start it. The value covers the attempts that are left after a failure, on the
+// best server. It does not where the task has failed before, as such a run would only use up
+// an attempt that another server can have. A task that fails everywhere is worth its answer too, which says so: the sooner
+// the better.
+func Compare(task Task, options []Option) Choice {
+	choice := Choice{Values: make([]float64, len(options)), task: task, waiting: -1}
+	successful := make([]float64, len(options)) // successful has the value of a run that succeeds.
+	once := make([]float64, len(options))       // once has the expected value of one attempt.
+	first, second := -1, -1
+	for i := range options {
+		o := &options[i]
+		successful[i] = task.valueAt(o.Delay, o.RunTime)
+		once[i] = (1 - o.failShare()) * successful[i]
+		switch {
+		case first < 0 || once[i] > once[first]:
+			first, second = i, first
+		case second < 0 || once[i] > once[second]:
+			second = i
+		}
+	}
+	for i := range options {
+		o := &options[i]
+		retry := first
+		if i == first {
+			retry = second
+		}
+		value := once[i]
+		switch {
+		case retry < 0 || task.Attempts == 1 || o.FailedHere:
+		case o.failShare() < smallFailShare:
+			value += o.failShare() * once[retry]
+		default:
+			value += o.failShare() * task.retryValue(o, &options[retry])
+		}
+		value = (1-task.Fails)*value + task.Fails*task.failedValue(o)
+		choice.Values[i] = value
+		if o.CanStart {
+			choice.sending = max(choice.sending, value)
+		} else if choice.waiting < 0 || value > choice.Values[choice.waiting] {
+			choice.waiting = i
+		}
+	}
+	return choice
+}
+
+// retryValue returns the value of the attempts that are left after a failure on one server,
+// on another one. A run is assumed to fail after half of its time.
+func (t *Task) retryValue(failed, other *Option) float64 {
+	value, reached := 0.0, 1.0
+	elapsed := failed.Delay + failed.RunTime/2
+	for range t.Attempts - 1 {
+		start := max(elapsed, other.Delay)
+		value += reached * (1 - other.failShare()) * t.valueAt(start, other.RunTime)
+		reached *= other.failShare()
+		elapsed = start + other.RunTime/2
+	}
+	return value
+}
+
+// valueAt returns the expected value of a run that starts after delay and succeeds.
+func (t *Task) valueAt(delay, runTime time.Duration) float64 {
+	return (1-lateValue)*endsWithin(t.UntilDue-delay, runTime) +
+		(lateValue-uselessValue)*endsWithin(t.UntilExpiry-delay, runTime) + uselessValue*endsWithin(t.UntilDeadline-delay, runTime)
+}
+
+// failedValue returns the value of the answer that a task fails everywhere. It falls with
+// the time until then.
+func (t *Task) failedValue(o *Option) float64 {
+	return max(0, 1-float64(o.Delay+o.RunTime)/float64(max(1, t.UntilDeadline)))
+}
+
+// endsWithin returns the probability that a run with an expected run time ends within a
+// limit.
+func endsWithin(limit, runTime time.Duration) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	return math.Erfc(-math.Log(float64(limit)/float64(max(1, runTime)))/(workDeviation*math.Sqrt2)) / 2
+}
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -223,6 +223,9 @@
 	for i := range effects.Placements {
 		j.logPlacement(&effects.Placements[i])
 	}
+	for i := range effects.Withholdings {
+		j.logWithholding(&effects.Withholdings[i])
+	}
 	for name, commands := range effects.Commands {
 		link, ok := j.links[name]
 		if !ok {
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/scheduler"
 )
 
 // metrics are the Prometheus metrics of an entry's jobs.
@@ -14,6 +16,7 @@
 	callersLeft     prometheus.Counter
 	refusedRequests *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
+	withheld        *prometheus.CounterVec
 }
 
 // newMetrics returns metrics that are registered with registry.
@@ -32,8 +35,11 @@
 			Name: "pollenfront_job_duration_seconds", Help: "Time from a job's arrival to its answer, by route.",
 			Buckets: prometheus.ExponentialBuckets(0.02, 1.6, 12),
 		}, []string{"route"}),
+		withheld: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollenfront_attempts_withheld_total", Help: "Attempts that waited although a failing server was free, by its agent.",
+		}, []string{"agent"}),
 	}
-	registry.MustRegister(m.answered, m.callersLeft, m.refusedRequests, m.responseTimes)
+	registry.MustRegister(m.answered, m.callersLeft, m.refusedRequests, m.responseTimes, m.withheld)
 	return m
 }
 
@@ -42,3 +48,10 @@
 	m.answered.WithLabelValues(route, result.Verdict.String(), string(result.Reason)).Inc()
 	m.responseTimes.WithLabelValues(route).Observe(responseTime.Seconds())
 }
+
+// logWithholding logs and counts an attempt that was withheld from a failing server.
+func (j *Jobs) logWithholding(w *scheduler.Withholding) {
+	j.metrics.withheld.WithLabelValues(w.Agent).Inc()
+	j.logger.Info("attempt withheld", zap.String("request", w.Job), zap.Int("task", w.Task), zap.String("agent", w.Agent),
+		zap.Float64("fail-share", w.FailShare), zap.Bool("last-attempt", w.LastAttempt))
+}
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/attempts"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -22,6 +23,10 @@
 	// echo is the agent's clock in its newest update. Commands return it, so
 	// that the agent can tell how old they are.
 	echo int64
+	// health is the newest estimate for the server.
+	health attempts.Health
+	// holds are the resources of runs that have failed on the server.
+	holds []hold
 	// lastSent is the time at which commands were last sent to the agent.
 	lastSent time.Duration
 	// lastSeqNum is the sequence number of the task that was last sent on this link.
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -17,6 +17,8 @@
 	// Results are the answers to give to callers. Each submission gets one, unless
 	// its caller leaves before.
 	Results []pollenfront.Result
+	// Withholdings are the attempts that were withheld from failing servers, to log.
+	Withholdings []Withholding
 }
 
 // A Placement describes tasks of a job that were sent to a server, and the state of
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -57,7 +57,9 @@
 	// to.
 	expectedRunTime time.Duration
 	failures        int
-	job             *job
+	// failedOn are the names of the agents on whose servers runs of the task have failed.
+	failedOn []string
+	job      *job
 	// mayHaveStarted is set if a run of the task has ended that may have started.
 	mayHaveStarted bool
 	// run identifies the newest run. Its number is increased before each send.
@@ -68,6 +70,9 @@
 	stopRequested bool
 	// suspect is set if a process had crashed under the task when it was sent.
 	suspect bool
+	// withheldFailures is one more than the number of failures after which an attempt was
+	// last withheld, or zero.
+	withheldFailures int
 }
 
 // A job is a job that has not ended.
@@ -267,6 +272,7 @@
 	switch end.Ending {
 	case pollenfront.EndingDone:
 		t.state = taskDone
+		s.recordAttempt(now, t, a, end.Ending)
 		j.doneCount++
 		if j.doneCount == len(j.tasks) && !j.canceled {
 			j.answer(pollenfront.VerdictCompleted, "", "", 0, effects)
@@ -276,6 +282,7 @@
 	case pollenfront.EndingFailed:
 		t.failures++
 		t.avoid = a
+		s.recordAttempt(now, t, a, end.Ending)
 		if t.failures >= max(1, j.Route.MaxAttempts) {
 			j.failed = true
 			s.cancelJob(now, j, pollenfront.ReasonTaskFailed, effects)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -56,6 +56,7 @@
 		return
 	}
 	candidates := s.candidates(now)
+	s.holdFailed(now, candidates)
 	placed, stillQueued := 0, 0
 	s.unplaceable = s.unplaceable[:0]
 	for _, j := range s.queue {
@@ -78,6 +79,7 @@
 	if placed > 0 {
 		s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.toPlace == 0 })
 	}
+	effects.Withholdings, s.withheld = append(effects.Withholdings, s.withheld...), s.withheld[:0]
 	s.shedOverdue(now, effects)
 	s.shedHopeless(now, effects)
 }
@@ -233,10 +235,14 @@
 		s.eligible = append(s.eligible, i)
 		s.evaluated = append(s.evaluated, server)
 	}
+	withheld := s.weighAttempt(now, candidates, t, anyCanStart)
 	best = s.chooser.Choose(pollenfront.TaskTiming{
 		JobStarted: j.sentAny, PastLatestStart: now >= j.latestStart, UntilDue: j.due - now - dispatchOverhead, UntilExpiry: j.expiry - now,
 	}, s.evaluated)
 	if best < 0 {
+		if withheld >= 0 {
+			s.recordWithheld(&candidates[s.eligible[withheld]], t)
+		}
 		return -1, anyCanStart
 	}
 	return s.eligible[best], anyCanStart
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -34,6 +34,10 @@
 //   - A task that failed, was stopped or was lost is placed again, unless its job
 //     may run at most once: that job is canceled. A job fails when a task has failed
 //     as often as its route allows.
+//   - A task is not sent again to a server on which it failed, nor its last attempt to a
+//     server that fails more than the others, while waiting for another one is worth more.
+//     The resources of runs that failed on such a server stay taken for a while, so that it
+//     does not get more tasks for failing them early.
 //   - A task under which too many processes have crashed is not started again, here or
 //     after another submission, and its job fails. The entries and agents tell each
 //     other of crashes. A task under which one has crashed runs apart from others of
@@ -73,6 +77,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/attempts"
 	"github.com/pollenfront/pollenfront/crashlog"
 	"github.com/pollenfront/pollenfront/placement"
 	"github.com/pollenfront/pollenfront/tasklink"
@@ -113,7 +118,9 @@
 	// agentCounts holds the number of linked agents by service.
 	agentCounts map[string]int
 	agents      map[string]*agent
-	chooser     pollenfront.Chooser
+	// assessedAt is when the health of the servers was last estimated, or zero.
+	assessedAt time.Duration
+	chooser    pollenfront.Chooser
 	// confinements holds the confined routes by name.
 	confinements map[string]confinement
 	corrector    estimateCorrector
@@ -126,6 +133,8 @@
 	eligible []int
 	// entries are the registered entries, including this one.
 	entries []pollenfront.EntryRecord
+	// evidence is what was seen of failures, by service.
+	evidence map[string]*attempts.Evidence
 	// evaluated are the servers among which chooser chooses.
 	evaluated []pollenfront.ServerCandidate
 	jobs      map[string]*job
@@ -155,7 +164,9 @@
 	// warmUpStart is the time at which the entry started, or resumed from its last
 	// suspension.
 	warmUpStart time.Duration
-	zone        string
+	// withheld are the withholdings of the current call of place.
+	withheld []Withholding
+	zone     string
 }
 
 // An Option sets up a Scheduler.
@@ -173,7 +184,8 @@
 	s := &Scheduler{
 		agentCounts: make(map[string]int), agents: make(map[string]*agent), chooser: placement.EarliestFinish{},
 		confinements: make(map[string]confinement), corrector: make(estimateCorrector),
-		crashes: crashlog.New(), jobs: make(map[string]*job), name: name, remoteFactor: 1, retrySpreaders: make(map[string]*retrySpreader), warmUpStart: now, zone: zone,
+		crashes: crashlog.New(), evidence: make(map[string]*attempts.Evidence), jobs: make(map[string]*job), name: name, remoteFactor: 1,
+		retrySpreaders: make(map[string]*retrySpreader), warmUpStart: now, zone: zone,
 	}
 	for _, option := range options {
 		option(s)
