Divide scarce capacity by fair shares in the entry

Change: with the setting fair-shares (default false), jobs of lagging flows go first, then small ones, and jobs that can't be on time stay queued for a late answer while that is of use and room is left. Retry-After covers the work ahead times the strictness. Metrics and a log line show shares and strictness.

--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -54,7 +54,9 @@
 	// loggedZones lists the disabled zones that were logged last.
 	loggedZones []string
 	logger      *zap.Logger
-	metrics     *metrics
+	// loggedShares is when the fair shares were logged last.
+	loggedShares time.Duration
+	metrics      *metrics
 	// mu guards the fields that change after New, but for config.
 	mu program.Guard
 	// offered is the newest copy of the configuration that agents keep, until one is read
@@ -345,6 +347,7 @@
 	now := bootclock.Now()
 	j.adoptConfig(now)
 	j.applyEffects(now, j.scheduler.Tick(now))
+	j.reportFairShares(now)
 	j.evictHellos(now)
 	for _, agent := range j.scheduler.SilentAgents(now) {
 		if link, ok := j.links[agent.Name]; ok {
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -12,6 +12,8 @@
 type metrics struct {
 	answered        *prometheus.CounterVec
 	callersLeft     prometheus.Counter
+	fairShares      *prometheus.GaugeVec
+	limits          *prometheus.GaugeVec
 	refusedRequests *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
 }
@@ -25,6 +27,12 @@
 		callersLeft: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_callers_left_total", Help: "Jobs whose callers left before the answer.",
 		}),
+		fairShares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pollenfront_fair_share_served_ratio", Help: "Work sent to servers as a share of the work that arrived, by route and size class. Only with fair-shares.",
+		}, []string{"route", "class"}),
+		limits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pollenfront_admission_strictness", Help: "Factor on the expected delay by which jobs are admitted, by route. Only with fair-shares.",
+		}, []string{"route"}),
 		refusedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_requests_refused_total", Help: "Requests refused by their form, route or kind, by reason.",
 		}, []string{"reason"}),
@@ -33,7 +41,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.02, 1.6, 12),
 		}, []string{"route"}),
 	}
-	registry.MustRegister(m.answered, m.callersLeft, m.refusedRequests, m.responseTimes)
+	registry.MustRegister(m.answered, m.callersLeft, m.fairShares, m.limits, m.refusedRequests, m.responseTimes)
 	return m
 }
 
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -42,7 +42,7 @@
 // admit refuses a job that was not placed on arrival if the jobs ahead of it in the
 // queue are expected to delay it beyond its latest start.
 func (s *Scheduler) admit(now time.Duration, j *job, effects *Effects) {
-	if j.toPlace == 0 || j.sentAny || j.canceled || s.warmingUp(now) {
+	if s.fair != nil || j.toPlace == 0 || j.sentAny || j.canceled || s.warmingUp(now) {
 		return
 	}
 	if delay := s.queueDelay(now, s.pool(j), j); now+delay > j.latestStart {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -92,6 +92,7 @@
 	expectedRunTime time.Duration
 	// expiry is the time at which a late answer stops being of use.
 	expiry time.Duration
+	fair   fairAccount
 	// failed is set if a task has failed as often as its route allows, or too many
 	// processes have crashed under it.
 	failed bool
@@ -153,6 +154,9 @@
 		return 1
 	})
 	s.queue = slices.Insert(s.queue, i, j)
+	if s.fair != nil {
+		s.fair.list(j)
+	}
 }
 
 // dequeue removes a job from the queue, if it is there.
@@ -163,6 +167,7 @@
 // refuse answers a job of which no task was sent with VerdictRefused, and removes it.
 func (s *Scheduler) refuse(now time.Duration, j *job, reason pollenfront.Reason, detail string, effects *Effects) {
 	j.answer(pollenfront.VerdictRefused, reason, detail, s.retryAfter(now, j), effects)
+	s.accountRefused(now, j, reason)
 	s.dequeue(j)
 	delete(s.jobs, j.ID)
 }
@@ -270,6 +275,7 @@
 		j.doneCount++
 		if j.doneCount == len(j.tasks) && !j.canceled {
 			j.answer(pollenfront.VerdictCompleted, "", "", 0, effects)
+			s.accountCompleted(now, j)
 			delete(s.jobs, j.ID)
 			return
 		}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -55,6 +55,10 @@
 	if len(s.queue) == 0 {
 		return
 	}
+	if s.fair != nil {
+		s.placeFair(now, effects)
+		return
+	}
 	candidates := s.candidates(now)
 	placed, stillQueued := 0, 0
 	s.unplaceable = s.unplaceable[:0]
@@ -190,7 +194,9 @@
 			s.unplaceable = append(s.unplaceable, j)
 		}
 		if best < 0 {
-			release()
+			if !s.holdsRoom(j) {
+				release()
+			}
 			return false
 		}
 		chosen = append(chosen, best)
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -44,7 +44,8 @@
 // retryAfter returns the time after which the caller of a refused job may retry. It
 // is no shorter than the time in which the queue is expected to empty.
 func (s *Scheduler) retryAfter(now time.Duration, j *job) time.Duration {
-	earliest := max(minRetryAfter, s.queueDelay(now, s.pool(j), nil))
+	delay := max(1, s.strictness(now, j)) * float64(s.queueDelay(now, s.pool(j), nil))
+	earliest := max(minRetryAfter, time.Duration(delay))
 	return s.retrySpreader(j.Route.Service).retryAfter(now, earliest, float64(j.Need.CPU)*float64(j.TaskCount)*float64(j.expectedRunTime))
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -126,6 +126,8 @@
 	eligible []int
 	// entries are the registered entries, including this one.
 	entries []pollenfront.EntryRecord
+	// fair is nil unless fair shares are enabled.
+	fair *fairShares
 	// evaluated are the servers among which chooser chooses.
 	evaluated []pollenfront.ServerCandidate
 	jobs      map[string]*job
@@ -224,6 +226,7 @@
 		s.refuse(now, j, reason, "", effects)
 		return effects
 	}
+	s.accountArrival(now, j)
 	s.enqueue(j)
 	s.place(now, effects)
 	s.admit(now, j, effects)
@@ -243,6 +246,7 @@
 	s.detectSuspension(now, effects)
 	if j, ok := s.jobs[id]; ok {
 		j.answered = true
+		s.accountLeft(now, j)
 		s.cancelJob(now, j, pollenfront.ReasonCallerLeft, effects)
 		s.place(now, effects)
 	}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -11,6 +11,9 @@
 	// Callers is the address at which the entry serves callers through the API of
 	// the users' platform. pollenfront's own API for callers is at API.
 	Callers string `toml:"callers"`
+	// FairShares makes the entry divide scarce capacity fairly among routes and size
+	// classes of jobs, and keep jobs for a late answer while room may be left.
+	FairShares bool `toml:"fair-shares"`
 	// Links is the address at which the entry listens for agents.
 	Links string `toml:"links"`
 	// RemoteFactor is the multiple of its run time that a task takes on servers
