--- a/replay/central_queue.go
+++ b/replay/central_queue.go
@@ -34,7 +34,8 @@
 // submit enqueues a new job and dispatches at once. It dispatches again when the latest
 // start has passed, to refuse the job if it still waits.
 func (q *centralQueue) submit(j *callerJob) {
-	fastestRunTime := time.Duration(float64(j.work) * slices.Min(q.fleet.settings.RunTimeFactors))
+	// A job with a slow task that no server finishes on time is refused at once.
+	fastestRunTime := time.Duration(float64(j.work) * q.fleet.maxTaskFactor(j) * slices.Min(q.fleet.settings.RunTimeFactors))
 	c := &centralJob{callerJob: j, latestStart: j.due() - fastestRunTime, unfinished: j.taskCount, unstarted: j.taskCount}
 	q.enqueue(c)
 	q.dispatch()
@@ -64,7 +65,7 @@
 
 // refuse refuses a job. Its running tasks continue.
 func (q *centralQueue) refuse(c *centralJob) {
-	c.done = true
+	c.done, c.outcome = true, outcomeRefused
 	q.fleet.countJob(q.fleet.result.Refused, c.callerJob)
 }
 
@@ -78,7 +79,7 @@
 		if s.unavailable || s.failing || s.hanging || !s.free().Covers(c.need) {
 			continue
 		}
-		if runTime := s.runTime(c.callerJob); runTime <= soonest {
+		if runTime := s.runTime(c.callerJob, c.unstarted-1); runTime <= soonest {
 			best, soonest = s, runTime
 		}
 	}
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -49,7 +49,11 @@
 func (e *entryNode) start() {
 	e.up = true
 	e.incarnation = uint64(e.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
-	e.scheduler = scheduler.New(e.fleet.now, e.name, e.fleet.zoneName(e.index), scheduler.WithChooser(e.fleet.settings.Chooser))
+	options := []scheduler.Option{scheduler.WithChooser(e.fleet.settings.Chooser)}
+	if e.fleet.settings.FairShares {
+		options = append(options, scheduler.WithFairShares())
+	}
+	e.scheduler = scheduler.New(e.fleet.now, e.name, e.fleet.zoneName(e.index), options...)
 	e.scheduler.SetEntries(e.fleet.entryRecords())
 	e.scheduler.SetRemoteFactor(remoteFactor)
 	e.links = make(map[string]entryLink)
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -32,13 +32,16 @@
 	Clairvoyant         bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
 	DelayedRequestShare float64             // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
 	Entries             int
+	FairShares          bool          // FairShares enables the entries' setting fair-shares.
 	FullMesh            bool          // FullMesh makes each agent link to all entries, instead of those of its cell.
 	OneWayDelay         time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
+	RecordStrictness    bool          // RecordStrictness fills Result.Strictness.
 	RecordHistory       bool          // RecordHistory fills Result.History.
 	RetryRefused        bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
 	RunTimeFactors      []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
 	Seed                uint64
-	Zones               int // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
+	SlowTaskShare       float64 // SlowTaskShare is the share of tasks that take slowTaskFactor times as long as the work of their job.
+	Zones               int     // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
 }
 
 // Parameters of the model. The network delays are one way.
@@ -80,6 +83,7 @@
 // keyed by the name of the job's kind, maps of values by the second in which the job
 // arrived.
 type Result struct {
+	Classes           map[Class]ClassCounts
 	Crashes           int             // Crashes is the number of servers that crashed under tasks.
 	EarnedValue       map[int]float64 // EarnedValue is the value of the answers.
 	History           []HistoryEvent  // History lists what callers and servers have seen, in order, if it is recorded.
@@ -90,7 +94,8 @@
 	OnTime            map[string]int
 	RefusalWait       time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
 	Refused           map[string]int
-	Starts            int // Starts is the number of runs that were started.
+	Strictness        map[string][]float64 // Strictness holds the strictness of the first entry's admission limits every strictnessInterval, by route.
+	Starts            int                  // Starts is the number of runs that were started.
 	Submitted         map[string]int
 	Unknown           map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
 	UsefulCoreSeconds float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
@@ -101,7 +106,7 @@
 // newResult returns a result without jobs.
 func newResult() Result {
 	return Result{
-		EarnedValue: make(map[int]float64), Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
+		Classes: make(map[Class]ClassCounts), EarnedValue: make(map[int]float64), Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
 		Refused: make(map[string]int), Submitted: make(map[string]int), Unknown: make(map[string]int),
 	}
 }
@@ -124,6 +129,11 @@
 			values[0][second] += value
 		}
 	}
+	for class, counts := range other.Classes {
+		sum := r.Classes[class]
+		sum.Add(counts)
+		r.Classes[class] = sum
+	}
 	r.Crashes += other.Crashes
 	r.MaxCrashes = max(r.MaxCrashes, other.MaxCrashes)
 	r.Messages += other.Messages
@@ -184,6 +194,9 @@
 	if s.Clairvoyant {
 		f.centralQueue = newCentralQueue(f)
 	}
+	if s.RecordStrictness {
+		f.scheduleAt(0, f.recordStrictness)
+	}
 	for i := range s.Entries {
 		f.entries = append(f.entries, newEntryNode(f, i))
 	}
@@ -202,6 +215,7 @@
 		f.now = e.at
 		e.do()
 	}
+	f.result.Classes = f.countClasses()
 	return f.result
 }
 
--- a/replay/load.go
+++ b/replay/load.go
@@ -59,8 +59,9 @@
 	kind      Kind
 	submitted int                   // submitted is the position of the last submission in the history.
 	need      pollenfront.Resources // need is the need of each task.
-	retried   bool                  // retried is set when the job was refused and its caller retries it.
-	started   bool                  // started is set when a task has started since the last submission.
+	outcome   outcome
+	retried   bool // retried is set when the job was refused and its caller retries it.
+	started   bool // started is set when a task has started since the last submission.
 	taskCount int
 	timeLimit time.Duration
 	work      time.Duration // work is the run time of each task on a server with the run time factor 1.
@@ -82,7 +83,7 @@
 		if f.now > until {
 			return
 		}
-		f.submitNewJob(kind)
+		f.submitNewJob(kind, func() int { return f.loadRandom.IntN(len(f.entries)) })
 		f.scheduleArrival(kind, until, rate)
 	})
 }
@@ -93,8 +94,8 @@
 	return math.Exp(f.loadRandom.NormFloat64()*deviation - deviation*deviation/2)
 }
 
-// submitNewJob draws a job of a kind and submits it.
-func (f *Fleet) submitNewJob(kind Kind) {
+// submitNewJob draws a job of a kind and submits it to the entry that drawEntry returns.
+func (f *Fleet) submitNewJob(kind Kind, drawEntry func() int) {
 	work := time.Duration(float64(kind.MeanWork) * f.logNormalFactor(0.35))
 	j := &callerJob{
 		arrived:   f.now,
@@ -107,7 +108,7 @@
 		work:      work,
 	}
 	f.jobs[j.id] = j
-	entry := f.loadRandom.IntN(len(f.entries))
+	entry := drawEntry()
 	canceled, cancelDelay := f.loadRandom.Float64() < f.earlyCancelShare, time.Duration(f.loadRandom.Float64()*float64(j.due()-j.arrived))
 	if !canceled {
 		cancelDelay = j.timeLimit + kind.Patience
@@ -246,6 +247,7 @@
 			f.scheduleRetry(j, result.RetryAfter)
 			return
 		}
+		j.outcome = outcomeRefused
 		f.countJob(f.result.Refused, j)
 		f.result.RefusalWait += f.now - j.arrived
 		j.done = true
@@ -266,10 +268,12 @@
 		}
 	}
 	if f.now <= j.due() {
+		j.outcome = outcomeOnTime
 		f.countJob(f.result.OnTime, j)
 		f.addValue(f.result.EarnedValue, j, 1)
 		return
 	}
+	j.outcome = outcomeLate
 	f.countJob(f.result.Late, j)
 	f.addValue(f.result.EarnedValue, j, lateValueShare)
 }
--- a/replay/server.go
+++ b/replay/server.go
@@ -91,7 +91,7 @@
 	if s.failing || job.kind.AlwaysFails {
 		ending = pollenfront.EndingFailed
 	}
-	r.runTime = s.runTime(job)
+	r.runTime = s.runTime(job, id.Index)
 	if job.kind.CrashesAfter > 0 && id.Index == 0 {
 		f.schedule(min(job.kind.CrashesAfter, r.runTime), func() { s.crashUnder(r) })
 	}
@@ -99,9 +99,9 @@
 	return nil
 }
 
-// runTime returns the run time of a task of a job on the server.
-func (s *serverNode) runTime(j *callerJob) time.Duration {
-	localRunTime := time.Duration(float64(j.work) * s.runTimeFactor)
+// runTime returns the run time of the task of a job with an index on the server.
+func (s *serverNode) runTime(j *callerJob, index int) time.Duration {
+	localRunTime := time.Duration(float64(j.work) * s.runTimeFactor * s.fleet.taskFactor(j, index))
 	if j.kind.DataRack != "" && j.kind.DataRack != s.rack {
 		return time.Duration(float64(localRunTime) * remoteFactor)
 	}
