Pass over the queue less often with fair shares

Change: jobs that have left are dropped from the jobs by size in the pass that groups them, and the queue is filtered only after placements.

--- a/scheduler/fair.go
+++ b/scheduler/fair.go
@@ -150,11 +150,13 @@
 	for i := range groups {
 		groups[i] = groups[i][:0]
 	}
-	f.bySize = slices.DeleteFunc(f.bySize, func(j *job) bool {
-		j.fair.listed = j.queued()
-		return !j.fair.listed
-	})
+	listed := f.bySize[:0]
 	for _, j := range f.bySize {
+		j.fair.listed = j.queued()
+		if !j.fair.listed {
+			continue
+		}
+		listed = append(listed, j)
 		if j.isLate(now) {
 			continue
 		}
@@ -169,6 +171,8 @@
 		}
 		groups[group] = append(groups[group], j)
 	}
+	clear(f.bySize[len(listed):])
+	f.bySize = listed
 	f.order = f.order[:0]
 	for _, group := range groups {
 		f.order = append(f.order, group...)
@@ -201,7 +205,9 @@
 			}
 		}
 	}
-	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.toPlace == 0 })
+	if len(effects.Placements) > 0 {
+		s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.toPlace == 0 })
+	}
 	if s.warmingUp(now) {
 		s.shedOverdue(now, effects)
 		return
