--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -54,7 +54,9 @@
 	// loggedZones lists the disabled zones that were logged last.
 	loggedZones []string
 	logger      *zap.Logger
-	metrics     *metrics
+	// loggedShares is when the fair shares were logged last.
+	loggedShares time.Duration
+	metrics      *metrics
 	// mu guards the fields that change after New, but for config.
 	mu program.Guard
 	// nextCopy is the time from which the next copy of the configuration may be sent to an
@@ -352,6 +354,7 @@
 	j.adoptConfig(now)
 	j.sendCopies(now)
 	j.applyEffects(now, j.scheduler.Tick(now))
+	j.reportFairShares(now)
 	j.evictHellos(now)
 	for _, agent := range j.scheduler.SilentAgents(now) {
 		if link, ok := j.links[agent.Name]; ok {
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -14,6 +14,8 @@
 type metrics struct {
 	answered        *prometheus.CounterVec
 	callersLeft     prometheus.Counter
+	fairShares      *prometheus.GaugeVec
+	limits          *prometheus.GaugeVec
 	refusedRequests *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
 	withheld        *prometheus.CounterVec
@@ -28,6 +30,12 @@
 		callersLeft: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_callers_left_total", Help: "Jobs whose callers left before the answer.",
 		}),
+		fairShares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pollenfront_fair_share_served_ratio", Help: "Work sent to servers as a share of the work that arrived, by route and size class. Only with fair-shares.",
+		}, []string{"route", "class"}),
+		limits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pollenfront_admission_strictness", Help: "Factor on the expected delay by which jobs are admitted, by route. Only with fair-shares.",
+		}, []string{"route"}),
 		refusedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_requests_refused_total", Help: "Requests refused by their form, route or kind, by reason.",
 		}, []string{"reason"}),
@@ -39,7 +47,7 @@
 			Name: "pollenfront_attempts_withheld_total", Help: "Attempts that waited although a failing server was free, by its agent.",
 		}, []string{"agent"}),
 	}
-	registry.MustRegister(m.answered, m.callersLeft, m.refusedRequests, m.responseTimes, m.withheld)
+	registry.MustRegister(m.answered, m.callersLeft, m.fairShares, m.limits, m.refusedRequests, m.responseTimes, m.withheld)
 	return m
 }
 
--- a/replay/attempts.go
+++ b/replay/attempts.go
@@ -28,14 +28,14 @@
 	})
 }
 
-// LoadWave submits jobs like Load, at rates that oscillate around the given multiple of
-// the kinds' rates. It approximates the wave by steps.
-func (f *Fleet) LoadWave(kinds []Kind, from, until time.Duration, factor float64, wave func(at time.Duration) float64) {
+// LoadCurve submits jobs like Load, at rates that follow a curve around the given multiple of
+// the kinds' rates. It approximates the curve by steps.
+func (f *Fleet) LoadCurve(kinds []Kind, from, until time.Duration, factor float64, curve func(at time.Duration) float64) {
 	const step = 250 * time.Millisecond
 	for at := from; at < until; at += step {
 		f.scheduleAt(at, func() {
 			for _, kind := range kinds {
-				f.scheduleArrival(kind, f.now+min(step, until-at), kind.Rate*factor*wave(at))
+				f.scheduleArrival(kind, f.now+min(step, until-at), kind.Rate*factor*curve(at))
 			}
 		})
 	}
@@ -77,5 +77,5 @@
 	if !linked || s.failShare > 0 || s.failedTasks[id] || f.now-s.lastEnd <= 2*(f.settings.OneWayDelay+agentServerDelay) {
 		return false
 	}
-	return a.executor.Report(f.now).Free.Covers(j.need) && f.now+s.runTime(j) <= j.due()
+	return a.executor.Report(f.now).Free.Covers(j.need) && f.now+s.runTime(j, id.Index) <= j.due()
 }
--- a/replay/attempts_test.go
+++ b/replay/attempts_test.go
@@ -12,23 +12,23 @@
 	"github.com/pollenfront/pollenfront/replay"
 )
 
-// Parameters of the Atlas site.
+// Parameters of the busy fleet.
 const (
-	atlasServers   = 73
-	atlasFailShare = 0.39 // atlasFailShare is the share of runs that its failing servers fail.
-	atlasSeeds     = 3
+	busyServers   = 73
+	faultyFailShare = 0.39 // faultyFailShare is the share of runs that its failing servers fail.
+	busySeeds     = 3
 )
 
-// atlasKinds are the kinds of jobs of the Atlas site. At the mean of atlasWave they need
+// busyKinds are the kinds of jobs of the busy fleet. At the mean of waveWithBurst they need
 // three quarters of the capacity, at its peak more than there is.
-var atlasKinds = []replay.Kind{
+var busyKinds = []replay.Kind{
 	{LatencyTarget: 60 * time.Millisecond, MeanTasks: 8, MeanWork: 55 * time.Millisecond, Name: "small", Rate: 342, TimeLimit: 1500 * time.Millisecond, Value: 0.00485},
 	{LatencyTarget: 60 * time.Millisecond, MeanTasks: 4, MeanWork: 800 * time.Millisecond, Name: "large", Priority: 2, Rate: 62, TimeLimit: 1500 * time.Millisecond, Value: 0.0267},
 	{LatencyTarget: 60 * time.Millisecond, MeanTasks: 2, MeanWork: 200 * time.Millisecond, Name: "pair", Priority: 1, Rate: 600, TimeLimit: 1500 * time.Millisecond, Value: 0.00167},
 }
 
-// atlasWave is the rising half of the wave of the Atlas site, with a burst on top.
-func atlasWave(at time.Duration) float64 {
+// waveWithBurst is the rising half of the wave of the busy fleet, with a burst on top.
+func waveWithBurst(at time.Duration) float64 {
 	wave := 1 + 0.55*math.Sin(2*math.Pi*at.Seconds()/15)
 	if at >= 3*time.Second && at < 4*time.Second {
 		return 1.3 * wave
@@ -36,17 +36,17 @@
 	return wave
 }
 
-// simulateAtlas simulates the Atlas site at its peak with some seeds concurrently and
+// simulateBusyFleet simulates the busy fleet at its peak with some seeds concurrently and
 // returns the sum of the results. factor multiplies the load, setup schedules the faults.
-func simulateAtlas(factor float64, setup func(f *replay.Fleet)) replay.Result {
-	var results [atlasSeeds]replay.Result
+func simulateBusyFleet(factor float64, setup func(f *replay.Fleet)) replay.Result {
+	var results [busySeeds]replay.Result
 	var group sync.WaitGroup
 	for i := range results {
 		group.Go(func() {
 			f := replay.NewFleet(replay.Settings{
-				Agents: atlasServers, Entries: 13, FailShare: 0.002, RunTimeFactors: []float64{0.55, 1.2, 1.2, 1.2}, Seed: uint64(i) + 1, Zones: 3, //nolint:gosec // Not negative.
+				Agents: busyServers, Entries: 13, FailShare: 0.002, RunTimeFactors: []float64{0.55, 1.2, 1.2, 1.2}, Seed: uint64(i) + 1, Zones: 3, //nolint:gosec // Not negative.
 			})
-			f.LoadWave(atlasKinds, time.Second, 5*time.Second, factor, atlasWave)
+			f.LoadCurve(busyKinds, time.Second, 5*time.Second, factor, waveWithBurst)
 			setup(f)
 			results[i] = f.Run(7 * time.Second)
 		})
@@ -84,15 +84,15 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			failing := 0
-			for i := range atlasServers {
+			for i := range busyServers {
 				if test.failing(i) {
 					failing++
 				}
 			}
-			result := simulateAtlas(1, func(f *replay.Fleet) {
-				for i := range atlasServers {
+			result := simulateBusyFleet(1, func(f *replay.Fleet) {
+				for i := range busyServers {
 					if test.failing(i) {
-						f.FailRuns(2*time.Second, i, atlasFailShare, 3*time.Second)
+						f.FailRuns(2*time.Second, i, faultyFailShare, 3*time.Second)
 					}
 				}
 			})
@@ -103,7 +103,7 @@
 			c.Assert(result.Violations, qt.HasLen, 0)
 			c.Check(10*sum(result.Failed) < test.failedBefore, qt.IsTrue)
 			c.Check(result.RepeatedStarts, qt.Equals, 0)
-			c.Check(share <= float64(failing)/atlasServers, qt.IsTrue)
+			c.Check(share <= float64(failing)/busyServers, qt.IsTrue)
 		})
 	}
 }
@@ -119,13 +119,13 @@
 					AlwaysFails: fails, LatencyTarget: 60 * time.Millisecond, MeanTasks: tasks, MeanWork: 55 * time.Millisecond, Name: "extra", Rate: 100,
 					TimeLimit: 1500 * time.Millisecond,
 				}
-				return simulateAtlas(factor, func(f *replay.Fleet) { f.Load([]replay.Kind{extra}, time.Second, 4*time.Second, 1) })
+				return simulateBusyFleet(factor, func(f *replay.Fleet) { f.Load([]replay.Kind{extra}, time.Second, 4*time.Second, 1) })
 			}
 			c := qt.New(t)
 			good, bad := simulate(false, 6), simulate(true, 2) // A task that fails runs three times.
 			wait := bad.FailedWait / time.Duration(max(1, bad.Failed["extra"]))
 			t.Logf("%d jobs failed after %v each", bad.Failed["extra"], wait)
-			for _, kind := range atlasKinds {
+			for _, kind := range busyKinds {
 				t.Logf("%s: on time %.4f, beside jobs that are done %.4f, failed %d", kind.Name, bad.KindOnTimeShare(kind.Name),
 					good.KindOnTimeShare(kind.Name), bad.Failed[kind.Name])
 				c.Check(bad.Failed[kind.Name], qt.Equals, 0)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -135,6 +135,8 @@
 	entries []pollenfront.EntryRecord
 	// evidence is what was seen of failures, by service.
 	evidence map[string]*attempts.Evidence
+	// fair is nil unless fair shares are enabled.
+	fair *fairShares
 	// evaluated are the servers among which chooser chooses.
 	evaluated []pollenfront.ServerCandidate
 	jobs      map[string]*job
@@ -236,6 +238,7 @@
 		s.refuse(now, j, reason, "", effects)
 		return effects
 	}
+	s.accountArrival(now, j)
 	s.enqueue(j)
 	s.place(now, effects)
 	s.admit(now, j, effects)
@@ -255,6 +258,7 @@
 	s.detectSuspension(now, effects)
 	if j, ok := s.jobs[id]; ok {
 		j.answered = true
+		s.accountLeft(now, j)
 		s.cancelJob(now, j, pollenfront.ReasonCallerLeft, effects)
 		s.place(now, effects)
 	}
