Add shares by demand and fields that carry them

Cause: an entry counts capacity / entries of each linked server as its own, whatever the others need. Commands carry a demand and reports a share; the protocol version is 6.

--- /dev/null
+++ b/demandshare/demandshare.go
@@ -0,0 +1,70 @@
+// Package demandshare divides the capacity of a server among the entries that are linked
+// to its agent, by the demand that they state.
+//
+// These rules decide:
+//
+//   - The shares are max-min fair: no entry gets more than it demands as long as another
+//     entry gets less than that and less than it demands itself.
+//   - Every entry gets at least the floor, a part of the equal share, so that an entry
+//     without demand can start jobs before its next statement has arrived.
+//   - What is left when all demands are met is lent out equally.
+//   - Demand is smoothed over smoothingTime. A statement that is not a valid number, or is older
+//     than StatementLifetime, counts as none. One above the capacity counts as the
+//     capacity.
+//   - Shares are stated to one entry after the other. A share is increased only by what
+//     the others have already been told to be lower, so that the stated shares never add
+//     up to more than the capacity.
+//
+// A share is an assumption for admission. It does not limit what an entry may start.
+//
+// # Usage
+//
+//	l := demandshare.NewLedger()
+//	l.Add("entry-1")
+//	err := l.Record(now, "entry-1", demand)
+//	share := l.Grant(now, "entry-1", capacity)
+//
+// A Ledger is not safe for concurrent use.
+package demandshare
+
+import "slices"
+
+// floorShare is the floor as a part of the equal share. With a quarter, an entry with all
+// of the demand gets 0.79 of a server that six entries share.
+const floorShare = 0.25
+
+// MaxMin returns max-min fair shares of a capacity, in the order of the demands. A demand
+// below the floor counts as the floor, and one above the capacity as the capacity. What
+// exceeds the demands is added to all shares equally. The demands must be valid numbers.
+func MaxMin(capacity float64, demands []float64) []float64 {
+	n := len(demands)
+	if n == 0 || capacity <= 0 {
+		return make([]float64, n)
+	}
+	floor := floorShare * capacity / float64(n)
+	shares := make([]float64, n)
+	order := make([]int, n)
+	for i, demand := range demands {
+		order[i], shares[i] = i, max(floor, min(demand, capacity))
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		if shares[a] < shares[b] {
+			return -1
+		}
+		if shares[a] > shares[b] {
+			return 1
+		}
+		return 0
+	})
+	left := capacity
+	for i, index := range order {
+		shares[index] = min(shares[index], left/float64(n-i))
+		left -= shares[index]
+	}
+	if left > 0 {
+		for i := range shares {
+			shares[i] += left / float64(n)
+		}
+	}
+	return shares
+}
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -30,7 +30,7 @@
 
 // Version is the version of the protocol. Both sides close a link if the other
 // side uses a different version.
-const Version = 5
+const Version = 6
 
 // Hello is the first message on a link, in both directions.
 //
@@ -118,6 +118,9 @@
 	Labels []string
 	// EntryCount is the number of entries that share the server.
 	EntryCount int
+	// Share is the share of the receiving entry in the CPU of the server, in thousandths
+	// of a core. It is zero if none is stated.
+	Share int
 }
 
 // A State is whether tasks may be sent to a backend server, and if not, why.
@@ -181,6 +184,9 @@
 	// Config is the configuration in force. The primary entry of a server sends it to
 	// the agent once on a link and after each change.
 	Config *pollenfront.Config
+	// Demand is the CPU that the unfinished jobs of the entry want from the server, in
+	// thousandths of a core. It is zero if none is stated.
+	Demand int
 }
 
 // A StartCommand tells an agent to start runs of tasks of one job.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -16,8 +16,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendInt64(o, z.EchoedClock)
 	// array header, size 2
 	o = append(o, 0x92)
@@ -60,6 +60,7 @@
 			return
 		}
 	}
+	o = msgp.AppendInt(o, z.Demand)
 	return
 }
 
@@ -71,8 +72,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.EchoedClock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -204,6 +205,11 @@
 			return
 		}
 	}
+	z.Demand, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Demand")
+		return
+	}
 	o = bts
 	return
 }
@@ -231,6 +237,7 @@
 	} else {
 		s += z.Config.Msgsize()
 	}
+	s += msgp.IntSize
 	return
 }
 
@@ -435,8 +442,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint8(o, uint8(z.State))
 	o, err = z.Capacity.MarshalMsg(o)
 	if err != nil {
@@ -467,6 +474,7 @@
 		o = msgp.AppendString(o, z.Labels[za0003])
 	}
 	o = msgp.AppendInt(o, z.EntryCount)
+	o = msgp.AppendInt(o, z.Share)
 	return
 }
 
@@ -478,8 +486,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	{
@@ -602,6 +610,11 @@
 		err = msgp.WrapError(err, "EntryCount")
 		return
 	}
+	z.Share, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
 	o = bts
 	return
 }
@@ -616,7 +629,7 @@
 	for za0003 := range z.Labels {
 		s += msgp.StringPrefixSize + len(z.Labels[za0003])
 	}
-	s += msgp.IntSize
+	s += msgp.IntSize + msgp.IntSize
 	return
 }
 
--- /dev/null
+++ b/tasklink/size_test.go
@@ -0,0 +1,35 @@
+package tasklink_test
+
+import (
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// TestDemandShareSize guards against fields for demand and shares that cost more than the
+// ten bytes allowed in an update or in commands, whatever their values.
+func TestDemandShareSize(t *testing.T) {
+	size := func(c *qt.C, message interface{ MarshalMsg([]byte) ([]byte, error) }) int {
+		data, err := message.MarshalMsg(nil)
+		c.Assert(err, qt.IsNil)
+		return len(data)
+	}
+	report := tasklink.Report{
+		Capacity: pollenfront.Resources{CPU: 64000, Memory: 131072}, EntryCount: 6, FailRate: 0.01, Free: pollenfront.Resources{CPU: 32000, Memory: 65536},
+		Labels: []string{"rack-1"}, RunSeconds: 0.2, Slowness: 1.2, State: tasklink.StateReady, Waits: []int{0, 0, 0},
+	}
+	for _, value := range []int{0, 10_667, 64_000, 400_000, math.MaxInt, math.MinInt} {
+		c := qt.New(t)
+		update, commands := tasklink.Update{Clock: 1 << 50, Report: report}, tasklink.Commands{AgentCount: 50, EchoedClock: 1 << 50}
+		// Version 5 had no field here. The shortest encoding of a field is one byte.
+		updateBefore, commandsBefore := size(c, &update)-1, size(c, &commands)-1
+		update.Report.Share, commands.Demand = value, value
+		t.Logf("value %d: update %d to %d bytes, commands %d to %d bytes", value, updateBefore, size(c, &update), commandsBefore, size(c, &commands))
+		c.Check(size(c, &update)-updateBefore <= 10, qt.IsTrue)
+		c.Check(size(c, &commands)-commandsBefore <= 10, qt.IsTrue)
+	}
+}
