State demand and use shares with the setting demand-shares

Change: with demand-shares, an entry states what its unfinished jobs want from each server, the agent states the entry's share in each update, and the entry uses it in admission and retry spreading. Invalid values are ignored, logged once for each peer and counted.

--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -129,6 +129,7 @@
 	for _, crash := range effects.Crashes {
 		d.recordCrash(crash)
 	}
+	d.recordInvalidDemands(effects.InvalidDemands)
 	for i := range effects.Ended {
 		d.recordRunEnd(&effects.Ended[i])
 	}
--- a/agent/internal/driver/metrics.go
+++ b/agent/internal/driver/metrics.go
@@ -6,6 +6,7 @@
 type metrics struct {
 	crashedRuns          prometheus.Counter
 	invalidAnnouncements prometheus.Counter
+	invalidDemands       prometheus.Counter
 	runsEnded            *prometheus.CounterVec
 	serverCrashes        prometheus.Counter
 	startRequests        prometheus.Counter
@@ -21,6 +22,9 @@
 		invalidAnnouncements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_announcements_ignored_total", Help: "Announcements that could not be used.",
 		}),
+		invalidDemands: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollenfront_demands_ignored_total", Help: "Demands stated by entries that could not be used.",
+		}),
 		runsEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_runs_ended_total", Help: "Runs that ended, by ending.",
 		}, []string{"ending"}),
@@ -34,6 +38,6 @@
 			Name: "pollenfront_stop_orders_total", Help: "Orders to the backend server to stop a run.",
 		}),
 	}
-	registry.MustRegister(m.crashedRuns, m.runsEnded, m.invalidAnnouncements, m.serverCrashes, m.startRequests, m.stopRequests)
+	registry.MustRegister(m.crashedRuns, m.runsEnded, m.invalidAnnouncements, m.invalidDemands, m.serverCrashes, m.startRequests, m.stopRequests)
 	return m
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -81,6 +81,9 @@
 	hello := tasklink.Hello{Incarnation: incarnation, Name: s.Name, Version: tasklink.Version, Zone: s.Zone}
 	j := jobs.New(hello, store, process.Registry, process.Logger)
 	j.SetRemoteFactor(s.RemoteFactor)
+	if s.DemandShares {
+		j.EnableDemandShares()
+	}
 	return &entry{
 		jobs:         j,
 		logger:       process.Logger,
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -233,6 +233,7 @@
 		}
 		j.scheduler.MarkSent(now, name)
 	}
+	j.recordInvalidShares(effects.InvalidShares)
 	j.logDisabledZones()
 	j.logConfinedRoutes()
 }
@@ -346,6 +347,7 @@
 	j.adoptConfig(now)
 	j.applyEffects(now, j.scheduler.Tick(now))
 	j.evictHellos(now)
+	j.metrics.sharedCPU.Set(float64(j.scheduler.SharedCapacity(now)))
 	for _, agent := range j.scheduler.SilentAgents(now) {
 		if link, ok := j.links[agent.Name]; ok {
 			j.logger.Warn("agent silent", zap.String("agent", agent.Name))
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -12,8 +12,10 @@
 type metrics struct {
 	answered        *prometheus.CounterVec
 	callersLeft     prometheus.Counter
+	invalidShares   prometheus.Counter
 	refusedRequests *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
+	sharedCPU       prometheus.Gauge
 }
 
 // newMetrics returns metrics that are registered with registry.
@@ -25,6 +27,9 @@
 		callersLeft: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_callers_left_total", Help: "Jobs whose callers left before the answer.",
 		}),
+		invalidShares: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollenfront_shares_ignored_total", Help: "Shares stated by agents that could not be used.",
+		}),
 		refusedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_requests_refused_total", Help: "Requests refused by their form, route or kind, by reason.",
 		}, []string{"reason"}),
@@ -32,8 +37,11 @@
 			Name: "pollenfront_job_duration_seconds", Help: "Time from a job's arrival to its answer, by route.",
 			Buckets: prometheus.ExponentialBuckets(0.02, 1.6, 12),
 		}, []string{"route"}),
+		sharedCPU: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pollenfront_shared_cpu", Help: "Sum of the entry's shares of the usable servers, in thousandths of a core; zero unless shares follow demand.",
+		}),
 	}
-	registry.MustRegister(m.answered, m.callersLeft, m.refusedRequests, m.responseTimes)
+	registry.MustRegister(m.answered, m.callersLeft, m.invalidShares, m.refusedRequests, m.responseTimes, m.sharedCPU)
 	return m
 }
 
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pollenfront/pollenfront/demandshare"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -12,7 +13,9 @@
 	Incarnation   uint64          `json:"incarnation"`
 	Report        tasklink.Report `json:"report"`
 	Runs          []RunDump       `json:"runs"`
-	Token         uint64          `json:"token"`
+	// Shares are the shares of the linked entries, if the agent states any.
+	Shares map[string]demandshare.Share `json:"shares,omitempty"`
+	Token  uint64                       `json:"token"`
 }
 
 // A RunDump is the state of a run that has not ended.
@@ -35,7 +38,7 @@
 
 // Dump returns the current state of the executor.
 func (x *Executor) Dump(now time.Duration) Dump {
-	d := Dump{NoUnknownRuns: x.noUnknownRuns, Incarnation: x.server.incarnation, Report: x.Report(now), Token: x.token}
+	d := Dump{NoUnknownRuns: x.noUnknownRuns, Incarnation: x.server.incarnation, Report: x.Report(now), Shares: x.Shares(now), Token: x.token}
 	for _, r := range x.acceptedRuns {
 		d.Runs = append(d.Runs, RunDump{
 			Age: (now - r.lastStartSent).String(), Entry: r.entry.Name, Index: r.id.Index, Job: r.id.Job, Number: r.id.Number,
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -14,6 +14,8 @@
 	Crashes []ServerCrash
 	// Ended lists the runs that ended, for the log.
 	Ended []EndedRun
+	// InvalidDemands lists the invalid demands that entries have stated.
+	InvalidDemands []InvalidDemand
 	// Notify lists the names of the entries that need an update now.
 	Notify []string
 	// Starts lists the start requests to send to the server.
@@ -32,6 +34,14 @@
 	Reported bool
 }
 
+// An InvalidDemand is a stated demand that was ignored.
+type InvalidDemand struct {
+	Demand int
+	Entry  string
+	// First is whether it is the first one of the entry's incarnation.
+	First bool
+}
+
 // A StopRequest tells the server to stop a run, or not to start it.
 type StopRequest struct {
 	Run   pollenfront.RunID
@@ -42,6 +52,7 @@
 func (e *Effects) merge(other Effects) {
 	e.Crashes = append(e.Crashes, other.Crashes...)
 	e.Ended = append(e.Ended, other.Ended...)
+	e.InvalidDemands = append(e.InvalidDemands, other.InvalidDemands...)
 	e.Starts = append(e.Starts, other.Starts...)
 	e.Stops = append(e.Stops, other.Stops...)
 	for _, name := range other.Notify {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -14,6 +14,8 @@
 	// crashCursor is the position up to which the entry was told of crashes on its
 	// current link.
 	crashCursor uint64
+	// invalidDemand is whether this incarnation has stated an invalid demand.
+	invalidDemand bool
 	// lastEcho is the newest reading of the agent's clock that the entry has
 	// echoed, or the time at which it linked if that is later.
 	lastEcho time.Duration
@@ -69,6 +71,8 @@
 	}
 	e.lastEcho, e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = now, 0, true, 0, false, nil
 	e.crashCursor = 0
+	x.removeFromShares(e) // A new link starts without a statement.
+	x.addToShares(e)
 	return x.runStates(e), effects
 }
 
@@ -77,6 +81,7 @@
 func (x *Executor) UnlinkEntry(ref EntryRef) {
 	if e, ok := x.entries[ref.Name]; ok && e.EntryRef == ref {
 		e.linked = false
+		x.removeFromShares(e)
 	}
 }
 
@@ -135,6 +140,7 @@
 	if e.released > 0 && update.Report.State == tasklink.StateReady {
 		update.Report.State = tasklink.StateDraining
 	}
+	update.Report.Share = x.grantShare(now, e)
 	e.pendingEnds = nil
 	update.Crashes, e.crashCursor = x.crashes.Since(now, e.crashCursor, name)
 	return update, true
@@ -145,6 +151,7 @@
 	var effects Effects
 	if e, ok := x.entries[name]; ok && e.released == 0 {
 		e.released = max(now, e.lastEcho+1) // An echo from before the release must not count.
+		x.removeFromShares(e)
 		effects.notify(name)
 	}
 	return effects
@@ -155,6 +162,7 @@
 	var effects Effects
 	if e, ok := x.entries[name]; ok && e.released > 0 {
 		e.released = 0
+		x.addToShares(e)
 		effects.notify(name)
 	}
 	return effects
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -54,6 +54,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/crashlog"
+	"github.com/pollenfront/pollenfront/demandshare"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -182,7 +183,9 @@
 	runsByTask map[pollenfront.TaskID]*run
 	server     server
 	service    string
-	stats      runStats
+	// shares are the shares of the entries, or nil if none are stated.
+	shares *demandshare.Ledger
+	stats  runStats
 	// token is the fencing token of the next request to the server.
 	token uint64
 }
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -88,8 +88,12 @@
 
 // effectiveCapacity returns this entry's share of the CPU of an agent's server, in
 // thousandths of a core of a server of slowness 1. A server that is twice as slow counts
-// half. The entries that share the server have equal shares.
+// half. The share is the one that the agent has stated. Without one, the entries that share
+// the server have equal shares.
 func (a *agent) effectiveCapacity() float64 {
+	if a.share > 0 {
+		return float64(a.share) / max(a.report.Slowness, 0.1)
+	}
 	return float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1) / float64(max(1, a.report.EntryCount))
 }
 
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -22,6 +22,8 @@
 	// echo is the agent's clock in its newest update. Commands return it, so
 	// that the agent can tell how old they are.
 	echo int64
+	// invalidShare is set if the agent has stated an invalid share.
+	invalidShare bool
 	// lastSent is the time at which commands were last sent to the agent.
 	lastSent time.Duration
 	// lastSeqNum is the sequence number of the task that was last sent on this link.
@@ -33,6 +35,9 @@
 	primary bool
 	report  tasklink.Report
 	service string
+	// share is this entry's share of the CPU of the agent's server, in thousandths of a
+	// core, or zero if none was stated or it is not used.
+	share int
 	// tasks are the tasks that were sent to the agent and whose runs have not
 	// ended.
 	tasks map[pollenfront.RunID]*task
@@ -67,6 +72,7 @@
 	a.AgentRef = pollenfront.AgentRef{Incarnation: hello.Incarnation, Name: hello.Name}
 	a.crashCursor, a.echo, a.lastUpdate, a.linked, a.lastSeqNum, a.unreported = 0, 0, now, true, 0, nil
 	a.service, a.zone, a.report = hello.Service, hello.Zone, tasklink.Report{}
+	a.share = 0
 	s.countAgents()
 	a.primary = s.isPrimary(a)
 	known := make(map[pollenfront.RunID]tasklink.RunState, len(hello.Runs))
@@ -136,6 +142,7 @@
 	}
 	unchanged := s.usable(now, a) && sameRoom(&a.report, &update.Report) && len(update.RunEnds) == 0
 	a.echo, a.lastUpdate, a.report = update.Clock, now, update.Report
+	s.recordShare(a, effects)
 	for len(a.unreported) > 0 && a.unreported[0].seqNum <= update.LastSeqNum {
 		a.unreported = a.unreported[1:]
 		unchanged = false
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -21,6 +21,9 @@
 
 // An AgentDump is the state of an agent as a scheduler knows it.
 type AgentDump struct {
+	// Demand is the demand for the server, in thousandths of a core. It is zero unless
+	// the entry states its demand.
+	Demand int `json:"demand"`
 	// LastUpdate is the time since the newest hello or update, as a
 	// time.Duration in text.
 	LastUpdate string `json:"heard"`
@@ -31,6 +34,9 @@
 	Report  tasklink.Report `json:"report"`
 	// Runs is the number of runs sent to the agent that have not ended.
 	Runs int `json:"runs"`
+	// Share is the share of the server that the entry counts on, in thousandths of a
+	// core. It is zero if none was stated.
+	Share int `json:"share"`
 	// Usable is set if the entry may send tasks to the agent.
 	Usable bool   `json:"usable"`
 	Zone   string `json:"zone"`
@@ -58,8 +64,8 @@
 	d := Dump{ConfinedRoutes: s.ConfinedRoutes(), Crashes: s.crashes.Len(), DisabledZones: s.disabledZones, EntryCount: len(s.entries)}
 	for _, a := range s.sortedAgents {
 		d.Agents = append(d.Agents, AgentDump{
-			LastUpdate: (now - a.lastUpdate).String(), Linked: a.linked, Name: a.Name, Primary: a.primary, Report: a.report, Runs: len(a.tasks),
-			Usable: s.usable(now, a), Zone: a.zone,
+			Demand: s.statedDemand(a), LastUpdate: (now - a.lastUpdate).String(), Linked: a.linked, Name: a.Name, Primary: a.primary, Report: a.report, Runs: len(a.tasks),
+			Share: a.share, Usable: s.usable(now, a), Zone: a.zone,
 		})
 	}
 	for _, j := range s.jobs {
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -12,6 +12,8 @@
 	// Commands are the messages to send to agents, by the agent's name. The
 	// driver calls MarkSent for each one that it sends.
 	Commands map[string]*tasklink.Commands
+	// InvalidShares lists the invalid shares that agents have stated.
+	InvalidShares []InvalidShare
 	// Placements are the placements to log.
 	Placements []Placement
 	// Results are the answers to give to callers. Each submission gets one, unless
@@ -51,7 +53,7 @@
 		if e.Commands == nil {
 			e.Commands = make(map[string]*tasklink.Commands)
 		}
-		commands = &tasklink.Commands{AgentCount: s.agentCounts[a.service], DisabledZones: s.disabledZones, EchoedClock: a.echo}
+		commands = &tasklink.Commands{AgentCount: s.agentCounts[a.service], DisabledZones: s.disabledZones, Demand: s.statedDemand(a), EchoedClock: a.echo}
 		commands.Crashes, a.crashCursor = s.crashes.Since(s.lastEvent, a.crashCursor, a.Name)
 		e.Commands[a.Name] = commands
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -119,6 +119,9 @@
 	corrector    estimateCorrector
 	// crashes are the crashes of processes that the entry knows of.
 	crashes *crashlog.Log
+	// demand is what the unfinished jobs want, or nil if the entry states none and uses
+	// equal shares.
+	demand *demandState
 	// disabledZones is the newest list received from operators or agents.
 	disabledZones tasklink.DisabledZones
 	// eligible has, for each element of evaluated, the index of its candidate. Both
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -7,6 +7,10 @@
 	// Announcements is the address at which the agent listens for announcements
 	// of the backend server.
 	Announcements string `toml:"announcements"`
+	// DemandShares makes the agent state to each entry a share of the server that
+	// follows the demands of the entries. Entries that do not state their demand count
+	// as having none.
+	DemandShares bool `toml:"demand-shares"`
 	// LinkPort is the port at which every entry listens for agents. The agent uses
 	// it for Seeds; it dials other entries at the addresses that they registered.
 	LinkPort int `toml:"link-port"`
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -11,6 +11,9 @@
 	// Callers is the address at which the entry serves callers through the API of
 	// the users' platform. pollenfront's own API for callers is at API.
 	Callers string `toml:"callers"`
+	// DemandShares makes the entry state its demand to the agents, and use the shares
+	// that they state in place of equal ones.
+	DemandShares bool `toml:"demand-shares"`
 	// Links is the address at which the entry listens for agents.
 	Links string `toml:"links"`
 	// RemoteFactor is the multiple of its run time that a task takes on servers
