Add pollenctl show shares

Cause: an operator could not see which share of each server an entry counts on. Change: show shares prints demand, share and its basis as a table or JSON, from the entry's state. Result: a testscript covers both forms, a stated and an equal share.

--- a/pollenctl/main_test.go
+++ b/pollenctl/main_test.go
@@ -22,9 +22,11 @@
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(scheduler.Dump{
 			Agents: []scheduler.AgentDump{{
-				LastUpdate: "80ms", Name: "agent-1", Runs: 3, Usable: true, Zone: "west", Report: tasklink.Report{
-					Capacity: pollenfront.Resources{CPU: 64000}, FailRate: 0.4, Free: pollenfront.Resources{CPU: 12000}, Slowness: 1.25,
+				Demand: 90000, LastUpdate: "80ms", Name: "agent-1", Runs: 3, Share: 23000, Usable: true, Zone: "west", Report: tasklink.Report{
+					Capacity: pollenfront.Resources{CPU: 64000}, EntryCount: 4, FailRate: 0.4, Free: pollenfront.Resources{CPU: 12000}, Slowness: 1.25,
 				},
+			}, {
+				Name: "agent-2", Zone: "east", Report: tasklink.Report{Capacity: pollenfront.Resources{CPU: 32000}, EntryCount: 4},
 			}},
 			Jobs: []scheduler.JobDump{{Age: "20ms", DoneCount: 1, ID: "5c0e7a21d94b36f8", Route: "lookups", Tasks: 4, ToPlace: 2}},
 		})
--- a/pollenctl/showcmd.go
+++ b/pollenctl/showcmd.go
@@ -17,11 +17,11 @@
 // showTimeout is how long the command waits for the response of the entry.
 const showTimeout = 5 * time.Second
 
-// A showCmd prints the state of an entry: its view of the servers, or its jobs.
+// A showCmd prints the state of an entry: its view of the servers, its jobs, or its shares.
 type showCmd struct {
 	API    string `help:"API address of an entry, required" placeholder:"IP:PORT"`
 	Output string `default:"table" help:"table or json"`
-	What   string `arg:"positional,required" help:"servers or jobs"`
+	What   string `arg:"positional,required" help:"servers, jobs or shares"`
 }
 
 // run gets the state of the entry and prints it.
@@ -47,10 +47,10 @@
 	return c.print(data)
 }
 
-// print prints the part of the state that What selects, or all of it as it was
-// received if the output is JSON.
+// print prints the part of the state that What selects. If the output is JSON, it prints
+// the shares, or else all of the state as it was received.
 func (c *showCmd) print(data []byte) error {
-	if c.Output == "json" {
+	if c.Output == "json" && c.What != "shares" {
 		_, err := os.Stdout.Write(data)
 		return err
 	}
@@ -58,6 +58,9 @@
 	if err := json.Unmarshal(data, &dump); err != nil {
 		return fmt.Errorf("decode the entry's state: %w", err)
 	}
+	if c.Output == "json" {
+		return printSharesJSON(os.Stdout, &dump)
+	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	switch c.What {
 	case "servers":
@@ -71,8 +74,10 @@
 		for _, j := range dump.Jobs {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%t\n", j.ID, j.Route, j.Age, j.Tasks, j.DoneCount, j.ToPlace, j.Canceled)
 		}
+	case "shares":
+		printShares(w, &dump)
 	default:
-		return fmt.Errorf("%q can't be shown; ask for servers or jobs", c.What)
+		return fmt.Errorf("%q can't be shown; ask for servers, jobs or shares", c.What)
 	}
 	return w.Flush()
 }
