--- a/demandshare/ledger.go
+++ b/demandshare/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -30,6 +29,9 @@
 // were stated to them.
 type Ledger struct {
 	accounts map[string]*account
+	// names are the keys of accounts, sorted, so that the shares do not depend on the
+	// order of a map.
+	names []string
 }
 
 // An account is the state of one entry.
@@ -63,12 +65,18 @@
 func (l *Ledger) Add(name string) {
 	if _, ok := l.accounts[name]; !ok {
 		l.accounts[name] = &account{}
+		i, _ := slices.BinarySearch(l.names, name)
+		l.names = slices.Insert(l.names, i, name)
 	}
 }
 
 // Remove removes an entry and releases its share.
 func (l *Ledger) Remove(name string) {
-	delete(l.accounts, name)
+	if _, ok := l.accounts[name]; ok {
+		delete(l.accounts, name)
+		i, _ := slices.BinarySearch(l.names, name)
+		l.names = slices.Delete(l.names, i, i+1)
+	}
 }
 
 // Record records a demand that an entry has stated. It ignores entries that were not added.
@@ -118,7 +126,8 @@
 			left -= o.granted
 		}
 	}
-	target := l.Shares(now, capacity)[name].Target
+	i, _ := slices.BinarySearch(l.names, name)
+	target := MaxMin(sharedOut(capacity), l.demands(now))[i]
 	reserve := int(linkReserve * float64(capacity))
 	a.granted = min(max(1, int(target)), max(left-reserve, left/linkReserveParts, 1))
 	return a.granted
@@ -126,15 +135,25 @@
 
 // Shares returns the shares of all entries by their names.
 func (l *Ledger) Shares(now time.Duration, capacity int) map[string]Share {
-	names := slices.Sorted(maps.Keys(l.accounts))
-	demands := make([]float64, len(names))
-	for i, name := range names {
-		demands[i] = l.accounts[name].current(now)
-	}
-	targets := MaxMin(float64(capacity)*(1-linkReserve), demands)
-	shares := make(map[string]Share, len(names))
-	for i, name := range names {
+	demands := l.demands(now)
+	targets := MaxMin(sharedOut(capacity), demands)
+	shares := make(map[string]Share, len(l.names))
+	for i, name := range l.names {
 		shares[name] = Share{Demand: demands[i], Granted: l.accounts[name].granted, Target: targets[i]}
 	}
 	return shares
 }
+
+// demands returns the smoothed demands in the order of the names.
+func (l *Ledger) demands(now time.Duration) []float64 {
+	demands := make([]float64, len(l.names))
+	for i, name := range l.names {
+		demands[i] = l.accounts[name].current(now)
+	}
+	return demands
+}
+
+// sharedOut returns the part of a capacity that is shared out.
+func sharedOut(capacity int) float64 {
+	return float64(capacity) * (1 - linkReserve)
+}
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -101,6 +101,9 @@
 	a.up, a.startedAt = true, a.fleet.now
 	a.incarnation = uint64(a.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
 	a.executor = executor.New(a.name, service, a.zone, a.incarnation)
+	if a.fleet.settings.DemandShares {
+		a.executor.EnableDemandShares()
+	}
 	a.linkEpochs = make(map[int]uint64)
 	a.lastReceived = make(map[int]time.Duration)
 	a.entryRefs = make(map[int]pollenfront.EntryRef)
--- a/replay/central_queue.go
+++ b/replay/central_queue.go
@@ -66,6 +66,7 @@
 func (q *centralQueue) refuse(c *centralJob) {
 	c.done = true
 	q.fleet.countJob(q.fleet.result.Refused, c.callerJob)
+	q.fleet.entryCounts(c.callerJob).Refused++
 }
 
 // startTask starts a task on the server that finishes it soonest. It returns false if
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -52,6 +52,9 @@
 	e.scheduler = scheduler.New(e.fleet.now, e.name, e.fleet.zoneName(e.index), scheduler.WithChooser(e.fleet.settings.Chooser))
 	e.scheduler.SetEntries(e.fleet.entryRecords())
 	e.scheduler.SetRemoteFactor(remoteFactor)
+	if e.fleet.settings.DemandShares {
+		e.scheduler.EnableDemandShares()
+	}
 	e.links = make(map[string]entryLink)
 	e.attempts = make(map[string]int)
 	e.tick()
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -31,6 +31,7 @@
 	Chooser             pollenfront.Chooser // Chooser is placement.EarliestFinish by default.
 	Clairvoyant         bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
 	DelayedRequestShare float64             // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
+	DemandShares        bool                // DemandShares makes shares of servers follow demand. They are equal by default.
 	Entries             int
 	FullMesh            bool          // FullMesh makes each agent link to all entries, instead of those of its cell.
 	OneWayDelay         time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
@@ -69,7 +70,8 @@
 	lastSeqNum       uint64     // lastSeqNum numbers events and link epochs.
 	loadRandom       *rand.Rand // loadRandom is used only for the load, so that all fleets with the same seed get the same jobs.
 	now              time.Duration
-	partitions       map[[2]int]int // partitions counts the faults that partition an entry from an agent.
+	partitions       map[[2]int]int                             // partitions counts the faults that partition an entry from an agent.
+	entryWeight      func(now time.Duration, entry int) float64 // entryWeight is the weight of an entry when callers choose one, or nil if all are alike.
 	random           *rand.Rand
 	result           Result
 	settings         Settings
@@ -80,9 +82,10 @@
 // keyed by the name of the job's kind, maps of values by the second in which the job
 // arrived.
 type Result struct {
-	Crashes           int             // Crashes is the number of servers that crashed under tasks.
-	EarnedValue       map[int]float64 // EarnedValue is the value of the answers.
-	History           []HistoryEvent  // History lists what callers and servers have seen, in order, if it is recorded.
+	Crashes           int                  // Crashes is the number of servers that crashed under tasks.
+	EarnedValue       map[int]float64      // EarnedValue is the value of the answers.
+	Entries           map[int]*EntryCounts // Entries counts by the index of the entry to which the caller submitted a job first.
+	History           []HistoryEvent       // History lists what callers and servers have seen, in order, if it is recorded.
 	Late              map[string]int
 	MaxCrashes        int             // MaxCrashes is the largest number of servers that crashed under one task.
 	Messages          int             // Messages is the number of messages between entries and agents.
@@ -101,7 +104,7 @@
 // newResult returns a result without jobs.
 func newResult() Result {
 	return Result{
-		EarnedValue: make(map[int]float64), Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
+		EarnedValue: make(map[int]float64), Entries: make(map[int]*EntryCounts), Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
 		Refused: make(map[string]int), Submitted: make(map[string]int), Unknown: make(map[string]int),
 	}
 }
@@ -124,6 +127,7 @@
 			values[0][second] += value
 		}
 	}
+	r.addEntries(other)
 	r.Crashes += other.Crashes
 	r.MaxCrashes = max(r.MaxCrashes, other.MaxCrashes)
 	r.Messages += other.Messages
--- a/replay/load.go
+++ b/replay/load.go
@@ -56,6 +56,7 @@
 	entry     int  // entry is the index of the entry of the last submission.
 	estimate  time.Duration
 	id        string
+	origin    int // origin is the index of the entry of the first submission.
 	kind      Kind
 	submitted int                   // submitted is the position of the last submission in the history.
 	need      pollenfront.Resources // need is the need of each task.
@@ -107,7 +108,8 @@
 		work:      work,
 	}
 	f.jobs[j.id] = j
-	entry := f.loadRandom.IntN(len(f.entries))
+	entry := f.drawEntry()
+	j.origin = entry
 	canceled, cancelDelay := f.loadRandom.Float64() < f.earlyCancelShare, time.Duration(f.loadRandom.Float64()*float64(j.due()-j.arrived))
 	if !canceled {
 		cancelDelay = j.timeLimit + kind.Patience
@@ -115,6 +117,7 @@
 	j.counted = !canceled && !kind.AlwaysFails && kind.CrashesAfter == 0
 	f.addValue(f.result.OfferedValue, j, 1)
 	f.countJob(f.result.Submitted, j)
+	f.entryCounts(j).Submitted++
 	if f.centralQueue != nil {
 		f.centralQueue.submit(j)
 		return
@@ -167,6 +170,7 @@
 	if !j.done {
 		j.done = true
 		f.countJob(f.result.Unknown, j)
+		f.entryCounts(j).Unknown++
 		f.entries[j.entry].cancel(j.id)
 	}
 }
@@ -247,10 +251,12 @@
 			return
 		}
 		f.countJob(f.result.Refused, j)
+		f.entryCounts(j).Refused++
 		f.result.RefusalWait += f.now - j.arrived
 		j.done = true
 	case pollenfront.VerdictFailed, pollenfront.VerdictConflict:
 		f.countJob(f.result.Unknown, j)
+		f.entryCounts(j).Unknown++
 		j.done = true
 	case pollenfront.VerdictUnknown:
 		f.resubmit(j.id, attempt)
@@ -267,9 +273,11 @@
 	}
 	if f.now <= j.due() {
 		f.countJob(f.result.OnTime, j)
+		f.entryCounts(j).OnTime++
 		f.addValue(f.result.EarnedValue, j, 1)
 		return
 	}
 	f.countJob(f.result.Late, j)
+	f.entryCounts(j).Late++
 	f.addValue(f.result.EarnedValue, j, lateValueShare)
 }
