Link to overloaded entries beyond the cell

Cause: a full entry refuses jobs while servers that it is not linked to have free capacity. Change: an agent names a linked entry whose demand exceeds 1.2 times its share in reports to its other entries, and these name it in commands to their agents, by a hash of its name. Shares and demands are 32 bits wide, so that both fields add at most 10 bytes.

--- a/agent/entry_dialer.go
+++ b/agent/entry_dialer.go
@@ -62,6 +62,7 @@
 func (d *entryDialer) update(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.cell.SetOverloaded(d.driver.Overloaded())
 	wanted := d.cell.Update(bootclock.Now(), d.driver.Links())
 	for _, address := range wanted {
 		if _, ok := d.cancels[address]; ok {
--- a/agent/internal/driver/shares.go
+++ b/agent/internal/driver/shares.go
@@ -24,3 +24,11 @@
 		}
 	}
 }
+
+// Overloaded returns the hashes of the names of the entries that are overloaded, and
+// whether the server has room for one of them.
+func (d *Driver) Overloaded() (hashes []uint32, room bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.executor.OverloadedEntries(), d.executor.HasRoom()
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -16,6 +16,8 @@
 //     all entries.
 //   - A member without a link for substituteDelay is still dialed, and the next entry
 //     by weight takes its place until it has a link again.
+//   - An agent whose server has room also links to up to two overloaded entries that are
+//     not in its cell. See SetOverloaded.
 //   - Seeds are dialed as long as no registered entry is known or linked.
 //
 // # Usage
@@ -83,6 +85,8 @@
 // concurrent use.
 type Cell struct {
 	agent string
+	// extra are the links beyond the cell.
+	extra extraLinks
 	// loaded is set once registered entries are known.
 	loaded bool
 	// ranked are the registered entries by descending weight for the agent.
@@ -115,6 +119,7 @@
 func (c *Cell) SetEntries(entries []pollenfront.EntryRecord) {
 	c.loaded = c.loaded || len(entries) > 0
 	c.ranked = rank(c.agent, entries)
+	c.extra.setEntries(entries)
 }
 
 // Update takes the open links and returns the addresses to which there should be links,
@@ -136,6 +141,7 @@
 		}
 	}
 	c.recordUnlinked(now, wanted, linked)
+	c.addExtra(now, wanted, links)
 	return slices.Sorted(maps.Keys(wanted))
 }
 
--- a/demandshare/demandshare.go
+++ b/demandshare/demandshare.go
@@ -27,7 +27,11 @@
 // A Ledger is not safe for concurrent use.
 package demandshare
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // floorShare is the floor as a part of the equal share. With a quarter, an entry with all
 // of the demand gets 0.79 of a server that six entries share.
@@ -68,3 +72,9 @@
 	}
 	return shares
 }
+
+// NameHash returns a hash of an entry's name that is not zero. Messages carry it in place
+// of the name, which is longer.
+func NameHash(name string) uint32 {
+	return max(1, uint32(xxhash.Sum64String(name)))
+}
--- a/executor/commands.go
+++ b/executor/commands.go
@@ -22,7 +22,7 @@
 		e.stoppedForSilence = e.stoppedForSilence && e.silent(now)
 	}
 	x.recordDisabledZones(commands.DisabledZones)
-	x.recordDemand(now, e, commands.Demand, &effects)
+	x.recordDemand(now, e, commands, &effects)
 	for _, crash := range commands.Crashes {
 		x.crashes.Add(now, crash, e.Name)
 	}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -140,7 +140,7 @@
 	if e.released > 0 && update.Report.State == tasklink.StateReady {
 		update.Report.State = tasklink.StateDraining
 	}
-	update.Report.Share = x.grantShare(now, e)
+	update.Report.Share, update.Report.Overloaded = x.grantShare(now, e), x.overloadedEntry(now, name)
 	e.pendingEnds = nil
 	update.Crashes, e.crashCursor = x.crashes.Since(now, e.crashCursor, name)
 	return update, true
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -174,6 +174,8 @@
 	// noUnknownRuns is whether the response to the newest renewal listed no run
 	// that the executor does not know.
 	noUnknownRuns bool
+	// overload is what the agent knows of overloaded entries.
+	overload overload
 	// queue lists the runs that wait to be started, by their latest start.
 	queue []*run
 	// restoredAnnouncement is what the server announced to an earlier
@@ -243,6 +245,7 @@
 func (x *Executor) Tick(now time.Duration) Effects {
 	var effects Effects
 	x.stats.decay(now)
+	x.findOverloaded(now)
 	x.crashes.Expire(now)
 	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
 		e := x.entries[name]
--- /dev/null
+++ b/executor/overload.go
@@ -0,0 +1,76 @@
+package executor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pollenfront/pollenfront/demandshare"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// Parameters of overloaded entries.
+const (
+	// heardLifetime is how long an entry counts as overloaded after another entry has
+	// named it. On idle links commands come twice a second, and name one entry each.
+	heardLifetime = 1500 * time.Millisecond
+	// overloadFactor is how much the demand of an overloaded entry exceeds its share.
+	// An entry refuses jobs whose wait would make them late, so its demand hardly exceeds
+	// its share by more than the 1.6 times of its work within which an answer is on time.
+	overloadFactor = 1.2
+	// roomShare is the part of the capacity that is free on a server which can serve
+	// further entries.
+	roomShare = 0.25
+)
+
+// An overload is what an agent knows of overloaded entries.
+type overload struct {
+	// heard holds the times at which entries have named overloaded ones, by name hash.
+	heard map[uint32]time.Duration
+	// linked are the linked entries that are overloaded at this server, sorted by name.
+	linked []string
+}
+
+// findOverloaded finds the overloaded entries among the linked ones, and forgets those of
+// which nothing was heard for heardLifetime.
+func (x *Executor) findOverloaded(now time.Duration) {
+	if x.shares == nil {
+		return
+	}
+	x.overload.linked = x.overload.linked[:0]
+	for name, share := range x.Shares(now) {
+		if share.Target > 0 && share.Demand > overloadFactor*share.Target {
+			x.overload.linked = append(x.overload.linked, name)
+		}
+	}
+	slices.Sort(x.overload.linked)
+	maps.DeleteFunc(x.overload.heard, func(_ uint32, at time.Duration) bool { return now-at > heardLifetime })
+}
+
+// overloadedEntry returns the name hash of an overloaded entry for an update to another
+// entry, or zero if there is none. Several take turns.
+func (x *Executor) overloadedEntry(now time.Duration, receiver string) uint32 {
+	n := len(x.overload.linked)
+	for i := range n {
+		if name := x.overload.linked[(int(now/UpdateInterval)+i)%n]; name != receiver {
+			return demandshare.NameHash(name)
+		}
+	}
+	return 0
+}
+
+// OverloadedEntries returns the name hashes of the entries that are overloaded, as far as
+// linked entries have named them. The linked ones are among them.
+func (x *Executor) OverloadedEntries() []uint32 {
+	hashes := slices.Collect(maps.Keys(x.overload.heard))
+	for _, name := range x.overload.linked {
+		hashes = append(hashes, demandshare.NameHash(name))
+	}
+	slices.Sort(hashes)
+	return hashes
+}
+
+// HasRoom reports whether the server has capacity for further entries.
+func (x *Executor) HasRoom() bool {
+	return x.State() == tasklink.StateReady && float64(x.unreservedResources().CPU) >= roomShare*float64(x.server.capacity.CPU)
+}
--- a/executor/shares_test.go
+++ b/executor/shares_test.go
@@ -30,7 +30,7 @@
 	for range 2 {
 		for _, name := range []string{testEntry.Name, secondEntry.Name} {
 			if update, ok := x.NextUpdate(now, name); ok {
-				shares[name] = update.Report.Share
+				shares[name] = int(update.Report.Share)
 			}
 		}
 	}
@@ -39,7 +39,7 @@
 
 // stateDemand passes commands that state a demand.
 func stateDemand(x *executor.Executor, now time.Duration, ref pollenfront.EntryRef, demand int) executor.Effects {
-	return x.HandleCommands(now, ref, &tasklink.Commands{Demand: demand, EchoedClock: int64(now)})
+	return x.HandleCommands(now, ref, &tasklink.Commands{Demand: int32(demand), EchoedClock: int64(now)})
 }
 
 // TestSharesFollowDemand guards against shares that stay equal, and against shares that
--- a/replay/cell.go
+++ b/replay/cell.go
@@ -29,6 +29,9 @@
 // updateCell dials the entries that were added to the agent's cell, and releases those
 // that were removed from it, at regular intervals.
 func (a *agentNode) updateCell() {
+	if !a.fleet.settings.CellOnly {
+		a.cell.SetOverloaded(a.executor.OverloadedEntries(), a.executor.HasRoom())
+	}
 	addresses := a.cell.Update(a.fleet.now, a.cellLinks())
 	a.wanted = make(map[int]bool, len(addresses))
 	for e, entry := range a.fleet.entries {
--- a/replay/demand.go
+++ b/replay/demand.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// BusyEntry makes the first entry get a share of all jobs, while the others are alike.
+func (f *Fleet) BusyEntry(share float64) {
+	others := (1 - share) / float64(len(f.entries)-1)
+	f.entryWeight = func(_ time.Duration, entry int) float64 {
+		if entry == 0 {
+			return share
+		}
+		return others
+	}
+}
+
 // heldShares returns, by agent, the sum of the shares that running entries count on.
 func (f *Fleet) heldShares() map[string]int {
 	held := make(map[string]int)
--- a/replay/demand_test.go
+++ b/replay/demand_test.go
@@ -37,3 +37,26 @@
 		})
 	}
 }
+
+// TestBusyEntry guards against an entry that refuses jobs because its servers are full
+// while others have room. The demand at one of 22 entries is 40 % of all, with 60 % of the
+// capacity in use.
+func TestBusyEntry(t *testing.T) {
+	c := qt.New(t)
+	run := func(change func(s *replay.Settings)) *replay.EntryCounts {
+		settings := replay.ManyEntries(1)
+		change(&settings)
+		f := replay.NewFleet(settings)
+		f.BusyEntry(0.4)
+		f.Load(replay.Mix, 2*time.Second, 6*time.Second, replay.ScaleLoad(settings, 0.9))
+		result := f.Run(9 * time.Second)
+		c.Assert(result.Violations, qt.HasLen, 0)
+		t.Logf("busy entry %+v, messages %d", *result.Entries[0], result.Messages)
+		return result.Entries[0]
+	}
+	equal := run(func(*replay.Settings) {})
+	shares := run(func(s *replay.Settings) { s.DemandShares, s.CellOnly = true, true })
+	links := run(func(s *replay.Settings) { s.DemandShares = true })
+	c.Check(shares.Refused < equal.Refused, qt.IsTrue)
+	c.Check(links.Refused < shares.Refused, qt.IsTrue)
+}
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -27,6 +27,7 @@
 
 // Settings describe a fleet.
 type Settings struct {
+	CellOnly            bool                // CellOnly keeps agents from linking to overloaded entries beyond their cells.
 	Agents              int                 // Agents is the number of agents, each with one server.
 	Chooser             pollenfront.Chooser // Chooser is placement.EarliestFinish by default.
 	Clairvoyant         bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -1,17 +1,33 @@
 package scheduler
 
-import "time"
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pollenfront/pollenfront/demandshare"
+)
 
 // demandInterval is the shortest time between two computations of the demand, which need
 // a pass over all jobs.
 const demandInterval = 20 * time.Millisecond
 
+// overloadedLifetime is how long an entry is passed on as overloaded after an agent has
+// named it. Updates come every 150 ms and name one entry each.
+const overloadedLifetime = 500 * time.Millisecond
+
 // A demandState is the demand of the unfinished jobs, as it was when it was computed last.
 type demandState struct {
 	// capacities are the capacities of the usable servers by service, in thousandths of
 	// a core.
 	capacities map[string]int
 	computedAt time.Duration
+	// overloaded holds the times at which agents have named overloaded entries, by name
+	// hash.
+	overloaded map[uint32]time.Duration
+	// overloadedHashes are the keys of overloaded, sorted, when the demand was computed.
+	overloadedHashes []uint32
 	// wanted is the CPU that the unfinished jobs want by service, in thousandths of a core.
 	wanted map[string]int
 }
@@ -27,13 +43,13 @@
 // EnableDemandShares makes the entry state its demand to the agents, and use the shares
 // that they state. The driver calls it before the first event.
 func (s *Scheduler) EnableDemandShares() {
-	s.demand = &demandState{capacities: make(map[string]int), computedAt: -demandInterval, wanted: make(map[string]int)}
+	s.demand = &demandState{capacities: make(map[string]int), computedAt: -demandInterval, overloaded: make(map[uint32]time.Duration), wanted: make(map[string]int)}
 }
 
 // statedDemand returns the demand to state to an agent: what the unfinished jobs of its
 // service want, spread over the usable servers by their capacities. It is zero if the
 // entry states none.
-func (s *Scheduler) statedDemand(a *agent) int {
+func (s *Scheduler) statedDemand(a *agent) int32 {
 	d := s.demand
 	if d == nil {
 		return 0
@@ -45,7 +61,7 @@
 	if capacity == 0 || !s.usable(s.lastEvent, a) {
 		return 0
 	}
-	return int(float64(d.wanted[a.service]) * float64(a.report.Capacity.CPU) / float64(capacity))
+	return int32(min(float64(d.wanted[a.service])*float64(a.report.Capacity.CPU)/float64(capacity), math.MaxInt32))
 }
 
 // computeDemand computes the demand. The tasks that wait and those that were sent count,
@@ -53,6 +69,9 @@
 func (s *Scheduler) computeDemand(now time.Duration) {
 	d := s.demand
 	d.computedAt = now
+	maps.DeleteFunc(d.overloaded, func(_ uint32, at time.Duration) bool { return now-at > overloadedLifetime })
+	d.overloadedHashes = slices.AppendSeq(d.overloadedHashes[:0], maps.Keys(d.overloaded))
+	slices.Sort(d.overloadedHashes)
 	clear(d.capacities)
 	clear(d.wanted)
 	for _, j := range s.jobs {
@@ -67,13 +86,16 @@
 	}
 }
 
-// recordShare records the share that an agent's newest report states. A negative one or
-// one above the server's capacity is ignored.
+// recordShare records the share that an agent's newest report states, and the overloaded
+// entry that it names. A negative share or one above the server's capacity is ignored.
 func (s *Scheduler) recordShare(a *agent, effects *Effects) {
 	if s.demand == nil {
 		return
 	}
-	share := a.report.Share
+	if hash := a.report.Overloaded; hash != 0 && hash != demandshare.NameHash(s.name) {
+		s.demand.overloaded[hash] = a.lastUpdate
+	}
+	share := int(a.report.Share)
 	if share < 0 || share > a.report.Capacity.CPU {
 		effects.InvalidShares = append(effects.InvalidShares, InvalidShare{Agent: a.Name, First: !a.invalidShare, Share: share})
 		a.invalidShare = true
@@ -82,6 +104,16 @@
 	a.share = share
 }
 
+// overloadedEntry returns the name hash of an overloaded entry to pass on in commands, or
+// zero if there is none. Several take turns.
+func (s *Scheduler) overloadedEntry() uint32 {
+	if s.demand == nil || len(s.demand.overloadedHashes) == 0 {
+		return 0
+	}
+	hashes := s.demand.overloadedHashes
+	return hashes[int(s.lastEvent/CommandsInterval)%len(hashes)]
+}
+
 // SharedCapacity returns the sum of the shares that usable agents have stated, in
 // thousandths of a core.
 func (s *Scheduler) SharedCapacity(now time.Duration) int {
--- a/scheduler/demand_test.go
+++ b/scheduler/demand_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/demandshare"
 	"github.com/pollenfront/pollenfront/scheduler"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
@@ -34,13 +35,13 @@
 func statedDemands(effects *scheduler.Effects) map[string]int {
 	demands := make(map[string]int)
 	for name, commands := range effects.Commands {
-		demands[name] = commands.Demand
+		demands[name] = int(commands.Demand)
 	}
 	return demands
 }
 
 // fullUpdate returns an update of a full server with a stated share.
-func fullUpdate(share int) *tasklink.Update {
+func fullUpdate(share int32) *tasklink.Update {
 	u := update(0)
 	u.Report.Share, u.Report.Waits = share, []int{500, 500, 500}
 	return u
@@ -81,7 +82,7 @@
 func TestShareInAdmission(t *testing.T) {
 	tests := []struct {
 		name    string
-		share   int
+		share   int32
 		invalid bool
 		refused bool
 	}{
@@ -98,7 +99,7 @@
 			for i := range 2 {
 				effects := s.HandleUpdate(at(10+i), "agent-1", fullUpdate(test.share))
 				if test.invalid {
-					c.Assert(effects.InvalidShares, qt.DeepEquals, []scheduler.InvalidShare{{Agent: "agent-1", First: i == 0, Share: test.share}})
+					c.Assert(effects.InvalidShares, qt.DeepEquals, []scheduler.InvalidShare{{Agent: "agent-1", First: i == 0, Share: int(test.share)}})
 				} else {
 					c.Assert(effects.InvalidShares, qt.HasLen, 0)
 				}
@@ -124,3 +125,23 @@
 	c.Assert(s.SharedCapacity(at(20)), qt.Equals, 0)
 	c.Assert(s.Dump(at(20)).Agents[0].Share, qt.Equals, 0)
 }
+
+// TestOverloadedEntry guards against an overloaded entry that is not passed on to agents,
+// one that is passed on for longer than it is reported, and this entry itself, of which its
+// agents know.
+func TestOverloadedEntry(t *testing.T) {
+	c := qt.New(t)
+	s := newSharingScheduler(1)
+	named := func(ms int) uint32 {
+		s.Tick(at(ms))
+		return s.SetDisabledZones(tasklink.DisabledZones{Version: uint64(ms)}).Commands["agent-1"].Overloaded
+	}
+	report := update(0)
+	report.Report.Overloaded = demandshare.NameHash("entry-1")
+	s.HandleUpdate(at(10), "agent-1", report)
+	c.Assert(named(40), qt.Equals, uint32(0))
+	report.Report.Overloaded = 7
+	s.HandleUpdate(at(50), "agent-1", report)
+	c.Assert(named(550), qt.Equals, uint32(7))
+	c.Assert(named(571), qt.Equals, uint32(0))
+}
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -64,7 +64,7 @@
 	d := Dump{ConfinedRoutes: s.ConfinedRoutes(), Crashes: s.crashes.Len(), DisabledZones: s.disabledZones, EntryCount: len(s.entries)}
 	for _, a := range s.sortedAgents {
 		d.Agents = append(d.Agents, AgentDump{
-			Demand: s.statedDemand(a), LastUpdate: (now - a.lastUpdate).String(), Linked: a.linked, Name: a.Name, Primary: a.primary, Report: a.report, Runs: len(a.tasks),
+			Demand: int(s.statedDemand(a)), LastUpdate: (now - a.lastUpdate).String(), Linked: a.linked, Name: a.Name, Primary: a.primary, Report: a.report, Runs: len(a.tasks),
 			Share: a.share, Usable: s.usable(now, a), Zone: a.zone,
 		})
 	}
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -120,7 +120,10 @@
 	EntryCount int
 	// Share is the share of the receiving entry in the CPU of the server, in thousandths
 	// of a core. It is zero if none is stated.
-	Share int
+	Share int32
+	// Overloaded is the demandshare.NameHash of another entry whose demand the server
+	// can't meet, or zero.
+	Overloaded uint32
 }
 
 // A State is whether tasks may be sent to a backend server, and if not, why.
@@ -186,7 +189,10 @@
 	Config *pollenfront.Config
 	// Demand is the CPU that the unfinished jobs of the entry want from the server, in
 	// thousandths of a core. It is zero if none is stated.
-	Demand int
+	Demand int32
+	// Overloaded is the demandshare.NameHash of an entry of which an agent has reported
+	// lately that it is overloaded, or zero.
+	Overloaded uint32
 }
 
 // A StartCommand tells an agent to start runs of tasks of one job.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -16,8 +16,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendInt64(o, z.EchoedClock)
 	// array header, size 2
 	o = append(o, 0x92)
@@ -60,7 +60,8 @@
 			return
 		}
 	}
-	o = msgp.AppendInt(o, z.Demand)
+	o = msgp.AppendInt32(o, z.Demand)
+	o = msgp.AppendUint32(o, z.Overloaded)
 	return
 }
 
@@ -72,8 +73,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.EchoedClock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -205,11 +206,16 @@
 			return
 		}
 	}
-	z.Demand, bts, err = msgp.ReadIntBytes(bts)
+	z.Demand, bts, err = msgp.ReadInt32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Demand")
 		return
 	}
+	z.Overloaded, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Overloaded")
+		return
+	}
 	o = bts
 	return
 }
@@ -237,7 +243,7 @@
 	} else {
 		s += z.Config.Msgsize()
 	}
-	s += msgp.IntSize
+	s += msgp.Int32Size + msgp.Uint32Size
 	return
 }
 
@@ -442,8 +448,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendUint8(o, uint8(z.State))
 	o, err = z.Capacity.MarshalMsg(o)
 	if err != nil {
@@ -474,7 +480,8 @@
 		o = msgp.AppendString(o, z.Labels[za0003])
 	}
 	o = msgp.AppendInt(o, z.EntryCount)
-	o = msgp.AppendInt(o, z.Share)
+	o = msgp.AppendInt32(o, z.Share)
+	o = msgp.AppendUint32(o, z.Overloaded)
 	return
 }
 
@@ -486,8 +493,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	{
@@ -610,11 +617,16 @@
 		err = msgp.WrapError(err, "EntryCount")
 		return
 	}
-	z.Share, bts, err = msgp.ReadIntBytes(bts)
+	z.Share, bts, err = msgp.ReadInt32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Share")
 		return
 	}
+	z.Overloaded, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Overloaded")
+		return
+	}
 	o = bts
 	return
 }
@@ -629,7 +641,7 @@
 	for za0003 := range z.Labels {
 		s += msgp.StringPrefixSize + len(z.Labels[za0003])
 	}
-	s += msgp.IntSize + msgp.IntSize
+	s += msgp.IntSize + msgp.Int32Size + msgp.Uint32Size
 	return
 }
 
--- a/tasklink/size_test.go
+++ b/tasklink/size_test.go
@@ -22,12 +22,15 @@
 		Capacity: pollenfront.Resources{CPU: 64000, Memory: 131072}, EntryCount: 6, FailRate: 0.01, Free: pollenfront.Resources{CPU: 32000, Memory: 65536},
 		Labels: []string{"rack-1"}, RunSeconds: 0.2, Slowness: 1.2, State: tasklink.StateReady, Waits: []int{0, 0, 0},
 	}
-	for _, value := range []int{0, 10_667, 64_000, 400_000, math.MaxInt, math.MinInt} {
+	for _, value := range []int32{0, 10_667, 64_000, 400_000, math.MaxInt32, math.MinInt32} {
 		c := qt.New(t)
 		update, commands := tasklink.Update{Clock: 1 << 50, Report: report}, tasklink.Commands{AgentCount: 50, EchoedClock: 1 << 50}
-		// Version 5 had no field here. The shortest encoding of a field is one byte.
-		updateBefore, commandsBefore := size(c, &update)-1, size(c, &commands)-1
+		// Version 5 had none of these fields, which take one byte each if they are zero.
+		updateBefore, commandsBefore := size(c, &update)-2, size(c, &commands)-2
 		update.Report.Share, commands.Demand = value, value
+		if value != 0 {
+			update.Report.Overloaded, commands.Overloaded = math.MaxUint32, math.MaxUint32
+		}
 		t.Logf("value %d: update %d to %d bytes, commands %d to %d bytes", value, updateBefore, size(c, &update), commandsBefore, size(c, &commands))
 		c.Check(size(c, &update)-updateBefore <= 10, qt.IsTrue)
 		c.Check(size(c, &commands)-commandsBefore <= 10, qt.IsTrue)
