--- a/agent/internal/driver/metrics.go
+++ b/agent/internal/driver/metrics.go
@@ -7,6 +7,7 @@
 	crashedRuns          prometheus.Counter
 	effectiveCPURatio    prometheus.Gauge
 	invalidAnnouncements prometheus.Counter
+	invalidDemands       prometheus.Counter
 	runsEnded            *prometheus.CounterVec
 	serverCrashes        prometheus.Counter
 	startRequests        prometheus.Counter
@@ -26,6 +27,9 @@
 		invalidAnnouncements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_announcements_ignored_total", Help: "Announcements that could not be used.",
 		}),
+		invalidDemands: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollenfront_demands_ignored_total", Help: "Demands stated by entries that could not be used.",
+		}),
 		runsEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_runs_ended_total", Help: "Runs that ended, by ending.",
 		}, []string{"ending"}),
@@ -42,6 +46,8 @@
 			Name: "pollenfront_stop_orders_total", Help: "Orders to the backend server to stop a run.",
 		}),
 	}
-	registry.MustRegister(m.crashedRuns, m.effectiveCPURatio, m.runsEnded, m.invalidAnnouncements, m.serverCrashes, m.startRequests, m.startsRejected, m.stopRequests)
+	registry.MustRegister(
+		m.crashedRuns, m.effectiveCPURatio, m.runsEnded, m.invalidAnnouncements, m.invalidDemands, m.serverCrashes, m.startRequests, m.startsRejected, m.stopRequests,
+	)
 	return m
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,6 +82,9 @@
 	j := jobs.New(hello, store, process.Registry, process.Logger)
 	j.SetRemoteFactor(s.RemoteFactor)
 	j.SetFairShares(s.FairShares)
+	if s.DemandShares {
+		j.EnableDemandShares()
+	}
 	return &entry{
 		jobs:         j,
 		logger:       process.Logger,
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -15,9 +15,11 @@
 	answered        *prometheus.CounterVec
 	callersLeft     prometheus.Counter
 	fairShares      *prometheus.GaugeVec
+	invalidShares   prometheus.Counter
 	limits          *prometheus.GaugeVec
 	refusedRequests *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
+	sharedCPU       prometheus.Gauge
 	withheld        *prometheus.CounterVec
 }
 
@@ -36,6 +38,9 @@
 		limits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "pollenfront_admission_strictness", Help: "Factor on the expected delay by which jobs are admitted, by route. Only with fair-shares.",
 		}, []string{"route"}),
+		invalidShares: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollenfront_shares_ignored_total", Help: "Shares stated by agents that could not be used.",
+		}),
 		refusedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_requests_refused_total", Help: "Requests refused by their form, route or kind, by reason.",
 		}, []string{"reason"}),
@@ -43,11 +48,16 @@
 			Name: "pollenfront_job_duration_seconds", Help: "Time from a job's arrival to its answer, by route.",
 			Buckets: prometheus.ExponentialBuckets(0.02, 1.6, 12),
 		}, []string{"route"}),
+		sharedCPU: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pollenfront_shared_cpu", Help: "Sum of the entry's shares of the usable servers, in thousandths of a core; zero unless shares follow demand.",
+		}),
 		withheld: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_attempts_withheld_total", Help: "Attempts that waited although a failing server was free, by its agent.",
 		}, []string{"agent"}),
 	}
-	registry.MustRegister(m.answered, m.callersLeft, m.fairShares, m.limits, m.refusedRequests, m.responseTimes, m.withheld)
+	registry.MustRegister(
+		m.answered, m.callersLeft, m.fairShares, m.invalidShares, m.limits, m.refusedRequests, m.responseTimes, m.sharedCPU, m.withheld,
+	)
 	return m
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -56,6 +56,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/crashlog"
+	"github.com/pollenfront/pollenfront/demandshare"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -172,6 +173,8 @@
 	// noUnknownRuns is whether the response to the newest renewal listed no run
 	// that the executor does not know.
 	noUnknownRuns bool
+	// overload is what the agent knows of overloaded entries.
+	overload overload
 	// queue lists the runs that wait to be started, by their latest start.
 	queue []*run
 	// releases lists the newest ends of runs that were on the server, the oldest first.
@@ -183,7 +186,9 @@
 	runsByTask map[pollenfront.TaskID]*run
 	server     server
 	service    string
-	stats      runStats
+	// shares are the shares of the entries, or nil if none are stated.
+	shares *demandshare.Ledger
+	stats  runStats
 	// token is the fencing token of the next request to the server.
 	token uint64
 }
@@ -241,6 +246,7 @@
 func (x *Executor) Tick(now time.Duration) Effects {
 	var effects Effects
 	x.stats.decay(now)
+	x.findOverloaded(now)
 	x.crashes.Expire(now)
 	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
 		e := x.entries[name]
--- a/replay/attempts_test.go
+++ b/replay/attempts_test.go
@@ -14,9 +14,9 @@
 
 // Parameters of the busy fleet.
 const (
-	busyServers   = 73
+	busyServers     = 73
 	faultyFailShare = 0.39 // faultyFailShare is the share of runs that its failing servers fail.
-	busySeeds     = 3
+	busySeeds       = 3
 )
 
 // busyKinds are the kinds of jobs of the busy fleet. At the mean of waveWithBurst they need
--- a/replay/central_queue.go
+++ b/replay/central_queue.go
@@ -67,6 +67,7 @@
 func (q *centralQueue) refuse(c *centralJob) {
 	c.done, c.outcome = true, outcomeRefused
 	q.fleet.countJob(q.fleet.result.Refused, c.callerJob)
+	q.fleet.entryCounts(c.callerJob).Refused++
 }
 
 // startTask starts a task on the server that finishes it soonest. It returns false if
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -27,10 +27,12 @@
 
 // Settings describe a fleet.
 type Settings struct {
+	CellOnly            bool                // CellOnly keeps agents from linking to overloaded entries beyond their cells.
 	Agents              int                 // Agents is the number of agents, each with one server.
 	Chooser             pollenfront.Chooser // Chooser is placement.EarliestFinish by default.
 	Clairvoyant         bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
 	DelayedRequestShare float64             // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
+	DemandShares        bool                // DemandShares makes shares of servers follow demand. They are equal by default.
 	Entries             int
 	FailShare           float64       // FailShare is the share of all runs that fail on their own, shortly after their start.
 	FairShares          bool          // FairShares enables the entries' setting fair-shares.
@@ -74,7 +76,8 @@
 	lastSeqNum       uint64     // lastSeqNum numbers events and link epochs.
 	loadRandom       *rand.Rand // loadRandom is used only for the load, so that all fleets with the same seed get the same jobs.
 	now              time.Duration
-	partitions       map[[2]int]int // partitions counts the faults that partition an entry from an agent.
+	partitions       map[[2]int]int                             // partitions counts the faults that partition an entry from an agent.
+	entryWeight      func(now time.Duration, entry int) float64 // entryWeight is the weight of an entry when callers choose one, or nil if all are alike.
 	random           *rand.Rand
 	result           Result
 	settings         Settings
@@ -86,13 +89,14 @@
 // arrived.
 type Result struct {
 	CapacityRegained   []time.Duration // CapacityRegained lists how long after its return the capacity of each shrunk server was used again.
-	Classes           map[Class]ClassCounts
-	Crashes            int             // Crashes is the number of servers that crashed under tasks.
-	EarnedValue        map[int]float64 // EarnedValue is the value of the answers.
-	Failed             map[string]int  // Failed counts the jobs answered as failed, with those that always fail. Unknown includes the others.
-	FailedWait         time.Duration   // FailedWait is the sum of the times after which jobs that always fail were answered as failed.
-	FaultyStarts       int             // FaultyStarts is the number of starts on servers with a failure rate.
-	History            []HistoryEvent  // History lists what callers and servers have seen, in order, if it is recorded.
+	Classes            map[Class]ClassCounts
+	Crashes            int                  // Crashes is the number of servers that crashed under tasks.
+	EarnedValue        map[int]float64      // EarnedValue is the value of the answers.
+	Entries            map[int]*EntryCounts // Entries counts by the index of the entry to which the caller submitted a job first.
+	Failed             map[string]int       // Failed counts the jobs answered as failed, with those that always fail. Unknown includes the others.
+	FailedWait         time.Duration        // FailedWait is the sum of the times after which jobs that always fail were answered as failed.
+	FaultyStarts       int                  // FaultyStarts is the number of starts on servers with a failure rate.
+	History            []HistoryEvent       // History lists what callers and servers have seen, in order, if it is recorded.
 	Late               map[string]int
 	MaxCrashes         int             // MaxCrashes is the largest number of servers that crashed under one task.
 	MaxRejectedStarts  int             // MaxRejectedStarts is the largest number of starts that one server rejected because they did not fit.
@@ -101,12 +105,12 @@
 	OnTime             map[string]int
 	RefusalWait        time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
 	Refused            map[string]int
-	RefusedDespiteRoom int // RefusedDespiteRoom is the number of refused jobs whose tasks would all have fitted on the servers.
-	RejectedStarts     int // RejectedStarts is the number of starts that servers rejected because they did not fit.
-	RepeatedStarts     int // RepeatedStarts is the number of starts on a server with a failure rate where the task had failed, while another one could run it in time.
-	Starts             int // Starts is the number of runs that were started.
-	StartsInFaults     int // StartsInFaults is the number of runs that were started while some server had a failure rate.
-	Strictness        map[string][]float64 // Strictness holds the strictness of the first entry's admission limits every strictnessInterval, by route.
+	RefusedDespiteRoom int                  // RefusedDespiteRoom is the number of refused jobs whose tasks would all have fitted on the servers.
+	RejectedStarts     int                  // RejectedStarts is the number of starts that servers rejected because they did not fit.
+	RepeatedStarts     int                  // RepeatedStarts is the number of starts on a server with a failure rate where the task had failed, while another one could run it in time.
+	Starts             int                  // Starts is the number of runs that were started.
+	StartsInFaults     int                  // StartsInFaults is the number of runs that were started while some server had a failure rate.
+	Strictness         map[string][]float64 // Strictness holds the strictness of the first entry's admission limits every strictnessInterval, by route.
 	Submitted          map[string]int
 	Unknown            map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
 	UsefulCoreSeconds  float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
@@ -117,8 +121,8 @@
 // newResult returns a result without jobs.
 func newResult() Result {
 	return Result{
-		Classes: make(map[Class]ClassCounts), EarnedValue: make(map[int]float64), Failed: make(map[string]int), Late: make(map[string]int),
-		OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
+		Classes: make(map[Class]ClassCounts), EarnedValue: make(map[int]float64), Entries: make(map[int]*EntryCounts), Failed: make(map[string]int),
+		Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
 		Refused: make(map[string]int), Submitted: make(map[string]int), Unknown: make(map[string]int),
 	}
 }
@@ -146,6 +150,7 @@
 		sum.Add(counts)
 		r.Classes[class] = sum
 	}
+	r.addEntries(other)
 	r.Crashes += other.Crashes
 	r.MaxCrashes = max(r.MaxCrashes, other.MaxCrashes)
 	r.MaxRejectedStarts = max(r.MaxRejectedStarts, other.MaxRejectedStarts)
--- a/replay/load.go
+++ b/replay/load.go
@@ -56,6 +56,7 @@
 	entry     int  // entry is the index of the entry of the last submission.
 	estimate  time.Duration
 	id        string
+	origin    int // origin is the index of the entry of the first submission.
 	kind      Kind
 	submitted int                   // submitted is the position of the last submission in the history.
 	need      pollenfront.Resources // need is the need of each task.
@@ -83,7 +84,7 @@
 		if f.now > until {
 			return
 		}
-		f.submitNewJob(kind, func() int { return f.loadRandom.IntN(len(f.entries)) })
+		f.submitNewJob(kind, f.drawEntry)
 		f.scheduleArrival(kind, until, rate)
 	})
 }
@@ -109,6 +110,7 @@
 	}
 	f.jobs[j.id] = j
 	entry := drawEntry()
+	j.origin = entry
 	canceled, cancelDelay := f.loadRandom.Float64() < f.earlyCancelShare, time.Duration(f.loadRandom.Float64()*float64(j.due()-j.arrived))
 	if !canceled {
 		cancelDelay = j.timeLimit + kind.Patience
@@ -116,6 +118,7 @@
 	j.counted = !canceled && !kind.AlwaysFails && kind.CrashesAfter == 0
 	f.addValue(f.result.OfferedValue, j, 1)
 	f.countJob(f.result.Submitted, j)
+	f.entryCounts(j).Submitted++
 	if f.centralQueue != nil {
 		f.centralQueue.submit(j)
 		return
@@ -168,6 +171,7 @@
 	if !j.done {
 		j.done = true
 		f.countJob(f.result.Unknown, j)
+		f.entryCounts(j).Unknown++
 		f.entries[j.entry].cancel(j.id)
 	}
 }
@@ -249,6 +253,7 @@
 		}
 		j.outcome = outcomeRefused
 		f.recordRefusal(j)
+		f.entryCounts(j).Refused++
 		f.result.RefusalWait += f.now - j.arrived
 		j.done = true
 	case pollenfront.VerdictFailed, pollenfront.VerdictConflict:
@@ -258,6 +263,7 @@
 			f.result.FailedWait += f.now - j.arrived
 			f.result.Failed[j.kind.Name]++
 		}
+		f.entryCounts(j).Unknown++
 		j.done = true
 	case pollenfront.VerdictUnknown:
 		f.resubmit(j.id, attempt)
@@ -275,10 +281,12 @@
 	if f.now <= j.due() {
 		j.outcome = outcomeOnTime
 		f.countJob(f.result.OnTime, j)
+		f.entryCounts(j).OnTime++
 		f.addValue(f.result.EarnedValue, j, 1)
 		return
 	}
 	j.outcome = outcomeLate
 	f.countJob(f.result.Late, j)
+	f.entryCounts(j).Late++
 	f.addValue(f.result.EarnedValue, j, lateValueShare)
 }
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -121,6 +121,12 @@
 	// EffectiveCapacity is the part of Capacity that the server provides, as the agent has
 	// learned from rejected starts. If all of its fields are zero, it is not stated.
 	EffectiveCapacity pollenfront.Resources
+	// Share is the share of the receiving entry in the CPU of the server, in thousandths
+	// of a core. It is zero if none is stated.
+	Share int32
+	// Overloaded is the demandshare.NameHash of another entry whose demand the server
+	// can't meet, or zero.
+	Overloaded uint32
 }
 
 // A State is whether tasks may be sent to a backend server, and if not, why.
@@ -184,6 +190,12 @@
 	// Config is the configuration in force. The primary entry of a server sends it to
 	// the agent once on a link and after each change.
 	Config *pollenfront.Config
+	// Demand is the CPU that the unfinished jobs of the entry want from the server, in
+	// thousandths of a core. It is zero if none is stated.
+	Demand int32
+	// Overloaded is the demandshare.NameHash of an entry of which an agent has reported
+	// lately that it is overloaded, or zero.
+	Overloaded uint32
 }
 
 // A StartCommand tells an agent to start runs of tasks of one job.
