Check the stand-in's configuration for faults

Cause: a stand-in that writes a faulty configuration would hide faults of the checks, and checks that are too strict would reject configurations in use.

Change: a test reads what Configure writes and expects no findings.

--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -10,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/configcheck"
 	"github.com/pollenfront/pollenfront/platform"
 	"github.com/pollenfront/pollenfront/standin/store"
 )
@@ -26,6 +30,28 @@
 // config is a configuration in base64: version 7 with one route.
 const config = "eyJ2ZXJzaW9uIjo3LCJyb3V0ZXMiOlt7Im5hbWUiOiJyIiwiaG9zdCI6ImgiLCJwYXRoLXByZWZpeCI6Ii9wLyIsInNlcnZpY2UiOiJzIiwic3RyZXRjaCI6MS42fV19"
 
+// TestConfigureIsClean guards against a stand-in that writes configurations with faults,
+// and against checks that find faults in a correct one.
+func TestConfigureIsClean(t *testing.T) {
+	c := qt.New(t)
+	s := store.New(store.Rates{Reads: 1000, Writes: 1000})
+	s.Configure(3, []store.Route{
+		{Host: "h", Name: "a", Prefix: "/jobs/a/", Priority: 0, Service: "s"},
+		{Host: "h", Name: "b", Prefix: "/jobs/b/", Priority: 1, Service: "s"},
+		{Host: "h", Name: "c", Prefix: "/jobs/c/", Priority: 2, Service: "t"},
+	})
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/pollenfront/rows-get?table=op&part=", nil))
+	var response struct{ Rows []store.Row }
+	c.Assert(json.Unmarshal(w.Body.Bytes(), &response), qt.IsNil)
+	c.Assert(response.Rows, qt.HasLen, 1)
+	text, err := base64.StdEncoding.DecodeString(response.Rows[0].Value)
+	c.Assert(err, qt.IsNil)
+	document := platform.ReadConfig(text)
+	c.Assert(document.Config.Routes, qt.HasLen, 3)
+	c.Assert(configcheck.Check(document, pollenfront.OperatorState{}), qt.HasLen, 0)
+}
+
 func TestOperatorState(t *testing.T) {
 	c := qt.New(t)
 	s, client := newStore(t)
