Add pollenctl check-config

Exit code 0 without faults, 1 with faults or if the store can't be read, 2 for a wrong command line including files that can't be read. Differences and zones out of service are notes and don't change the exit code, since a new version always differs. One script for each kind of finding; the stores of the tests accept no writes. The module requires the stand-ins for its tests.

--- a/pollenctl/main_test.go
+++ b/pollenctl/main_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
+	"os/exec"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -11,6 +14,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/scheduler"
+	"github.com/pollenfront/pollenfront/standin/store"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -30,11 +34,42 @@
 		})
 	}))
 	t.Cleanup(entry.Close) // A deferred call would close the server before the scripts, which run in parallel, use it.
+	// The stores accept no writes, so that a command that writes fails.
+	good := store.New(store.Rates{Reads: 1000})
+	good.Configure(7, []store.Route{{Host: "h", Name: "a", Prefix: "/a/", Service: "s"}})
+	good.SetZoneDisabled("west", true)
+	bad := store.New(store.Rates{Reads: 1000})
+	bad.Put("op", "config", "bm90IGpzb24=")
+	empty := store.New(store.Rates{Reads: 1000})
+	addresses := map[string]string{"ENTRY": strings.TrimPrefix(entry.URL, "http://")}
+	for name, s := range map[string]*store.Store{"STORE": good, "BAD_STORE": bad, "EMPTY_STORE": empty} {
+		server := httptest.NewServer(s)
+		t.Cleanup(server.Close)
+		addresses[name] = strings.TrimPrefix(server.URL, "http://")
+	}
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata/script",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exit-code": checkExitCode},
+		Dir:  "testdata/script",
 		Setup: func(env *testscript.Env) error {
-			env.Setenv("ENTRY", strings.TrimPrefix(entry.URL, "http://"))
+			for name, address := range addresses {
+				env.Setenv(name, address)
+			}
 			return nil
 		},
 	})
 }
+
+// checkExitCode runs pollenctl with the arguments after the first one, which is the
+// expected exit code.
+func checkExitCode(ts *testscript.TestScript, _ bool, args []string) {
+	code := 0
+	var exitError *exec.ExitError
+	if err := ts.Exec("pollenctl", args[1:]...); errors.As(err, &exitError) {
+		code = exitError.ExitCode()
+	} else if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if strconv.Itoa(code) != args[0] {
+		ts.Fatalf("exit code %d, want %s", code, args[0])
+	}
+}
