Report numbers of runs by route and estimates of interference

Cause: entries must know which routes run on a server and pool the evidence of agents. Change: Update has RouteCounts and Interference at its end, protocol version 6.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -69,6 +69,7 @@
 	}
 	e.lastEcho, e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = now, 0, true, 0, false, nil
 	e.crashCursor = 0
+	x.interference.forget(ref.Name)
 	return x.runStates(e), effects
 }
 
@@ -137,6 +138,7 @@
 	}
 	e.pendingEnds = nil
 	update.Crashes, e.crashCursor = x.crashes.Since(now, e.crashCursor, name)
+	x.interference.fill(now, name, &update)
 	return update, true
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -167,7 +167,10 @@
 	draining bool
 	// entries holds the known entries by name.
 	entries map[string]*entry
-	name    string
+	// interference measures how much runs slow each other down. It is nil if the setting
+	// is off.
+	interference *interferenceState
+	name         string
 	// noStartBefore is the time until which nothing starts.
 	noStartBefore time.Duration
 	// noUnknownRuns is whether the response to the newest renewal listed no run
--- a/executor/run.go
+++ b/executor/run.go
@@ -204,6 +204,7 @@
 		reason = r.stopReason
 	}
 	end := tasklink.RunEnd{Run: r.id, Ending: ending, Superseded: reason == pollenfront.ErrRunSuperseded.Error(), Reason: reason}
+	x.interference.recordEnd(now, r, ending, x.stats.slowness())
 	if r.state != queued {
 		runTime := now - r.lastStartSent
 		end.Seconds = runTime.Seconds()
--- a/executor/start.go
+++ b/executor/start.go
@@ -37,6 +37,7 @@
 // sendStart sends a request to start a run. It can be repeated, as the server starts
 // each run at most once.
 func (x *Executor) sendStart(now time.Duration, r *run, effects *Effects) {
+	x.interference.recordStart(now, r, x.server.capacity)
 	r.openStarts++
 	r.startAttempts++
 	r.lastStartSent, r.state, r.startRetryPending = now, starting, false
@@ -173,12 +174,12 @@
 		r.capacityRefusals++
 		x.noStartBefore = now + noCapacityPause
 		if r.capacityRefusals <= maxCapacityRefusals {
-			x.requeue(r)
+			x.requeue(now, r)
 			return
 		}
 	case errors.Is(err, pollenfront.ErrFenced):
 		x.token += tokenIncrement
-		x.requeue(r)
+		x.requeue(now, r)
 		return
 	case errors.Is(err, pollenfront.ErrUnhealthy):
 		x.stats.record(now, pollenfront.EndingFailed, 0, r.expectedRunTime)
@@ -195,7 +196,8 @@
 const tokenIncrement = 1 << 16
 
 // requeue puts a run whose only start request was refused back into the queue.
-func (x *Executor) requeue(r *run) {
+func (x *Executor) requeue(now time.Duration, r *run) {
+	x.interference.recordEnd(now, r, pollenfront.EndingNotStarted, 1)
 	r.startAttempts, r.state = 0, queued
 	x.enqueue(r)
 }
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -30,7 +30,7 @@
 
 // Version is the version of the protocol. Both sides close a link if the other
 // side uses a different version.
-const Version = 5
+const Version = 6
 
 // Hello is the first message on a link, in both directions.
 //
@@ -91,6 +91,11 @@
 	// update to an entry that has none, since it may have started while the store is
 	// unavailable.
 	Config *pollenfront.Config
+	// RouteCounts are the numbers of runs on the server by route. They are empty if the
+	// setting interference of the agent is off, and so is Interference.
+	RouteCounts []RouteCount
+	// Interference holds the estimates that have changed, or is nil.
+	Interference *Interference
 }
 
 // A Report is the state of a backend server and its agent.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -956,8 +956,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendInt64(o, z.Clock)
 	o = msgp.AppendUint64(o, z.LastSeqNum)
 	o, err = z.Report.MarshalMsg(o)
@@ -990,6 +990,23 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.RouteCounts)))
+	for za0003 := range z.RouteCounts {
+		o, err = z.RouteCounts[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "RouteCounts", za0003)
+			return
+		}
+	}
+	if z.Interference == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Interference.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Interference")
+			return
+		}
+	}
 	return
 }
 
@@ -1001,8 +1018,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1080,6 +1097,44 @@
 			return
 		}
 	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RouteCounts")
+		return
+	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.RouteCounts) >= int(zb0004) {
+		z.RouteCounts = (z.RouteCounts)[:zb0004]
+	} else {
+		z.RouteCounts = make([]RouteCount, zb0004)
+	}
+	for za0003 := range z.RouteCounts {
+		bts, err = z.RouteCounts[za0003].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "RouteCounts", za0003)
+			return
+		}
+	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Interference = nil
+	} else {
+		if z.Interference == nil {
+			z.Interference = new(Interference)
+		}
+		bts, err = z.Interference.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Interference")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -1099,5 +1154,14 @@
 	} else {
 		s += z.Config.Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.RouteCounts {
+		s += z.RouteCounts[za0003].Msgsize()
+	}
+	if z.Interference == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Interference.Msgsize()
+	}
 	return
 }
