--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -68,6 +68,7 @@
 	a.crashCursor, a.echo, a.lastUpdate, a.linked, a.lastSeqNum, a.unreported = 0, 0, now, true, 0, nil
 	a.service, a.zone, a.report = hello.Service, hello.Zone, tasklink.Report{}
 	s.countAgents()
+	s.interference.recordLink(a)
 	a.primary = s.isPrimary(a)
 	known := make(map[pollenfront.RunID]tasklink.RunState, len(hello.Runs))
 	for _, r := range hello.Runs {
@@ -136,6 +137,7 @@
 	}
 	unchanged := s.usable(now, a) && sameRoom(&a.report, &update.Report) && len(update.RunEnds) == 0
 	a.echo, a.lastUpdate, a.report = update.Clock, now, update.Report
+	s.interference.recordUpdate(now, a, update, effects)
 	for len(a.unreported) > 0 && a.unreported[0].seqNum <= update.LastSeqNum {
 		a.unreported = a.unreported[1:]
 		unchanged = false
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -14,7 +14,9 @@
 	// Crashes is the number of crashes of processes that the entry knows of.
 	Crashes int `json:"crashes"`
 	// EntryCount is the number of entries that share the servers.
-	EntryCount    int                    `json:"entries"`
+	EntryCount int `json:"entries"`
+	// Interference is nil if the setting is off.
+	Interference  *InterferenceDump      `json:"interference,omitempty"`
 	Jobs          []JobDump              `json:"jobs"`
 	DisabledZones tasklink.DisabledZones `json:"notice"`
 }
@@ -62,6 +64,7 @@
 			Usable: s.usable(now, a), Zone: a.zone,
 		})
 	}
+	d.Interference = s.interference.dump(now)
 	for _, j := range s.jobs {
 		d.Jobs = append(d.Jobs, JobDump{
 			Age: (now - j.arrived).String(), Canceled: j.canceled, DoneCount: j.doneCount, ID: j.ID, MayHaveStarted: j.mayHaveStarted,
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/interference"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -12,6 +13,11 @@
 	// Commands are the messages to send to agents, by the agent's name. The
 	// driver calls MarkSent for each one that it sends.
 	Commands map[string]*tasklink.Commands
+	// InterferenceChanges are the pairs of routes that were found to slow each other down,
+	// or no longer, to log.
+	InterferenceChanges []interference.Change
+	// InvalidEstimates are the messages with invalid estimates of interference.
+	InvalidEstimates []InvalidEstimates
 	// Placements are the placements to log.
 	Placements []Placement
 	// Results are the answers to give to callers. Each submission gets one, unless
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -152,6 +152,7 @@
 	if !c.primary {
 		penalty += time.Duration(nonPrimaryPenalty * float64(t.job.expectedRunTime))
 	}
+	penalty += s.interference.penalty(s, c, t)
 	if c.report.FailRate > avoidFailRate || t.avoid == c.agent || s.risky(c, t) {
 		penalty += avoidPenalty
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -128,7 +128,10 @@
 	entries []pollenfront.EntryRecord
 	// evaluated are the servers among which chooser chooses.
 	evaluated []pollenfront.ServerCandidate
-	jobs      map[string]*job
+	// interference is what the entry knows of routes that slow each other down. It is nil if
+	// the setting is off.
+	interference *interferenceState
+	jobs         map[string]*job
 	// lastEvent is the time of the latest call of detectSuspension, or zero before
 	// the first one.
 	lastEvent time.Duration
@@ -278,6 +281,7 @@
 	s.detectSuspension(now, effects)
 	s.crashes.Expire(now)
 	s.expireConfinements(now)
+	s.interference.tick(s, now, effects)
 	for _, a := range slices.Clone(s.sortedAgents) {
 		s.tickAgent(now, a, effects)
 	}
