--- a/replay/agent.go
+++ b/replay/agent.go
@@ -101,6 +101,7 @@
 	a.up, a.startedAt = true, a.fleet.now
 	a.incarnation = uint64(a.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
 	a.executor = executor.New(a.name, service, a.zone, a.incarnation)
+	a.executor.SetInterference(a.fleet.settings.InterferenceMode)
 	a.linkEpochs = make(map[int]uint64)
 	a.lastReceived = make(map[int]time.Duration)
 	a.entryRefs = make(map[int]pollenfront.EntryRef)
@@ -294,6 +295,7 @@
 	if !ok {
 		return
 	}
+	a.fleet.corruptUpdate(a.index, &update)
 	epoch, generation := a.linkEpochs[e], entry.generation
 	a.fleet.result.Messages++
 	a.fleet.deliver(e, a, func() {
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -49,7 +49,7 @@
 func (e *entryNode) start() {
 	e.up = true
 	e.incarnation = uint64(e.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
-	e.scheduler = scheduler.New(e.fleet.now, e.name, e.fleet.zoneName(e.index), scheduler.WithChooser(e.fleet.settings.Chooser))
+	e.scheduler = scheduler.New(e.fleet.now, e.name, e.fleet.zoneName(e.index), scheduler.WithChooser(e.fleet.settings.Chooser), e.fleet.interferenceOption())
 	e.scheduler.SetEntries(e.fleet.entryRecords())
 	e.scheduler.SetRemoteFactor(remoteFactor)
 	e.links = make(map[string]entryLink)
@@ -90,6 +90,7 @@
 
 // applyEffects carries out the effects that the scheduler returned.
 func (e *entryNode) applyEffects(effects *scheduler.Effects) {
+	e.fleet.recordInterference(effects)
 	for _, result := range effects.Results {
 		attempt, ok := e.attempts[result.ID]
 		if !ok {
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -22,7 +22,9 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/interference"
 	"github.com/pollenfront/pollenfront/placement"
+	"github.com/pollenfront/pollenfront/tasklink"
 )
 
 // Settings describe a fleet.
@@ -32,13 +34,17 @@
 	Clairvoyant         bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
 	DelayedRequestShare float64             // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
 	Entries             int
-	FullMesh            bool          // FullMesh makes each agent link to all entries, instead of those of its cell.
-	OneWayDelay         time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
-	RecordHistory       bool          // RecordHistory fills Result.History.
-	RetryRefused        bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
-	RunTimeFactors      []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
-	Seed                uint64
-	Zones               int // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
+	// CorruptEstimates changes the updates of an agent on their way. It may be nil.
+	CorruptEstimates func(agent int, update *tasklink.Update)
+	Interference     []Interference // Interference is planted between kinds. A clairvoyant fleet has none.
+	InterferenceMode pollenfront.InterferenceMode
+	FullMesh         bool          // FullMesh makes each agent link to all entries, instead of those of its cell.
+	OneWayDelay      time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
+	RecordHistory    bool          // RecordHistory fills Result.History.
+	RetryRefused     bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
+	RunTimeFactors   []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
+	Seed             uint64
+	Zones            int // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
 }
 
 // Parameters of the model. The network delays are one way.
@@ -80,28 +86,33 @@
 // keyed by the name of the job's kind, maps of values by the second in which the job
 // arrived.
 type Result struct {
-	Crashes           int             // Crashes is the number of servers that crashed under tasks.
-	EarnedValue       map[int]float64 // EarnedValue is the value of the answers.
-	History           []HistoryEvent  // History lists what callers and servers have seen, in order, if it is recorded.
-	Late              map[string]int
-	MaxCrashes        int             // MaxCrashes is the largest number of servers that crashed under one task.
-	Messages          int             // Messages is the number of messages between entries and agents.
-	OfferedValue      map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
-	OnTime            map[string]int
-	RefusalWait       time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
-	Refused           map[string]int
-	Starts            int // Starts is the number of runs that were started.
-	Submitted         map[string]int
-	Unknown           map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
-	UsefulCoreSeconds float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
-	Violations        []string       // Violations are the violated invariants, each with its time.
-	WastedCoreSeconds float64        // WastedCoreSeconds is the CPU time of the runs that ended in any other way.
+	ChangeTimes         []time.Duration                     // ChangeTimes are the times of InterferenceChanges.
+	Crashes             int                                 // Crashes is the number of servers that crashed under tasks.
+	EarnedValue         map[int]float64                     // EarnedValue is the value of the answers.
+	History             []HistoryEvent                      // History lists what callers and servers have seen, in order, if it is recorded.
+	FirstFindings       map[interference.Pair]time.Duration // FirstFindings holds when each pair was found first.
+	InterferenceChanges []interference.Change
+	InvalidEstimates    int // InvalidEstimates is the number of invalid estimates that entries received.
+	Late                map[string]int
+	MaxCrashes          int             // MaxCrashes is the largest number of servers that crashed under one task.
+	Messages            int             // Messages is the number of messages between entries and agents.
+	OfferedValue        map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
+	OnTime              map[string]int
+	RefusalWait         time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
+	Refused             map[string]int
+	Starts              int // Starts is the number of runs that were started.
+	Submitted           map[string]int
+	Unknown             map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
+	UsefulCoreSeconds   float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
+	Violations          []string       // Violations are the violated invariants, each with its time.
+	WastedCoreSeconds   float64        // WastedCoreSeconds is the CPU time of the runs that ended in any other way.
 }
 
 // newResult returns a result without jobs.
 func newResult() Result {
 	return Result{
-		EarnedValue: make(map[int]float64), Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
+		EarnedValue: make(map[int]float64), FirstFindings: make(map[interference.Pair]time.Duration), Late: make(map[string]int),
+		OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
 		Refused: make(map[string]int), Submitted: make(map[string]int), Unknown: make(map[string]int),
 	}
 }
--- a/replay/server.go
+++ b/replay/server.go
@@ -23,9 +23,10 @@
 	fleet               *Fleet
 	hanging             bool // hanging makes new runs hang: they make no progress and do not end by themselves.
 	incarnation         uint64
-	lastSeqNum          uint64        // lastSeqNum is the sequence number of the last ended run.
-	lostAnswerShare     float64       // lostAnswerShare is the share of requests that are carried out at once and get no response.
-	leaseExpiry         time.Duration // leaseExpiry is the time when all runs end, unless the lease is extended.
+	kindCounts          map[string]int // kindCounts holds the number of runs by kind, if interference is planted.
+	lastSeqNum          uint64         // lastSeqNum is the sequence number of the last ended run.
+	lostAnswerShare     float64        // lostAnswerShare is the share of requests that are carried out at once and get no response.
+	leaseExpiry         time.Duration  // leaseExpiry is the time when all runs end, unless the lease is extended.
 	rack                string
 	refusing            bool   // refusing is set while the server's process does not run, so that connections are refused.
 	respondToRenewal    func() // respondToRenewal sends the response to the pending renewal. Further calls do nothing.
@@ -38,7 +39,12 @@
 
 // A serverRun is a run on a server.
 type serverRun struct {
+	adapted   time.Duration // adapted is when factor last changed.
+	end       func()        // end ends the run. It is nil unless interference is planted.
+	endEpoch  int           // endEpoch numbers the scheduled ends, of which only the last counts.
 	ended     bool
+	factor    float64       // factor is the present factor of interference.
+	remaining time.Duration // remaining is the run time without interference that was left when factor last changed.
 	id        pollenfront.RunID
 	runTime   time.Duration // runTime is zero for a run that makes no progress.
 	server    *serverNode
@@ -50,7 +56,8 @@
 func newServerNode(f *Fleet, runTimeFactor float64) *serverNode {
 	return &serverNode{
 		capacity: pollenfront.Resources{CPU: serverCPU, Memory: serverMemory}, delayedRequestShare: f.settings.DelayedRequestShare, fleet: f, incarnation: 1,
-		runs: make(map[pollenfront.TaskID]*serverRun), runTimeFactor: runTimeFactor, supersededRuns: make(map[pollenfront.TaskID]int),
+		kindCounts: make(map[string]int),
+		runs:       make(map[pollenfront.TaskID]*serverRun), runTimeFactor: runTimeFactor, supersededRuns: make(map[pollenfront.TaskID]int),
 	}
 }
 
@@ -82,6 +89,7 @@
 		f.recordViolation("task %v runs twice at the same time", id)
 	}
 	f.activeRuns[id] = r
+	s.changeKindCount(r, 1)
 	s.recordStart(id)
 	f.recordEvent(HistoryEvent{Job: id.Job, Kind: RunStarted, Task: id.Index})
 	if s.hanging {
@@ -95,7 +103,7 @@
 	if job.kind.CrashesAfter > 0 && id.Index == 0 {
 		f.schedule(min(job.kind.CrashesAfter, r.runTime), func() { s.crashUnder(r) })
 	}
-	f.schedule(r.runTime, func() { s.endRun(r, ending) })
+	s.scheduleEnd(r, func() { s.endRun(r, ending) })
 	return nil
 }
 
@@ -155,6 +163,7 @@
 	r.ended = true
 	id := r.id.TaskID
 	delete(s.runs, id)
+	s.changeKindCount(r, -1)
 	if s.fleet.activeRuns[id] == r {
 		delete(s.fleet.activeRuns, id)
 	}
@@ -245,6 +254,9 @@
 	if r.runTime == 0 {
 		return 0
 	}
+	if r.end != nil {
+		return r.interferedPercent(now)
+	}
 	return int(100 * (now - r.startedAt) / r.runTime)
 }
 
