Add the setting interference, its metrics, logs and pollenctl show interference

Change: off (default), observe or avoid for entry and agent; one log line when a pair is found and dropped, one for an agent that sends invalid data; four metrics; a table and JSON from the entry's dump, with a testscript.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,6 +74,7 @@
 	}
 	store := platform.NewStore(s.Store)
 	d := driver.New(hello, platform.NewBackendServer(s.Server), store, process.Registry, process.Logger)
+	d.SetInterference(s.Interference)
 	return &agent{
 		driver:       d,
 		entryDialer:  newEntryDialer(d, cell.New(bootclock.Now(), s.Name, s.Zone, seeds)),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -81,6 +81,7 @@
 	hello := tasklink.Hello{Incarnation: incarnation, Name: s.Name, Version: tasklink.Version, Zone: s.Zone}
 	j := jobs.New(hello, store, process.Registry, process.Logger)
 	j.SetRemoteFactor(s.RemoteFactor)
+	j.SetInterference(s.Interference)
 	return &entry{
 		jobs:         j,
 		logger:       process.Logger,
--- a/entry/internal/jobs/config.go
+++ b/entry/internal/jobs/config.go
@@ -16,6 +16,7 @@
 // agents that keep it for entries which start without the store. The caller must hold mu.
 func (j *Jobs) setConfig(config *pollenfront.Config) {
 	j.storeRead, j.offered = true, nil
+	j.setRoutes(config)
 	previous := j.config.Swap(config)
 	if previous == nil {
 		close(j.configured)
@@ -67,6 +68,7 @@
 	if j.storeRead || !j.storeFailed || j.offered == nil || now-j.offeredAt < copyDelay || j.configVersion() >= j.offered.Version {
 		return
 	}
+	j.setRoutes(j.offered)
 	if j.config.Swap(j.offered) == nil {
 		close(j.configured)
 	}
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -45,6 +45,8 @@
 	configured chan struct{}
 	// handling is the job that is being passed to the scheduler, or nil.
 	handling *pollenfront.Submission
+	// invalidPeers are the agents whose invalid estimates of interference were logged.
+	invalidPeers map[string]bool
 	// hellos maps the name of each agent to the record of its newest hello.
 	hellos map[string]helloRecord
 	// links maps the name of each linked agent to its link.
@@ -88,15 +90,16 @@
 // with registry.
 func New(self tasklink.Hello, store pollenfront.Store, registry *prometheus.Registry, logger *zap.Logger) *Jobs {
 	j := &Jobs{
-		configured:  make(chan struct{}),
-		hellos:      make(map[string]helloRecord),
-		links:       make(map[string]*agentLink),
-		logger:      logger,
-		metrics:     newMetrics(registry),
-		scheduler:   scheduler.New(bootclock.Now(), self.Name, self.Zone),
-		self:        self,
-		store:       store,
-		submissions: make(map[string]*activeSubmission),
+		configured:   make(chan struct{}),
+		hellos:       make(map[string]helloRecord),
+		invalidPeers: make(map[string]bool),
+		links:        make(map[string]*agentLink),
+		logger:       logger,
+		metrics:      newMetrics(registry),
+		scheduler:    scheduler.New(bootclock.Now(), self.Name, self.Zone),
+		self:         self,
+		store:        store,
+		submissions:  make(map[string]*activeSubmission),
 	}
 	j.mu.OnPanic = j.reportPanic
 	return j
@@ -235,6 +238,7 @@
 	}
 	j.logDisabledZones()
 	j.logConfinedRoutes()
+	j.logInterference(effects)
 }
 
 // logConfinedRoutes logs the confined routes if they differ from those logged last. The
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -12,6 +12,7 @@
 type metrics struct {
 	answered        *prometheus.CounterVec
 	callersLeft     prometheus.Counter
+	interference    interferenceMetrics
 	refusedRequests *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
 }
@@ -25,6 +26,7 @@
 		callersLeft: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_callers_left_total", Help: "Jobs whose callers left before the answer.",
 		}),
+		interference: newInterferenceMetrics(registry),
 		refusedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_requests_refused_total", Help: "Requests refused by their form, route or kind, by reason.",
 		}, []string{"reason"}),
--- a/pollenctl/command.go
+++ b/pollenctl/command.go
@@ -13,7 +13,7 @@
 type command struct {
 	Explain *explainCmd `arg:"subcommand:explain" help:"explain how a request was handled, from logs"`
 	Return  *zoneCmd    `arg:"subcommand:return" help:"return an availability zone to service"`
-	Show    *showCmd    `arg:"subcommand:show" help:"show the servers or the jobs of an entry"`
+	Show    *showCmd    `arg:"subcommand:show" help:"show the servers, the jobs or the interference of an entry"`
 	TakeOut *zoneCmd    `arg:"subcommand:take-out" help:"take an availability zone out of service"`
 }
 
--- a/pollenctl/main_test.go
+++ b/pollenctl/main_test.go
@@ -26,6 +26,9 @@
 					Capacity: pollenfront.Resources{CPU: 64000}, FailRate: 0.4, Free: pollenfront.Resources{CPU: 12000}, Slowness: 1.25,
 				},
 			}},
+			Interference: &scheduler.InterferenceDump{Agents: 9, Mode: "observe", Pairs: []scheduler.FindingDump{
+				{Age: "2m0s", Agents: 7, Factor: 1.5, Neighbor: "reports", Route: "lookups", Score: 6.2},
+			}},
 			Jobs: []scheduler.JobDump{{Age: "20ms", DoneCount: 1, ID: "5c0e7a21d94b36f8", Route: "lookups", Tasks: 4, ToPlace: 2}},
 		})
 	}))
--- a/pollenctl/showcmd.go
+++ b/pollenctl/showcmd.go
@@ -17,11 +17,12 @@
 // showTimeout is how long the command waits for the response of the entry.
 const showTimeout = 5 * time.Second
 
-// A showCmd prints the state of an entry: its view of the servers, or its jobs.
+// A showCmd prints the state of an entry: its view of the servers, its jobs, or the routes
+// that slow each other down.
 type showCmd struct {
 	API    string `help:"API address of an entry, required" placeholder:"IP:PORT"`
 	Output string `default:"table" help:"table or json"`
-	What   string `arg:"positional,required" help:"servers or jobs"`
+	What   string `arg:"positional,required" help:"servers, jobs or interference"`
 }
 
 // run gets the state of the entry and prints it.
@@ -71,8 +72,10 @@
 		for _, j := range dump.Jobs {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%t\n", j.ID, j.Route, j.Age, j.Tasks, j.DoneCount, j.ToPlace, j.Canceled)
 		}
+	case "interference":
+		printInterference(w, dump.Interference)
 	default:
-		return fmt.Errorf("%q can't be shown; ask for servers or jobs", c.What)
+		return fmt.Errorf("%q can't be shown; ask for servers or jobs, or for interference", c.What)
 	}
 	return w.Flush()
 }
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -1,5 +1,7 @@
 package settings
 
+import "github.com/pollenfront/pollenfront"
+
 // Agent holds the settings of an agent.
 type Agent struct {
 	Common
@@ -7,6 +9,10 @@
 	// Announcements is the address at which the agent listens for announcements
 	// of the backend server.
 	Announcements string `toml:"announcements"`
+	// Interference is whether the agent measures how much runs slow each other down and
+	// reports it to entries: off, which is the default, observe or avoid. The latter two
+	// are the same to an agent.
+	Interference pollenfront.InterferenceMode `toml:"interference"`
 	// LinkPort is the port at which every entry listens for agents. The agent uses
 	// it for Seeds; it dials other entries at the addresses that they registered.
 	LinkPort int `toml:"link-port"`
@@ -27,6 +33,7 @@
 func (a *Agent) Validate() []FieldError {
 	v := a.validateCommon()
 	v.address("announcements", a.Announcements)
+	v.interference(&a.Interference)
 	v.number("link-port", a.LinkPort, 1, maxPort)
 	for _, seed := range a.Seeds {
 		v.address("seeds", seed)
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -1,6 +1,10 @@
 package settings
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/pollenfront/pollenfront"
+)
 
 // Entry holds the settings of an entry.
 type Entry struct {
@@ -11,6 +15,9 @@
 	// Callers is the address at which the entry serves callers through the API of
 	// the users' platform. pollenfront's own API for callers is at API.
 	Callers string `toml:"callers"`
+	// Interference is what the entry does about tasks that slow each other down on one
+	// server: off, which is the default, observe or avoid.
+	Interference pollenfront.InterferenceMode `toml:"interference"`
 	// Links is the address at which the entry listens for agents.
 	Links string `toml:"links"`
 	// RemoteFactor is the multiple of its run time that a task takes on servers
@@ -29,6 +36,7 @@
 	}
 	v.address("advertise", e.Advertise)
 	v.address("callers", e.Callers)
+	v.interference(&e.Interference)
 	v.address("links", e.Links)
 	v.address("readiness", e.Readiness)
 	if e.RemoteFactor < 0 {
