--- a/agent/agent.go
+++ b/agent/agent.go
@@ -77,6 +77,7 @@
 	if s.DemandShares {
 		d.EnableDemandShares()
 	}
+	d.SetInterference(s.Interference)
 	return &agent{
 		driver:       d,
 		entryDialer:  newEntryDialer(d, cell.New(bootclock.Now(), s.Name, s.Zone, seeds)),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,6 +85,7 @@
 	if s.DemandShares {
 		j.EnableDemandShares()
 	}
+	j.SetInterference(s.Interference)
 	return &entry{
 		jobs:         j,
 		logger:       process.Logger,
--- a/entry/internal/jobs/config.go
+++ b/entry/internal/jobs/config.go
@@ -26,6 +26,7 @@
 // agents that keep it for entries which start without the store. The caller must hold mu.
 func (j *Jobs) setConfig(config *pollenfront.Config) {
 	j.storeRead, j.offered = true, nil
+	j.setRoutes(config)
 	previous := j.config.Swap(config)
 	if previous == nil {
 		close(j.configured)
@@ -89,6 +90,7 @@
 	if j.storeRead || !j.storeFailed || j.offered == nil || now-j.offeredAt < copyDelay || j.configVersion() >= j.offered.Version {
 		return
 	}
+	j.setRoutes(j.offered)
 	if j.config.Swap(j.offered) == nil {
 		close(j.configured)
 	}
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -17,6 +17,7 @@
 	fairShares      *prometheus.GaugeVec
 	invalidShares   prometheus.Counter
 	limits          *prometheus.GaugeVec
+	interference    interferenceMetrics
 	refusedRequests *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
 	sharedCPU       prometheus.Gauge
@@ -41,6 +42,7 @@
 		invalidShares: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_shares_ignored_total", Help: "Shares stated by agents that could not be used.",
 		}),
+		interference: newInterferenceMetrics(registry),
 		refusedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_requests_refused_total", Help: "Requests refused by their form, route or kind, by reason.",
 		}, []string{"reason"}),
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -73,6 +73,7 @@
 	e.crashCursor = 0
 	x.removeFromShares(e) // A new link starts without a statement.
 	x.addToShares(e)
+	x.interference.forget(ref.Name)
 	return x.runStates(e), effects
 }
 
@@ -143,6 +144,7 @@
 	update.Report.Share, update.Report.Overloaded = x.grantShare(now, e), x.overloadedEntry(now, name)
 	e.pendingEnds = nil
 	update.Crashes, e.crashCursor = x.crashes.Since(now, e.crashCursor, name)
+	x.interference.fill(now, name, &update)
 	return update, true
 }
 
--- a/pollenctl/command.go
+++ b/pollenctl/command.go
@@ -14,7 +14,7 @@
 	CheckConfig *checkConfigCmd `arg:"subcommand:check-config" help:"check a configuration before it is put in force"`
 	Explain     *explainCmd     `arg:"subcommand:explain" help:"explain how a request was handled, from logs"`
 	Return      *zoneCmd        `arg:"subcommand:return" help:"return an availability zone to service"`
-	Show        *showCmd        `arg:"subcommand:show" help:"show the servers, the jobs or the shares of an entry"`
+	Show        *showCmd        `arg:"subcommand:show" help:"show the servers, jobs, shares or interference of an entry"`
 	TakeOut     *zoneCmd        `arg:"subcommand:take-out" help:"take an availability zone out of service"`
 }
 
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -104,6 +104,7 @@
 	if a.fleet.settings.DemandShares {
 		a.executor.EnableDemandShares()
 	}
+	a.executor.SetInterference(a.fleet.settings.InterferenceMode)
 	a.linkEpochs = make(map[int]uint64)
 	a.lastReceived = make(map[int]time.Duration)
 	a.entryRefs = make(map[int]pollenfront.EntryRef)
@@ -297,6 +298,7 @@
 	if !ok {
 		return
 	}
+	a.fleet.corruptUpdate(a.index, &update)
 	epoch, generation := a.linkEpochs[e], entry.generation
 	a.fleet.result.Messages++
 	a.fleet.deliver(e, a, func() {
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -49,7 +49,7 @@
 func (e *entryNode) start() {
 	e.up = true
 	e.incarnation = uint64(e.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
-	options := []scheduler.Option{scheduler.WithChooser(e.fleet.settings.Chooser)}
+	options := []scheduler.Option{scheduler.WithChooser(e.fleet.settings.Chooser), e.fleet.interferenceOption()}
 	if e.fleet.settings.FairShares {
 		options = append(options, scheduler.WithFairShares())
 	}
@@ -97,6 +97,7 @@
 
 // applyEffects carries out the effects that the scheduler returned.
 func (e *entryNode) applyEffects(effects *scheduler.Effects) {
+	e.fleet.recordInterference(effects)
 	for _, result := range effects.Results {
 		attempt, ok := e.attempts[result.ID]
 		if !ok {
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -22,7 +22,9 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/interference"
 	"github.com/pollenfront/pollenfront/placement"
+	"github.com/pollenfront/pollenfront/tasklink"
 )
 
 // Settings describe a fleet.
@@ -34,17 +36,21 @@
 	DelayedRequestShare float64             // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
 	DemandShares        bool                // DemandShares makes shares of servers follow demand. They are equal by default.
 	Entries             int
-	FailShare           float64       // FailShare is the share of all runs that fail on their own, shortly after their start.
-	FairShares          bool          // FairShares enables the entries' setting fair-shares.
-	FullMesh            bool          // FullMesh makes each agent link to all entries, instead of those of its cell.
-	OneWayDelay         time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
-	RecordStrictness    bool          // RecordStrictness fills Result.Strictness.
-	RecordHistory       bool          // RecordHistory fills Result.History.
-	RetryRefused        bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
-	RunTimeFactors      []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
-	Seed                uint64
-	SlowTaskShare       float64 // SlowTaskShare is the share of tasks that take slowTaskFactor times as long as the work of their job.
-	Zones               int     // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
+	// CorruptEstimates changes the updates of an agent on their way. It may be nil.
+	CorruptEstimates func(agent int, update *tasklink.Update)
+	FailShare        float64        // FailShare is the share of all runs that fail on their own, shortly after their start.
+	FairShares       bool           // FairShares enables the entries' setting fair-shares.
+	FullMesh         bool           // FullMesh makes each agent link to all entries, instead of those of its cell.
+	Interference     []Interference // Interference is planted between kinds. A clairvoyant fleet has none.
+	InterferenceMode pollenfront.InterferenceMode
+	OneWayDelay      time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
+	RecordHistory    bool          // RecordHistory fills Result.History.
+	RecordStrictness bool          // RecordStrictness fills Result.Strictness.
+	RetryRefused     bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
+	RunTimeFactors   []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
+	Seed             uint64
+	SlowTaskShare    float64 // SlowTaskShare is the share of tasks that take slowTaskFactor times as long as the work of their job.
+	Zones            int     // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
 }
 
 // Parameters of the model. The network delays are one way.
@@ -88,41 +94,45 @@
 // keyed by the name of the job's kind, maps of values by the second in which the job
 // arrived.
 type Result struct {
-	CapacityRegained   []time.Duration // CapacityRegained lists how long after its return the capacity of each shrunk server was used again.
-	Classes            map[Class]ClassCounts
-	Crashes            int                  // Crashes is the number of servers that crashed under tasks.
-	EarnedValue        map[int]float64      // EarnedValue is the value of the answers.
-	Entries            map[int]*EntryCounts // Entries counts by the index of the entry to which the caller submitted a job first.
-	Failed             map[string]int       // Failed counts the jobs answered as failed, with those that always fail. Unknown includes the others.
-	FailedWait         time.Duration        // FailedWait is the sum of the times after which jobs that always fail were answered as failed.
-	FaultyStarts       int                  // FaultyStarts is the number of starts on servers with a failure rate.
-	History            []HistoryEvent       // History lists what callers and servers have seen, in order, if it is recorded.
-	Late               map[string]int
-	MaxCrashes         int             // MaxCrashes is the largest number of servers that crashed under one task.
-	MaxRejectedStarts  int             // MaxRejectedStarts is the largest number of starts that one server rejected because they did not fit.
-	Messages           int             // Messages is the number of messages between entries and agents.
-	OfferedValue       map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
-	OnTime             map[string]int
-	RefusalWait        time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
-	Refused            map[string]int
-	RefusedDespiteRoom int                  // RefusedDespiteRoom is the number of refused jobs whose tasks would all have fitted on the servers.
-	RejectedStarts     int                  // RejectedStarts is the number of starts that servers rejected because they did not fit.
-	RepeatedStarts     int                  // RepeatedStarts is the number of starts on a server with a failure rate where the task had failed, while another one could run it in time.
-	Starts             int                  // Starts is the number of runs that were started.
-	StartsInFaults     int                  // StartsInFaults is the number of runs that were started while some server had a failure rate.
-	Strictness         map[string][]float64 // Strictness holds the strictness of the first entry's admission limits every strictnessInterval, by route.
-	Submitted          map[string]int
-	Unknown            map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
-	UsefulCoreSeconds  float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
-	Violations         []string       // Violations are the violated invariants, each with its time.
-	WastedCoreSeconds  float64        // WastedCoreSeconds is the CPU time of the runs that ended in any other way.
+	CapacityRegained    []time.Duration // CapacityRegained lists how long after its return the capacity of each shrunk server was used again.
+	ChangeTimes         []time.Duration // ChangeTimes are the times of InterferenceChanges.
+	Classes             map[Class]ClassCounts
+	Crashes             int                                 // Crashes is the number of servers that crashed under tasks.
+	EarnedValue         map[int]float64                     // EarnedValue is the value of the answers.
+	Entries             map[int]*EntryCounts                // Entries counts by the index of the entry to which the caller submitted a job first.
+	Failed              map[string]int                      // Failed counts the jobs answered as failed, with those that always fail. Unknown includes the others.
+	FailedWait          time.Duration                       // FailedWait is the sum of the times after which jobs that always fail were answered as failed.
+	FaultyStarts        int                                 // FaultyStarts is the number of starts on servers with a failure rate.
+	FirstFindings       map[interference.Pair]time.Duration // FirstFindings holds when each pair was found first.
+	History             []HistoryEvent                      // History lists what callers and servers have seen, in order, if it is recorded.
+	InterferenceChanges []interference.Change
+	InvalidEstimates    int // InvalidEstimates is the number of invalid estimates that entries received.
+	Late                map[string]int
+	MaxCrashes          int             // MaxCrashes is the largest number of servers that crashed under one task.
+	MaxRejectedStarts   int             // MaxRejectedStarts is the largest number of starts that one server rejected because they did not fit.
+	Messages            int             // Messages is the number of messages between entries and agents.
+	OfferedValue        map[int]float64 // OfferedValue is the value of the answers if all jobs were answered on time.
+	OnTime              map[string]int
+	RefusalWait         time.Duration // RefusalWait is the sum of the times after which refused jobs were answered.
+	Refused             map[string]int
+	RefusedDespiteRoom  int                  // RefusedDespiteRoom is the number of refused jobs whose tasks would all have fitted on the servers.
+	RejectedStarts      int                  // RejectedStarts is the number of starts that servers rejected because they did not fit.
+	RepeatedStarts      int                  // RepeatedStarts is the number of starts on a server with a failure rate where the task had failed, while another one could run it in time.
+	Starts              int                  // Starts is the number of runs that were started.
+	StartsInFaults      int                  // StartsInFaults is the number of runs that were started while some server had a failure rate.
+	Strictness          map[string][]float64 // Strictness holds the strictness of the first entry's admission limits every strictnessInterval, by route.
+	Submitted           map[string]int
+	Unknown             map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
+	UsefulCoreSeconds   float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
+	Violations          []string       // Violations are the violated invariants, each with its time.
+	WastedCoreSeconds   float64        // WastedCoreSeconds is the CPU time of the runs that ended in any other way.
 }
 
 // newResult returns a result without jobs.
 func newResult() Result {
 	return Result{
 		Classes: make(map[Class]ClassCounts), EarnedValue: make(map[int]float64), Entries: make(map[int]*EntryCounts), Failed: make(map[string]int),
-		Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
+		FirstFindings: make(map[interference.Pair]time.Duration), Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
 		Refused: make(map[string]int), Submitted: make(map[string]int), Unknown: make(map[string]int),
 	}
 }
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/interference"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -14,6 +15,11 @@
 	Commands map[string]*tasklink.Commands
 	// InvalidShares lists the invalid shares that agents have stated.
 	InvalidShares []InvalidShare
+	// InterferenceChanges are the pairs of routes that were found to slow each other down,
+	// or no longer, to log.
+	InterferenceChanges []interference.Change
+	// InvalidEstimates are the messages with invalid estimates of interference.
+	InvalidEstimates []InvalidEstimates
 	// Placements are the placements to log.
 	Placements []Placement
 	// Results are the answers to give to callers. Each submission gets one, unless
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -1,6 +1,10 @@
 package settings
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/pollenfront/pollenfront"
+)
 
 // Entry holds the settings of an entry.
 type Entry struct {
@@ -17,6 +21,9 @@
 	// FairShares makes the entry divide scarce capacity fairly among routes and size
 	// classes of jobs, and keep jobs for a late answer while room may be left.
 	FairShares bool `toml:"fair-shares"`
+	// Interference is what the entry does about tasks that slow each other down on one
+	// server: off, which is the default, observe or avoid.
+	Interference pollenfront.InterferenceMode `toml:"interference"`
 	// Links is the address at which the entry listens for agents.
 	Links string `toml:"links"`
 	// RemoteFactor is the multiple of its run time that a task takes on servers
@@ -35,6 +42,7 @@
 	}
 	v.address("advertise", e.Advertise)
 	v.address("callers", e.Callers)
+	v.interference(&e.Interference)
 	v.address("links", e.Links)
 	v.address("readiness", e.Readiness)
 	if e.RemoteFactor < 0 {
