--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -117,7 +117,7 @@
 	Refused             map[string]int
 	RefusedDespiteRoom  int                  // RefusedDespiteRoom is the number of refused jobs whose tasks would all have fitted on the servers.
 	RejectedStarts      int                  // RejectedStarts is the number of starts that servers rejected because they did not fit.
-	RepeatedStarts      int                  // RepeatedStarts is the number of starts on a server with a failure rate where the task had failed, while another one could run it in time.
+	RepeatedStarts      int                  // RepeatedStarts counts starts on a server with a failure rate where the task had failed, while another one could run it in time.
 	Starts              int                  // Starts is the number of runs that were started.
 	StartsInFaults      int                  // StartsInFaults is the number of runs that were started while some server had a failure rate.
 	Strictness          map[string][]float64 // Strictness holds the strictness of the first entry's admission limits every strictnessInterval, by route.
