Apply the attempt budget with fair shares

Cause: placeFair is a copy of place that did neither subtract the resources of failed runs from the free ones of failing servers, nor move withholdings to the effects. With fair-shares, holds and withholdings grew without bound, withheld attempts were neither logged nor counted, and a failing server got more starts than others.

Change: placeFair calls holdFailed, and both functions call reportWithheld.

--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -173,6 +173,11 @@
 	})
 }
 
+// reportWithheld moves the withholdings of the current call of place to the effects.
+func (s *Scheduler) reportWithheld(effects *Effects) {
+	effects.Withholdings, s.withheld = append(effects.Withholdings, s.withheld...), s.withheld[:0]
+}
+
 // attemptTask returns a task as package attempts sees it.
 func (s *Scheduler) attemptTask(now time.Duration, candidates []candidate, t *task) attempts.Task {
 	j := t.job
--- a/scheduler/fair.go
+++ b/scheduler/fair.go
@@ -183,6 +183,7 @@
 // placeFair is place with fair shares.
 func (s *Scheduler) placeFair(now time.Duration, effects *Effects) {
 	candidates := s.candidates(now)
+	s.holdFailed(now, candidates)
 	stillQueued := 0
 	s.unplaceable = s.unplaceable[:0]
 	order := s.fairOrder(now)
@@ -208,6 +209,7 @@
 	if len(effects.Placements) > 0 {
 		s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.toPlace == 0 })
 	}
+	s.reportWithheld(effects)
 	if s.warmingUp(now) {
 		s.shedOverdue(now, effects)
 		return
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -83,7 +83,7 @@
 	if placed > 0 {
 		s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.toPlace == 0 })
 	}
-	effects.Withholdings, s.withheld = append(effects.Withholdings, s.withheld...), s.withheld[:0]
+	s.reportWithheld(effects)
 	s.shedOverdue(now, effects)
 	s.shedHopeless(now, effects)
 }
