Ignore impossible numbers in the reports of agents

Cause: the scheduler used Slowness, RunSeconds, Capacity and EffectiveCapacity as reported. NaN, a negative or a huge slowness made the expected run time on that server negative after the conversion to time.Duration and the capacity of the pool NaN or negative; an effective capacity above the announced one was believed. One agent could so switch off admission for the whole pool.

Change: HandleUpdate replaces such numbers by those of a report that does not state them.

Result: TestInvalidReport failed in all 7 cases first (0 of 400 jobs refused in 6 of them) and passes; a case for a negative capacity was added with the fix. Such reports are not logged or counted yet.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -147,7 +147,7 @@
 		return effects
 	}
 	unchanged := s.usable(now, a) && sameRoom(&a.report, &update.Report) && len(update.RunEnds) == 0
-	a.echo, a.lastUpdate, a.report = update.Clock, now, update.Report
+	a.echo, a.lastUpdate, a.report = update.Clock, now, validReport(update.Report)
 	s.recordShare(a, effects)
 	s.interference.recordUpdate(now, a, update, effects)
 	for len(a.unreported) > 0 && a.unreported[0].seqNum <= update.LastSeqNum {
