Forget what was sent to entries that are gone

Cause: with interference on, the executor kept the estimates that it had sent to each entry for ever, since it only removed them when the entry linked again.

Change: they are removed together with the entry.

Result: TestGoneEntriesAreForgotten failed first (10 entries kept in place of 0) and passes.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -262,6 +262,7 @@
 		}
 		if !e.linked && len(e.recentEnds) == 0 && !x.hasRuns(e) && now-e.lastEcho > runEndRetention {
 			delete(x.entries, name)
+			x.interference.forget(name)
 		}
 	}
 	if now > x.server.leaseExpiry {
--- a/executor/interference.go
+++ b/executor/interference.go
@@ -66,7 +66,8 @@
 	s.observer.End(now, r.id.TaskID, ratio)
 }
 
-// forget makes the next message to an entry that has linked have all estimates.
+// forget forgets what was sent to an entry that has linked or is gone. The next message to it
+// has all estimates.
 func (s *interferenceState) forget(entry string) {
 	if s != nil {
 		delete(s.sent, entry)
