Forget routes that are removed from the configuration

Cause: the accounts of fair shares, the evidence of failing tasks and the demand and needs of interference were kept for ever by route, and each pass over the queue goes over all accounts. Agents could add any number of routes by RouteCounts.

Change: SetRoutes removes what is known of other routes, and RouteCounts of routes that are not configured are ignored.

--- a/attempts/evidence.go
+++ b/attempts/evidence.go
@@ -1,6 +1,7 @@
 package attempts
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -78,6 +79,11 @@
 	e.routes[route] = e.routes[route].with(1)
 }
 
+// RemoveRoutes removes the routes that the given function reports.
+func (e *Evidence) RemoveRoutes(removed func(name string) bool) {
+	maps.DeleteFunc(e.routes, func(name string, _ routeTasks) bool { return removed(name) })
+}
+
 // fade fades the evidence.
 func (e *Evidence) fade(now time.Duration) {
 	if now <= e.faded {
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -131,6 +131,21 @@
 	return r
 }
 
+// RemoveRoutes removes the routes that the given function reports. Flows of removed routes
+// that jobs still refer to do not lag.
+func (a *Accounts) RemoveRoutes(removed func(name string) bool) {
+	a.sorted = slices.DeleteFunc(a.sorted, func(r *Route) bool {
+		if !removed(r.Name) {
+			return false
+		}
+		delete(a.routes, r.Name)
+		for _, f := range r.flows {
+			f.rank, f.starves = -1, false
+		}
+		return true
+	})
+}
+
 // Arrive adds a new job to the account of its flow and to the statistics of its route. It
 // returns the flow, and the size for which the job counts there: absurd sizes are limited.
 func (a *Accounts) Arrive(now time.Duration, route string, size float64) (*Flow, float64) {
--- a/interference/pool.go
+++ b/interference/pool.go
@@ -108,9 +108,14 @@
 	}
 }
 
+// Known reports whether a route is known.
+func (p *Pool) Known(route string) bool {
+	return p.routes == nil || p.routes[route]
+}
+
 // known reports whether both routes of a pair are known.
 func (p *Pool) known(pair Pair) bool {
-	return p.routes == nil || p.routes[pair.Route] && p.routes[pair.Neighbor]
+	return p.Known(pair.Route) && p.Known(pair.Neighbor)
 }
 
 // validate returns an error if an estimate is invalid.
--- a/scheduler/interference_events.go
+++ b/scheduler/interference_events.go
@@ -30,7 +30,8 @@
 		return
 	}
 	mix := i.mix(a)
-	mix.stale, mix.reported = true, update.RouteCounts
+	mix.stale = true
+	mix.reported = slices.DeleteFunc(update.RouteCounts, func(r tasklink.RouteCount) bool { return !i.pool.Known(r.Route) })
 	if update.Interference == nil {
 		return
 	}
@@ -121,11 +122,15 @@
 	return time.Duration(math.Exp(stats.mean) * max(0.1, a.report.Slowness) * float64(time.Second))
 }
 
-// SetRoutes sets the names of the configured routes. Estimates for others are ignored.
-func (s *Scheduler) SetRoutes(names []string) {
-	if s.interference != nil {
-		s.interference.pool.SetRoutes(names)
+// setRoutes sets the names of the configured routes. Estimates and numbers of runs of others
+// are ignored.
+func (i *interferenceState) setRoutes(names []string) {
+	if i == nil {
+		return
 	}
+	i.pool.SetRoutes(names)
+	maps.DeleteFunc(i.demand, func(name string, _ float64) bool { return !i.pool.Known(name) })
+	maps.DeleteFunc(i.needs, func(name string, _ float64) bool { return !i.pool.Known(name) })
 }
 
 // dump returns the state for operators, or nil if the setting is off.
