--- a/demandshare/demandshare.go
+++ b/demandshare/demandshare.go
@@ -8,9 +8,9 @@
 //   - Every entry gets at least the floor, a part of the equal share, so that an entry
 //     without demand can start jobs before its next statement has arrived.
 //   - What is left when all demands are met is lent out equally.
-//   - Demand rises with a statement at once, and falls over fallTime. A statement that is not a valid number, or is older
-//     than StatementLifetime, counts as none. One above the capacity counts as the
-//     capacity.
+//   - Demand rises with a statement at once, and falls over fallTime. A statement that is
+//     not a valid number, or is older than StatementLifetime, counts as none. One above the
+//     capacity counts as the capacity.
 //   - Shares are stated to one entry after the other. A share is increased only by what
 //     the others have already been told to be lower, so that the stated shares never add
 //     up to more than the capacity.
