--- a/executor/shares.go
+++ b/executor/shares.go
@@ -30,8 +30,7 @@
 }
 
 // recordDemand records the demand that an entry has stated, and the overloaded entry that
-// it names. An invalid one is ignored,
-// and the first of each link is returned in the effects for the log.
+// it names. An invalid demand is ignored and returned in the effects, for the log.
 func (x *Executor) recordDemand(now time.Duration, e *entry, commands *tasklink.Commands, effects *Effects) {
 	if x.shares == nil {
 		return
