--- a/attempts/value.go
+++ b/attempts/value.go
@@ -85,8 +85,8 @@
 // Compare returns the expected values of sending a task to some servers, now or as soon
 // as they can start it. The value covers the attempts that are left after a failure, on the
 // best server. It does not where the task has failed before, as such a run would only use up
-// an attempt that another server can have. A task that fails everywhere is worth its answer too, which says so: the sooner
-// the better.
+// an attempt that another server can have. For a task that fails everywhere, the answer that
+// it failed has a value too, which falls with time.
 func Compare(task Task, options []Option) Choice {
 	choice := Choice{Values: make([]float64, len(options)), task: task, waiting: -1}
 	successful := make([]float64, len(options)) // successful has the value of a run that succeeds.
