--- a/entry/internal/jobs/config.go
+++ b/entry/internal/jobs/config.go
@@ -1,8 +1,6 @@
 package jobs
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,8 +46,7 @@
 	}
 	transmissionTime := time.Duration(float64(config.Msgsize()) / copyRate * float64(time.Second))
 	j.nextCopy = max(j.nextCopy, now-scheduler.TickInterval)
-	for _, name := range slices.Sorted(maps.Keys(j.links)) {
-		link := j.links[name]
+	for name, link := range j.links {
 		if link.configVersion == config.Version || !j.scheduler.IsPrimary(name) {
 			continue
 		}
