Give the long tests of hard load a package of their own

The replay's tests reached the limit of 10 minutes with the race detector beside other load: those of interference alone take minutes. The sum of results had lost its regained capacities in a merge, which TestShrunkServers showed.

--- a/Makefile
+++ b/Makefile
@@ -28,4 +28,4 @@
 
 unit: build ## runs the tests of all modules with the race detector
 	scripts/known-red.sh check
-	go test -race -timeout 10m -skip "$$(scripts/known-red.sh skip)" $(MODULES)
+	go test -race -timeout 20m -skip "$$(scripts/known-red.sh skip)" $(MODULES)
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -161,6 +161,7 @@
 		r.Classes[class] = sum
 	}
 	r.addEntries(other)
+	r.CapacityRegained = append(r.CapacityRegained, other.CapacityRegained...)
 	r.Crashes += other.Crashes
 	r.MaxCrashes = max(r.MaxCrashes, other.MaxCrashes)
 	r.MaxRejectedStarts = max(r.MaxRejectedStarts, other.MaxRejectedStarts)
--- a/replay/settle_test.go
+++ b/replay/hardload/settle_test.go
@@ -1,4 +1,4 @@
-package replay_test
+package hardload_test
 
 import (
 	"flag"
