Log and count reports of agents with impossible numbers

A reader of the merged parts found that such numbers were replaced without a trace. Effects now name the agent and the fields; the entry counts each report and logs the first one on a link. TestInvalidReport checks both, and two cases for the share of failed runs, which was used as it came.

--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -244,6 +244,7 @@
 		}
 		j.scheduler.MarkSent(now, name)
 	}
+	j.recordInvalidReports(effects.InvalidReports)
 	j.recordInvalidShares(effects.InvalidShares)
 	j.logDisabledZones()
 	j.logConfinedRoutes()
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -15,6 +15,7 @@
 	answered        *prometheus.CounterVec
 	callersLeft     prometheus.Counter
 	fairShares      *prometheus.GaugeVec
+	invalidReports  prometheus.Counter
 	invalidShares   prometheus.Counter
 	limits          *prometheus.GaugeVec
 	interference    interferenceMetrics
@@ -39,6 +40,9 @@
 		limits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "pollenfront_admission_strictness", Help: "Factor on the expected delay by which jobs are admitted, by route. Only with fair-shares.",
 		}, []string{"route"}),
+		invalidReports: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollenfront_reports_corrected_total", Help: "Reports of agents in which invalid numbers were replaced.",
+		}),
 		invalidShares: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_shares_ignored_total", Help: "Shares stated by agents that could not be used.",
 		}),
@@ -58,7 +62,7 @@
 		}, []string{"agent"}),
 	}
 	registry.MustRegister(
-		m.answered, m.callersLeft, m.fairShares, m.invalidShares, m.limits, m.refusedRequests, m.responseTimes, m.sharedCPU, m.withheld,
+		m.answered, m.callersLeft, m.fairShares, m.invalidReports, m.invalidShares, m.limits, m.refusedRequests, m.responseTimes, m.sharedCPU, m.withheld,
 	)
 	return m
 }
--- a/entry/internal/jobs/shares.go
+++ b/entry/internal/jobs/shares.go
@@ -14,6 +14,17 @@
 	j.scheduler.EnableDemandShares()
 }
 
+// recordInvalidReports counts the reports of agents in which invalid numbers were replaced,
+// and logs the first one on each link.
+func (j *Jobs) recordInvalidReports(reports []scheduler.InvalidReport) {
+	for _, invalid := range reports {
+		j.metrics.invalidReports.Inc()
+		if invalid.First {
+			j.logger.Warn("invalid numbers in a report ignored", zap.String("agent", invalid.Agent), zap.Strings("fields", invalid.Fields))
+		}
+	}
+}
+
 // recordInvalidShares counts the invalid shares that agents have stated, and logs the first
 // one of each agent. The caller must hold mu.
 func (j *Jobs) recordInvalidShares(shares []scheduler.InvalidShare) {
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -27,6 +27,8 @@
 	health attempts.Health
 	// holds are the resources of runs that have failed on the server.
 	holds []hold
+	// invalidReport is set if the agent has sent an invalid report on its current link.
+	invalidReport bool
 	// invalidShare is set if the agent has stated an invalid share.
 	invalidShare bool
 	// lastSent is the time at which commands were last sent to the agent.
@@ -76,7 +78,7 @@
 	}
 	a.AgentRef = pollenfront.AgentRef{Incarnation: hello.Incarnation, Name: hello.Name}
 	a.crashCursor, a.echo, a.lastUpdate, a.linked, a.lastSeqNum, a.unreported = 0, 0, now, true, 0, nil
-	a.service, a.zone, a.report = hello.Service, hello.Zone, tasklink.Report{}
+	a.service, a.zone, a.report, a.invalidReport = hello.Service, hello.Zone, tasklink.Report{}, false
 	a.share = 0
 	s.countAgents()
 	s.interference.recordLink(a)
@@ -147,7 +149,8 @@
 		return effects
 	}
 	unchanged := s.usable(now, a) && sameRoom(&a.report, &update.Report) && len(update.RunEnds) == 0
-	a.echo, a.lastUpdate, a.report = update.Clock, now, validReport(update.Report)
+	a.echo, a.lastUpdate = update.Clock, now
+	a.recordReport(update.Report, effects)
 	s.recordShare(a, effects)
 	s.interference.recordUpdate(now, a, update, effects)
 	for len(a.unreported) > 0 && a.unreported[0].seqNum <= update.LastSeqNum {
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -13,6 +13,8 @@
 	// Commands are the messages to send to agents, by the agent's name. The
 	// driver calls MarkSent for each one that it sends.
 	Commands map[string]*tasklink.Commands
+	// InvalidReports lists the reports of agents in which invalid numbers were replaced.
+	InvalidReports []InvalidReport
 	// InvalidShares lists the invalid shares that agents have stated.
 	InvalidShares []InvalidShare
 	// InterferenceChanges are the pairs of routes that were found to slow each other down,
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -14,21 +14,43 @@
 	maxSlowness = 1000
 )
 
+// An InvalidReport is a report of an agent with numbers that are not in the possible range.
+type InvalidReport struct {
+	Agent string
+	// Fields are the names of the fields that were replaced.
+	Fields []string
+	// First is set for the first such report on a link.
+	First bool
+}
+
 // validReport returns a report in which numbers that are not in the possible range count as
-// not stated: a slowness of 1, a run time of 0, no capacity, and the announced capacity as the
-// effective one.
-func validReport(r tasklink.Report) tasklink.Report {
-	if !(r.Slowness >= 0 && r.Slowness <= maxSlowness) { // Also if it is not a number.
-		r.Slowness = 1
+// not stated: no failed runs, a slowness of 1, a run time of 0, no capacity, and the announced
+// capacity as the effective one. It also returns the names of the fields that it replaced.
+func validReport(r tasklink.Report) (valid tasklink.Report, replaced []string) {
+	if !(r.FailRate >= 0 && r.FailRate <= 1) { // Also if it is not a number.
+		r.FailRate, replaced = 0, append(replaced, "FailRate")
+	}
+	if !(r.Slowness >= 0 && r.Slowness <= maxSlowness) {
+		r.Slowness, replaced = 1, append(replaced, "Slowness")
 	}
 	if !(r.RunSeconds >= 0 && r.RunSeconds <= maxRunSeconds) {
-		r.RunSeconds = 0
+		r.RunSeconds, replaced = 0, append(replaced, "RunSeconds")
 	}
 	if !r.Capacity.Covers(pollenfront.Resources{}) {
-		r.Capacity = pollenfront.Resources{}
+		r.Capacity, replaced = pollenfront.Resources{}, append(replaced, "Capacity")
 	}
 	if !r.Capacity.Covers(r.EffectiveCapacity) || !r.EffectiveCapacity.Covers(pollenfront.Resources{}) {
-		r.EffectiveCapacity = pollenfront.Resources{}
+		r.EffectiveCapacity, replaced = pollenfront.Resources{}, append(replaced, "EffectiveCapacity")
+	}
+	return r, replaced
+}
+
+// recordReport replaces the report of an agent by a newer one.
+func (a *agent) recordReport(report tasklink.Report, effects *Effects) {
+	var replaced []string
+	a.report, replaced = validReport(report)
+	if len(replaced) > 0 {
+		effects.InvalidReports = append(effects.InvalidReports, InvalidReport{Agent: a.Name, Fields: replaced, First: !a.invalidReport})
+		a.invalidReport = true
 	}
-	return r
 }
--- a/scheduler/report_test.go
+++ b/scheduler/report_test.go
@@ -22,6 +22,8 @@
 		{"slowness is not a number", func(r *tasklink.Report) { r.Slowness = math.NaN() }},
 		{"slowness is huge", func(r *tasklink.Report) { r.Slowness = 1e300 }},
 		{"slowness is negative", func(r *tasklink.Report) { r.Slowness = -5 }},
+		{"share of failed runs is not a number", func(r *tasklink.Report) { r.FailRate = math.NaN() }},
+		{"share of failed runs is above 1", func(r *tasklink.Report) { r.FailRate = 7 }},
 		{"run time is not a number", func(r *tasklink.Report) { r.RunSeconds = math.NaN() }},
 		{"run time is huge", func(r *tasklink.Report) { r.RunSeconds = 1e300 }},
 		{"capacity is negative", func(r *tasklink.Report) { r.Capacity.CPU = -1 << 40 }},
@@ -34,8 +36,12 @@
 			s := newSchedulerWithAgents(2)
 			invalid := fleetUpdate(0, 100, 0)
 			test.invalidate(&invalid.Report)
-			s.HandleUpdate(at(1), "agent-1", invalid)
-			s.HandleUpdate(at(1), "agent-2", fleetUpdate(0, 100, 0))
+			first, second := s.HandleUpdate(at(1), "agent-1", invalid), s.HandleUpdate(at(1), "agent-1", invalid)
+			c.Assert(first.InvalidReports, qt.HasLen, 1)
+			c.Assert(first.InvalidReports[0].First, qt.IsTrue)
+			c.Assert(second.InvalidReports, qt.HasLen, 1)
+			c.Assert(second.InvalidReports[0].First, qt.IsFalse)
+			c.Assert(s.HandleUpdate(at(1), "agent-2", fleetUpdate(0, 100, 0)).InvalidReports, qt.HasLen, 0)
 			refused := 0
 			for i := range 400 {
 				sub := submission(fmt.Sprintf("%03x", i), 1)
@@ -46,6 +52,7 @@
 			for _, a := range s.Dump(at(3)).Agents {
 				r := a.Report
 				c.Assert(r.Slowness > 0 && r.Slowness < 1e6 && r.RunSeconds >= 0 && r.RunSeconds < 1e6, qt.IsTrue, qt.Commentf("%+v", r))
+				c.Assert(r.FailRate >= 0 && r.FailRate <= 1, qt.IsTrue)
 				c.Assert(r.EffectiveCapacity == pollenfront.Resources{} || r.Capacity.Covers(r.EffectiveCapacity), qt.IsTrue)
 				c.Assert(r.EffectiveCapacity.CPU >= 0, qt.IsTrue)
 			}
