--- a/scheduler/fair_test.go
+++ b/scheduler/fair_test.go
@@ -12,9 +12,10 @@
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
-// newFairScheduler returns a Scheduler with fair shares that is linked to one agent.
-func newFairScheduler(freeCores int) *scheduler.Scheduler {
-	s := newScheduler(freeCores)
+// newFairScheduler returns a Scheduler with fair shares that is linked to one agent, whose
+// server is full.
+func newFairScheduler() *scheduler.Scheduler {
+	s := newScheduler(0)
 	s.EnableFairShares()
 	return s
 }
@@ -53,7 +54,7 @@
 // servers has done the work that waits.
 func TestFairRetryAfter(t *testing.T) {
 	c := qt.New(t)
-	s := newFairScheduler(0)
+	s := newFairScheduler()
 	full := update(0)
 	full.Report.Waits = []int{9000, 9000, 9000}
 	s.HandleUpdate(at(0), "agent-1", full)
@@ -86,7 +87,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			s := newFairScheduler(0)
+			s := newFairScheduler()
 			full := update(0)
 			full.Report.Waits = []int{2000, 2000, 2000}
 			s.HandleUpdate(at(0), "agent-1", full)
@@ -106,7 +107,7 @@
 // another one are smaller.
 func TestLaggingClassGoesFirst(t *testing.T) {
 	c := qt.New(t)
-	s := newFairScheduler(0)
+	s := newFairScheduler()
 	wide := submission("0a", 8)
 	wide.Route.Name, wide.Route.LatencyTarget = "wide", time.Second
 	for i := range 20 { // The narrow route is served in full before.
--- a/scheduler/routes_test.go
+++ b/scheduler/routes_test.go
@@ -17,7 +17,7 @@
 // has removed 1,400 routes, and against a crash by a job of a removed route.
 func TestRemovedRoutes(t *testing.T) {
 	c := qt.New(t)
-	s := newFairScheduler(0)
+	s := newFairScheduler()
 	for i := range 1400 {
 		sub := submission(fmt.Sprintf("%04x", i), 1)
 		sub.Route.Name, sub.Route.LatencyTarget = fmt.Sprint("route-", i), 2*time.Second
