Run the wave of demand in every mode of the tests

TestDemandWave was skipped with -short, which nothing in this repository uses and no other test heeds. It checks invariants, so it runs always now.

--- a/replay/hardload/wave_test.go
+++ b/replay/hardload/wave_test.go
@@ -24,9 +24,6 @@
 	for _, mode := range modes {
 		t.Run(mode.name, func(t *testing.T) {
 			t.Parallel()
-			if testing.Short() {
-				t.Skip("takes seconds")
-			}
 			c := qt.New(t)
 			settings := replay.Settings{Agents: 73, Entries: 13, RunTimeFactors: []float64{0.55, 1.2, 1.2, 1.2}, Seed: 1, Zones: 3}
 			mode.change(&settings)
