Separate the ranking of options in attempts

Compare ranked the options and computed their values in one loop, kept a slice that nothing read afterwards, and its comment left open which server a retry goes to. The comment of AddSuccess said that the task had failed before, which holds for a part of the calls.

twoHighest ranks the options now. The comments say what the odds are, up to when evidence has faded, and what the value of an attempt covers.

--- a/attempts/attempts.go
+++ b/attempts/attempts.go
@@ -35,15 +35,15 @@
 	reportedRuns = 5
 )
 
-// A Server is what is known of a server.
+// A Server is what an entry knows of the failures on a server.
 type Server struct {
 	// FailRate is the moving share of failed runs that its agent reports.
 	FailRate float64
 	// Labels are the groups that it belongs to, such as its rack.
 	Labels []string
-	// LogOdds is the entry's own evidence that the server fails runs.
+	// LogOdds is the entry's own evidence that the server fails runs. See Evidence.LogOdds.
 	LogOdds float64
-	// Zone is another such group.
+	// Zone is the zone of the server, which is a group like those of Labels.
 	Zone string
 }
 
@@ -55,7 +55,7 @@
 	return 0
 }
 
-// A Health is an estimate for a server.
+// A Health is the estimated reliability of a server.
 type Health struct {
 	// FailShare is the probability that a run fails on the server.
 	FailShare float64
--- a/attempts/evidence.go
+++ b/attempts/evidence.go
@@ -27,9 +27,10 @@
 	// blamedServers and blamedTasks are the numbers of failures that servers and tasks
 	// have caused, fading.
 	blamedServers, blamedTasks float64
-	faded                      time.Duration
-	routes                     map[string]routeTasks
-	servers                    map[string]float64 // servers holds the logarithm of the odds by server.
+	// fadedAt is the time up to which the evidence has faded.
+	fadedAt time.Duration
+	routes  map[string]routeTasks
+	servers map[string]float64 // servers holds the LogOdds by server.
 }
 
 // A routeTasks counts the tasks of a route, fading with each new one.
@@ -53,8 +54,8 @@
 	return &Evidence{routes: make(map[string]routeTasks), servers: make(map[string]float64)}
 }
 
-// AddSuccess records that a task of a route was done on a server, after it had failed on
-// others.
+// AddSuccess records that a task of a route was done on a server. failedOn are the servers
+// on which it had failed before.
 func (e *Evidence) AddSuccess(now time.Duration, route, server string, failedOn []string) {
 	e.routes[route] = e.routes[route].with(0)
 	if odds, ok := e.servers[server]; ok {
@@ -84,13 +85,13 @@
 	maps.DeleteFunc(e.routes, func(name string, _ routeTasks) bool { return removed(name) })
 }
 
-// fade fades the evidence.
+// fade fades the evidence up to now, and removes servers against which hardly any is left.
 func (e *Evidence) fade(now time.Duration) {
-	if now <= e.faded {
+	if now <= e.fadedAt {
 		return
 	}
-	factor := math.Exp(-(now - e.faded).Seconds() / evidencePeriod.Seconds())
-	e.faded = now
+	factor := math.Exp(-(now - e.fadedAt).Seconds() / evidencePeriod.Seconds())
+	e.fadedAt = now
 	e.blamedServers *= factor
 	e.blamedTasks *= factor
 	for server, odds := range e.servers {
@@ -102,7 +103,8 @@
 	}
 }
 
-// LogOdds returns the evidence that a server fails runs.
+// LogOdds returns the evidence that a server fails runs, as the logarithm of a likelihood
+// ratio.
 func (e *Evidence) LogOdds(now time.Duration, server string) float64 {
 	e.fade(now)
 	return e.servers[server]
--- a/attempts/value.go
+++ b/attempts/value.go
@@ -84,25 +84,17 @@
 
 // Compare returns the expected values of sending a task to some servers, now or as soon
 // as they can start it. The value covers the attempts that are left after a failure, on the
-// best server. It does not where the task has failed before, as such a run would only use up
-// an attempt that another server can have. For a task that fails everywhere, the answer that
-// it failed has a value too, which falls with time.
+// best other server. On a server on which the task has failed before, it covers one attempt
+// only, as another failure there uses up an attempt that another server can have. For a task
+// that fails everywhere, the answer that it failed has a value too, which falls with time.
 func Compare(task Task, options []Option) Choice {
 	choice := Choice{Values: make([]float64, len(options)), task: task, waiting: -1}
-	successful := make([]float64, len(options)) // successful has the value of a run that succeeds.
-	once := make([]float64, len(options))       // once has the expected value of one attempt.
-	first, second := -1, -1
+	once := make([]float64, len(options)) // once has the expected value of one attempt.
 	for i := range options {
 		o := &options[i]
-		successful[i] = task.valueAt(o.Delay, o.RunTime)
-		once[i] = (1 - o.failShare()) * successful[i]
-		switch {
-		case first < 0 || once[i] > once[first]:
-			first, second = i, first
-		case second < 0 || once[i] > once[second]:
-			second = i
-		}
+		once[i] = (1 - o.failShare()) * task.valueAt(o.Delay, o.RunTime)
 	}
+	first, second := twoHighest(once)
 	for i := range options {
 		o := &options[i]
 		retry := first
@@ -128,6 +120,21 @@
 	return choice
 }
 
+// twoHighest returns the indexes of the highest and the second highest value, or -1 if there
+// are not as many. Of equal values the first one counts as higher.
+func twoHighest(values []float64) (first, second int) {
+	first, second = -1, -1
+	for i, value := range values {
+		switch {
+		case first < 0 || value > values[first]:
+			first, second = i, first
+		case second < 0 || value > values[second]:
+			second = i
+		}
+	}
+	return first, second
+}
+
 // retryValue returns the value of the attempts that are left after a failure on one server,
 // on another one. A run is assumed to fail after half of its time.
 func (t *Task) retryValue(failed, other *Option) float64 {
