Split the arrival of a job in fairshare

Arrive limited a size, chose the class, updated the statistics of the route and the account in one function. Flow had a reference to its Accounts that nothing read, newLimit returned the zero value, and several fields and results were named only.

deviation, class and recordSize are methods of Route. The unused field and newLimit are gone; the comments say what the sums hold, what strictness is and that Lagging sets the results of Rank and Starves.

--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -56,6 +56,7 @@
 
 // Size classes.
 const (
+	// ClassRest is for the jobs that are in none of the other classes.
 	ClassRest Class = iota
 	// ClassLarge is for about a fifth of the jobs, below those of ClassLargest.
 	ClassLarge
@@ -76,14 +77,15 @@
 
 // A Flow is the account of the jobs of a route in a size class.
 type Flow struct {
-	accounts *Accounts
-	arrived  float64
-	Class    Class
-	route    *Route
-	served   float64
+	Class Class
+
+	// arrived and served are the sizes of the jobs that have arrived and that were sent to
+	// servers, faded up to updated.
+	arrived, served float64
 	// rank is the position among the lagging flows, or -1.
 	rank    int
-	starves bool
+	route   *Route
+	starves bool // starves is set if the flow was below starvingFloor in the last call of Lagging.
 	updated time.Duration
 }
 
@@ -93,10 +95,10 @@
 	Name  string
 
 	// count is the number of sizes in mean, up to firstSizes.
-	count    int
-	flows    [ClassLargest + 1]*Flow
-	mean     float64
-	variance float64
+	count int
+	flows [ClassLargest + 1]*Flow
+	// mean and variance are those of the logarithms of the sizes.
+	mean, variance float64
 }
 
 // Accounts are the accounts of an entry. Each entry accounts for its own jobs only.
@@ -120,9 +122,9 @@
 func (a *Accounts) route(name string, mean float64) *Route {
 	r, ok := a.routes[name]
 	if !ok {
-		r = &Route{Limit: newLimit(), Name: name, mean: mean, variance: firstVariance}
+		r = &Route{Name: name, mean: mean, variance: firstVariance}
 		for class := range r.flows {
-			r.flows[class] = &Flow{accounts: a, Class: Class(class), rank: -1, route: r}
+			r.flows[class] = &Flow{Class: Class(class), rank: -1, route: r}
 		}
 		a.routes[name] = r
 		a.sorted = append(a.sorted, r)
@@ -154,27 +156,41 @@
 	}
 	value := math.Log(min(size, maxSize))
 	r := a.route(route, value)
-	deviation := min(max(value-r.mean, -maxDeviation), maxDeviation)
-	class := ClassRest
+	deviation := r.deviation(value)
+	f, counted := r.flows[r.class(deviation)], math.Exp(r.mean+deviation)
+	r.recordSize(value)
+	f.fade(now)
+	f.arrived += counted
+	return f, counted
+}
+
+// deviation returns the limited deviation of the logarithm of a size from the mean.
+func (r *Route) deviation(value float64) float64 {
+	return min(max(value-r.mean, -maxDeviation), maxDeviation)
+}
+
+// class returns the class of sizes whose logarithms have a deviation from the mean.
+func (r *Route) class(deviation float64) Class {
 	switch spread := math.Sqrt(r.variance); {
 	case deviation > largestBound*spread:
-		class = ClassLargest
+		return ClassLargest
 	case deviation > largeBound*spread:
-		class = ClassLarge
+		return ClassLarge
 	}
-	counted := math.Exp(r.mean + deviation)
-	// The first sizes count equally, so that an absurd first one fades quickly.
+	return ClassRest
+}
+
+// recordSize adds the logarithm of a size to the statistics. The first sizes count equally,
+// so that an absurd first one fades quickly.
+func (r *Route) recordSize(value float64) {
 	if r.count < firstSizes {
 		r.count++
 		r.mean += (value - r.mean) / float64(r.count)
-	} else {
-		r.mean += deviation * routeWeight
-		r.variance += (deviation*deviation - r.variance) * routeWeight
+		return
 	}
-	f := r.flows[class]
-	f.fade(now)
-	f.arrived += counted
-	return f, counted
+	deviation := r.deviation(value)
+	r.mean += deviation * routeWeight
+	r.variance += (deviation*deviation - r.variance) * routeWeight
 }
 
 // Serve adds a job that is sent to servers, with the size that Arrive returned.
@@ -189,7 +205,8 @@
 	f.arrived = max(0, f.arrived-counted)
 }
 
-// Starves reports whether the flow was found far behind by the last call of Lagging.
+// Starves reports whether the flow was far behind, below starvingFloor, in the last call of
+// Lagging.
 func (f *Flow) Starves() bool {
 	return f.starves
 }
@@ -224,7 +241,8 @@
 	return served / arrived
 }
 
-// Lagging returns the lagging flows, the one with the lowest served share first.
+// Lagging returns the lagging flows, the one with the lowest served share first. It also
+// sets what Rank and Starves return.
 func (a *Accounts) Lagging(now time.Duration) []*Flow {
 	arrived, served := 0.0, 0.0
 	for _, r := range a.sorted {
@@ -242,9 +260,9 @@
 			if f.Class == ClassLargest {
 				limit = largestFloor
 			}
-			f.rank = -1
-			f.starves = f.ServedShare(now) < starvingFloor*whole
-			if f.arrived >= minSize && f.ServedShare(now) < limit*whole {
+			share := servedShare(f.served, f.arrived)
+			f.rank, f.starves = -1, share < starvingFloor*whole
+			if f.arrived >= minSize && share < limit*whole {
 				lagging = append(lagging, f)
 			}
 		}
--- a/fairshare/limit.go
+++ b/fairshare/limit.go
@@ -24,24 +24,20 @@
 
 // A Limit decides how strictly a route admits jobs. Its strictness is the factor by which the
 // expected delay by the jobs ahead is multiplied before it is compared with the time that a
-// job has. It is usually above 1, since the spread of the estimates makes late answers out of jobs
-// that would be on time in the mean. It is below 1 where the mean work ahead overstates the
+// job has. It is usually above 1, since with the spread of the estimates some jobs are late whose
+// mean expected delay is short enough. It is below 1 where the mean work ahead overstates the
 // delay, as other entries leave more of the servers than the entry's share.
 //
 // The strictness is a function of the faded numbers of late and refused jobs, not an integral:
 // late jobs raise it, refused ones lower it, and it stays between its bounds. With a single
-// lag it approaches its new value from one side after a change of the load.
+// lag it approaches its new value from one side after a change of the load. The zero value
+// is a limit without outcomes.
 type Limit struct {
 	late    float64
 	refused float64
 	updated time.Duration
 }
 
-// newLimit returns a limit without outcomes.
-func newLimit() Limit {
-	return Limit{}
-}
-
 // Late counts a job that was answered late.
 func (l *Limit) Late(now time.Duration) {
 	l.fade(now)
@@ -65,7 +61,7 @@
 	l.updated = now
 }
 
-// Strictness returns the strictness.
+// Strictness returns the factor by which the expected delay of a job is multiplied.
 func (l *Limit) Strictness(now time.Duration) float64 {
 	l.fade(now)
 	const prior = float64(firstStrictness-MinStrictness) / (MaxStrictness - MinStrictness)
