Add the selection of an overloaded entry to demandshare

The scheduler and the executor each had the code that selects by turns the overloaded entry which a message names. MaxMin compared floats by hand, and a test called its expected shares quiet and hungry.

SelectOverloaded selects a name hash for both, and TestSelectOverloaded covers the turns and the receiver. MaxMin uses cmp.Compare. The test calls the shares low and high; its assertions are as they were.

--- a/demandshare/demandshare.go
+++ b/demandshare/demandshare.go
@@ -28,6 +28,7 @@
 package demandshare
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,15 +53,7 @@
 	for i, demand := range demands {
 		order[i], shares[i] = i, max(floor, min(demand, capacity))
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		if shares[a] < shares[b] {
-			return -1
-		}
-		if shares[a] > shares[b] {
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(shares[a], shares[b]) })
 	left := capacity
 	for i, index := range order {
 		shares[index] = min(shares[index], left/float64(n-i))
@@ -74,6 +67,18 @@
 	return shares
 }
 
+// SelectOverloaded returns the name hash of an overloaded entry for a message, or zero if there is
+// none. Messages carry one, so the hashes take turns. The hash of the receiver is left out;
+// zero leaves out none.
+func SelectOverloaded(hashes []uint32, turn int, receiver uint32) uint32 {
+	for i := range hashes {
+		if hash := hashes[(turn+i)%len(hashes)]; hash != receiver {
+			return hash
+		}
+	}
+	return 0
+}
+
 // NameHash returns a hash of an entry's name that is not zero. Messages carry it in place
 // of the name, which is longer.
 func NameHash(name string) uint32 {
--- a/demandshare/demandshare_test.go
+++ b/demandshare/demandshare_test.go
@@ -81,7 +81,7 @@
 
 // TestStatements guards against statements that must count as none or be limited.
 func TestStatements(t *testing.T) {
-	quiet, hungry := 64000.0*0.99/4, 64000.0*0.99*3/4
+	low, high := 64000.0*0.99/4, 64000.0*0.99*3/4
 	tests := []struct {
 		name   string
 		demand float64
@@ -89,9 +89,9 @@
 		valid  bool
 		want   float64
 	}{
-		{name: "valid", demand: 64000, valid: true, want: hungry},
-		{name: "above the capacity", demand: 1e12, valid: true, want: hungry},
-		{name: "just young enough", demand: 64000, age: 1300 * time.Millisecond, valid: true, want: hungry},
+		{name: "valid", demand: 64000, valid: true, want: high},
+		{name: "above the capacity", demand: 1e12, valid: true, want: high},
+		{name: "just young enough", demand: 64000, age: 1300 * time.Millisecond, valid: true, want: high},
 		{name: "too old", demand: 64000, age: 1301 * time.Millisecond, valid: true, want: 64000 * 0.99 / 2},
 		{name: "negative", demand: -1, want: 64000 * 0.99 / 2},
 		{name: "not a number", demand: math.NaN(), want: 64000 * 0.99 / 2},
@@ -108,8 +108,8 @@
 			c.Assert(err == nil, qt.Equals, test.valid)
 			shares := l.Shares(time.Minute+test.age, 64000)
 			c.Check(math.Abs(shares["a"].Target-test.want) < tolerance, qt.IsTrue, qt.Commentf("got %v, want %v", shares["a"].Target, test.want))
-			if test.want == hungry {
-				c.Check(math.Abs(shares["b"].Target-quiet) < tolerance, qt.IsTrue)
+			if test.want == high {
+				c.Check(math.Abs(shares["b"].Target-low) < tolerance, qt.IsTrue)
 			}
 		})
 	}
@@ -218,3 +218,26 @@
 	c.Assert(l.Grant(0, "b", 64000), qt.Equals, 0)
 	c.Assert(l.Record(0, "b", 1), qt.IsNil)
 }
+
+// TestSelectOverloaded guards against overloaded entries that are never named because others
+// are, and against a message that names its receiver.
+func TestSelectOverloaded(t *testing.T) {
+	tests := []struct {
+		name     string
+		hashes   []uint32
+		receiver uint32
+		want     []uint32 // want has the selected hash for each turn.
+	}{
+		{name: "none", want: []uint32{0, 0}},
+		{name: "turns", hashes: []uint32{7, 8, 9}, want: []uint32{7, 8, 9, 7}},
+		{name: "the receiver is left out", hashes: []uint32{7, 8, 9}, receiver: 8, want: []uint32{7, 9, 9, 7}},
+		{name: "only the receiver", hashes: []uint32{8}, receiver: 8, want: []uint32{0, 0}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for turn, want := range test.want {
+				qt.Check(t, demandshare.SelectOverloaded(test.hashes, turn, test.receiver), qt.Equals, want, qt.Commentf("turn %d", turn))
+			}
+		})
+	}
+}
--- a/demandshare/ledger.go
+++ b/demandshare/ledger.go
@@ -37,7 +37,7 @@
 	names []string
 }
 
-// An account is the state of one entry.
+// An account holds the newest demand and share of an entry.
 type account struct {
 	// demand is the smoothed demand.
 	demand float64
