Name the extra links of a cell after links

joinsPerUpdate and drawJoin named the same thing as link elsewhere in the package, and the comment of the field named said that all linked entries are in it, while it has those with an extra link only.

They are linksPerUpdate and drawLink, and the comment says which entries are held.

No change of behavior. go vet, gofmt, golangci-lint and go test -race pass for the package.

--- a/cell/extra.go
+++ b/cell/extra.go
@@ -16,10 +16,10 @@
 	// extraHold is how long an extra link is kept after the entry was last named as
 	// overloaded. It is longer than the troughs between two bursts.
 	extraHold = 3 * time.Second
-	// joinsPerUpdate is the number of agents that link to an overloaded entry in each
+	// linksPerUpdate is the number of agents that link to an overloaded entry in each
 	// interval of Update, on average. All agents with room hear of it within a second;
 	// if all linked, thousands would.
-	joinsPerUpdate = 4
+	linksPerUpdate = 4
 	// maxExtra is the largest number of extra links of an agent.
 	maxExtra = 2
 )
@@ -28,8 +28,8 @@
 type extraLinks struct {
 	// byHash are the registered entries by the hash of their names.
 	byHash map[uint32]pollenfront.EntryRecord
-	// named holds the time at which each linked entry was last named as overloaded, by
-	// the hash of its name.
+	// named holds, for each entry with an extra link, the time at which it was last named
+	// as overloaded, by the hash of its name.
 	named map[uint32]time.Duration
 	// overloaded are the hashes of the names of the overloaded entries.
 	overloaded []uint32
@@ -53,7 +53,7 @@
 	}
 }
 
-// addExtra adds the addresses of the extra links to those of the cell.
+// addExtra releases and chooses extra links, and adds their addresses to those of the cell.
 func (c *Cell) addExtra(now time.Duration, wanted map[string]bool, links []Link) {
 	x := &c.extra
 	if x.named == nil {
@@ -68,7 +68,7 @@
 		if !registered || wanted[e.Address] {
 			continue
 		}
-		if _, linked := x.named[hash]; linked || x.room && len(x.named) < maxExtra && c.drawJoin(now, e.Name, links) {
+		if _, linked := x.named[hash]; linked || x.room && len(x.named) < maxExtra && c.drawLink(now, e.Name, links) {
 			x.named[hash] = now
 		}
 	}
@@ -77,14 +77,14 @@
 	}
 }
 
-// drawJoin reports whether the agent is among the joinsPerUpdate ones that link to an entry
+// drawLink reports whether the agent is among the linksPerUpdate ones that link to an entry
 // now. The number of all agents follows from the links of the entries and the cell's size.
-func (c *Cell) drawJoin(now time.Duration, entry string, links []Link) bool {
+func (c *Cell) drawLink(now time.Duration, entry string, links []Link) bool {
 	mean, known := meanAgentCount(links)
 	if !known {
 		return false
 	}
 	agents := mean * float64(len(c.ranked)) / float64(min(c.size, len(c.ranked)))
 	draw := float64(weight(entry, c.agent+strconv.FormatInt(int64(now), 10))) / math.MaxUint64
-	return draw < joinsPerUpdate/agents
+	return draw < linksPerUpdate/agents
 }
