Use the shared selection of overloaded entries in the executor

The executor selected by turns the overloaded entry that an update names with its own code, sorted names for it and hashed them again for each update. A factor of estimates had no name, and changed recorded what it returned.

The linked overloaded entries are kept as name hashes in the order of the names, and demandshare.SelectOverloaded selects one. The factor is weightFactor, and changed is takeChanged. The comments of OverloadedEntries and of release say what they hold; a test names expected shares by their cause.

No change of behavior, except that an entry whose name has the hash of the receiver's name is not named to it, which the receiver ignored already. go vet, gofmt, golangci-lint and go test -race pass for the package.

--- a/executor/interference.go
+++ b/executor/interference.go
@@ -16,10 +16,14 @@
 	// estimateInterval is the shortest time between two messages with estimates to an
 	// entry. Each has at most maxEstimates of them, which together take less than 1 KB.
 	estimateInterval = 3 * time.Second
-	maxEstimates     = 48
+	// maxEstimates is the largest number of estimates in a message.
+	maxEstimates = 48
 	// minScoreChange is the change of an estimate, as a multiple of its standard
 	// deviation, from which on it is sent again.
 	minScoreChange = 0.25
+	// weightFactor is the weight of a change of an estimate's precision, compared with a
+	// change of the estimate itself.
+	weightFactor = 0.1
 )
 
 // An interferenceState is what the executor keeps to measure interference between runs.
@@ -89,16 +93,16 @@
 	}
 	if now-sent.lastSent >= estimateInterval {
 		sent.lastSent = now
-		update.Interference = encodeEstimates(sent.changed(s.observer.Estimates(now)))
+		update.Interference = encodeEstimates(sent.takeChanged(s.observer.Estimates(now)))
 	}
 }
 
-// changed returns the estimates that have changed most since they were sent, and records
-// that they are sent.
-func (s *sentEstimates) changed(estimates []interference.Estimate) []interference.Estimate {
+// takeChanged returns the estimates that have changed most since they were sent, at most
+// maxEstimates, and records that they are sent.
+func (s *sentEstimates) takeChanged(estimates []interference.Estimate) []interference.Estimate {
 	change := func(e interference.Estimate) float64 {
 		before := s.estimates[interference.Pair{Neighbor: e.Neighbor, Route: e.Route}]
-		return math.Abs(e.Effect*math.Sqrt(e.Weight)-before.Effect*math.Sqrt(before.Weight)) + math.Abs(math.Sqrt(e.Weight)-math.Sqrt(before.Weight))*0.1
+		return math.Abs(e.Effect*math.Sqrt(e.Weight)-before.Effect*math.Sqrt(before.Weight)) + math.Abs(math.Sqrt(e.Weight)-math.Sqrt(before.Weight))*weightFactor
 	}
 	estimates = slices.DeleteFunc(estimates, func(e interference.Estimate) bool { return change(e) < minScoreChange })
 	slices.SortStableFunc(estimates, func(a, b interference.Estimate) int { return cmp.Compare(change(b), change(a)) })
--- a/executor/overload.go
+++ b/executor/overload.go
@@ -27,8 +27,9 @@
 type overload struct {
 	// heard holds the times at which entries have named overloaded ones, by name hash.
 	heard map[uint32]time.Duration
-	// linked are the linked entries that are overloaded at this server, sorted by name.
-	linked []string
+	// linked are the name hashes of the linked entries that are overloaded at this server,
+	// in the order of the names.
+	linked []uint32
 }
 
 // findOverloaded finds the overloaded entries among the linked ones, and forgets those of
@@ -38,34 +39,25 @@
 		return
 	}
 	x.overload.linked = x.overload.linked[:0]
-	for name, share := range x.Shares(now) {
-		if share.Target > 0 && share.Demand > overloadFactor*share.Target {
-			x.overload.linked = append(x.overload.linked, name)
+	shares := x.Shares(now)
+	for _, name := range slices.Sorted(maps.Keys(shares)) {
+		if share := shares[name]; share.Target > 0 && share.Demand > overloadFactor*share.Target {
+			x.overload.linked = append(x.overload.linked, demandshare.NameHash(name))
 		}
 	}
-	slices.Sort(x.overload.linked)
 	maps.DeleteFunc(x.overload.heard, func(_ uint32, at time.Duration) bool { return now-at > heardLifetime })
 }
 
 // overloadedEntry returns the name hash of an overloaded entry for an update to another
-// entry, or zero if there is none. Several take turns.
+// entry, or zero if there is none.
 func (x *Executor) overloadedEntry(now time.Duration, receiver string) uint32 {
-	n := len(x.overload.linked)
-	for i := range n {
-		if name := x.overload.linked[(int(now/UpdateInterval)+i)%n]; name != receiver {
-			return demandshare.NameHash(name)
-		}
-	}
-	return 0
+	return demandshare.SelectOverloaded(x.overload.linked, int(now/UpdateInterval), demandshare.NameHash(receiver))
 }
 
-// OverloadedEntries returns the name hashes of the entries that are overloaded, as far as
-// linked entries have named them. The linked ones are among them.
+// OverloadedEntries returns the name hashes of the overloaded entries: the linked ones that
+// are overloaded at this server, and those that linked entries have named.
 func (x *Executor) OverloadedEntries() []uint32 {
-	hashes := slices.Collect(maps.Keys(x.overload.heard))
-	for _, name := range x.overload.linked {
-		hashes = append(hashes, demandshare.NameHash(name))
-	}
+	hashes := slices.AppendSeq(slices.Clone(x.overload.linked), maps.Keys(x.overload.heard))
 	slices.Sort(hashes)
 	return hashes
 }
--- a/executor/shares_test.go
+++ b/executor/shares_test.go
@@ -46,7 +46,7 @@
 // stay with an entry that has fallen silent, was released or has lost its link.
 func TestSharesFollowDemand(t *testing.T) {
 	equal := map[string]int{testEntry.Name: 5940, secondEntry.Name: 5940}
-	hungry := map[string]int{testEntry.Name: 8910, secondEntry.Name: 2970}
+	byDemand := map[string]int{testEntry.Name: 8910, secondEntry.Name: 2970}
 	alone := map[string]int{secondEntry.Name: 11880}
 	tests := []struct {
 		name  string
@@ -54,8 +54,8 @@
 		at    int
 		want  map[string]int
 	}{
-		{name: "demand", event: func(*executor.Executor) {}, at: 10, want: hungry},
-		{name: "silent for less than the lifetime", event: func(*executor.Executor) {}, at: 1300, want: hungry},
+		{name: "demand", event: func(*executor.Executor) {}, at: 10, want: byDemand},
+		{name: "silent for less than the lifetime", event: func(*executor.Executor) {}, at: 1300, want: byDemand},
 		{name: "silent for longer", event: func(*executor.Executor) {}, at: 1301, want: equal},
 		{name: "link ended", event: func(x *executor.Executor) { x.UnlinkEntry(testEntry) }, at: 10, want: alone},
 		{name: "linked again", event: func(x *executor.Executor) {
--- a/executor/start_evidence.go
+++ b/executor/start_evidence.go
@@ -11,7 +11,7 @@
 // rejected starts. It is longer than all attempts at a start take.
 const releaseRetention = maxStartAttempts * startTimeout
 
-// A release is the end of a run that was on the server.
+// A release is the end of a run that may have been on the server.
 type release struct {
 	at   time.Duration
 	need pollenfront.Resources
