Remove repeated estimates in the scheduler

Three places computed the run time on a server at its slowness, three the overdue jobs, four the least slowness and two the limits of reported counts. placeFair, weighAttempt and updateSides did two things each. decodeEstimates returned the fault of the last invalid estimate, while InvalidEstimates documents the first.

slowedRunTimeOn, isOverdue, boundedSlowness and demandshare.SelectOverloaded replace the repeated code, and recordUpdate limits the counts once. placeInOrder, orderGroup, attemptOptions and updateDemand are functions of their own. list is insert, evaluated is evaluatedAt where it is a time. The comment of divide says that the servers of all services take part, as they do.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -92,9 +92,18 @@
 // the server have equal shares.
 func (a *agent) effectiveCapacity() float64 {
 	if a.share > 0 {
-		return float64(a.share) / max(a.report.Slowness, 0.1)
+		return float64(a.share) / a.boundedSlowness()
 	}
-	return float64(a.providedCPU()) / max(a.report.Slowness, 0.1) / float64(max(1, a.report.EntryCount))
+	return float64(a.providedCPU()) / a.boundedSlowness() / float64(max(1, a.report.EntryCount))
+}
+
+// minSlowness limits the reported slowness when capacity is weighted by it, as a report may
+// state zero.
+const minSlowness = 0.1
+
+// boundedSlowness returns the reported slowness, or minSlowness if that is larger.
+func (a *agent) boundedSlowness() float64 {
+	return max(a.report.Slowness, minSlowness)
 }
 
 // poolCapacity returns this entry's share of the effective capacity of the usable servers
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -34,7 +34,7 @@
 	Task        int
 }
 
-// A hold keeps the resources of a run that has failed.
+// A hold counts the resources of a run that has failed as used. See holdFailed.
 type hold struct {
 	expected time.Duration // expected is the expected run time.
 	need     pollenfront.Resources
@@ -133,17 +133,9 @@
 		return -1
 	}
 	s.assess(now, candidates)
-	options := make([]attempts.Option, len(s.eligible))
-	doubtful := len(t.failedOn) > 0
-	for n, i := range s.eligible {
-		c, server := &candidates[i], &s.evaluated[n]
-		run := time.Duration(float64(s.expectedRunTimeOn(t.job, c.agent)) * c.report.Slowness)
-		doubtful = doubtful || c.health.FailShare > minDoubt
-		options[n] = attempts.Option{
-			CanStart: server.CanStart, Delay: server.TimeToFinish - run, FailedHere: slices.Contains(t.failedOn, c.Name), FailShare: c.health.FailShare, RunTime: run,
-		}
-	}
-	if !doubtful {
+	options := s.attemptOptions(candidates, t)
+	doubtful := func(o attempts.Option) bool { return o.FailShare > minDoubt }
+	if len(t.failedOn) == 0 && !slices.ContainsFunc(options, doubtful) {
 		return -1
 	}
 	choice := attempts.Compare(s.attemptTask(now, candidates, t), options)
@@ -161,6 +153,19 @@
 	return withheld
 }
 
+// attemptOptions returns the servers among s.evaluated as options for an attempt of a task.
+func (s *Scheduler) attemptOptions(candidates []candidate, t *task) []attempts.Option {
+	options := make([]attempts.Option, len(s.eligible))
+	for n, i := range s.eligible {
+		c, server := &candidates[i], &s.evaluated[n]
+		run := s.slowedRunTimeOn(t.job, c.agent)
+		options[n] = attempts.Option{
+			CanStart: server.CanStart, Delay: server.TimeToFinish - run, FailedHere: slices.Contains(t.failedOn, c.Name), FailShare: c.health.FailShare, RunTime: run,
+		}
+	}
+	return options
+}
+
 // recordWithheld records that a task waits since it was withheld from a candidate, once for
 // each attempt.
 func (s *Scheduler) recordWithheld(c *candidate, t *task) {
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -105,13 +105,12 @@
 }
 
 // overloadedEntry returns the name hash of an overloaded entry to pass on in commands, or
-// zero if there is none. Several take turns.
+// zero if there is none.
 func (s *Scheduler) overloadedEntry() uint32 {
-	if s.demand == nil || len(s.demand.overloadedHashes) == 0 {
+	if s.demand == nil {
 		return 0
 	}
-	hashes := s.demand.overloadedHashes
-	return hashes[int(s.lastEvent/CommandsInterval)%len(hashes)]
+	return demandshare.SelectOverloaded(s.demand.overloadedHashes, int(s.lastEvent/CommandsInterval), 0)
 }
 
 // SharedCapacity returns the sum of the shares that usable agents have stated, in
--- a/scheduler/fair.go
+++ b/scheduler/fair.go
@@ -32,7 +32,8 @@
 	groups [][]*job
 	// holder is the job for which holdsRoom is true, or nil.
 	holder *job
-	order  []*job
+	// order is the result of fairOrder. It is kept to reuse its memory.
+	order []*job
 }
 
 // A fairAccount is what fair shares know of a job.
@@ -108,8 +109,8 @@
 	return j.fair.flow.Route().Limit.Strictness(now)
 }
 
-// list inserts a queued job into the jobs by size.
-func (f *fairShares) list(j *job) {
+// insert inserts a queued job into bySize, unless it is there.
+func (f *fairShares) insert(j *job) {
 	if j.fair.listed {
 		return
 	}
@@ -125,11 +126,6 @@
 	return j.toPlace > 0 && !j.canceled && !j.answered
 }
 
-// isLate reports whether a job of which nothing was sent has passed its latest start.
-func (j *job) isLate(now time.Duration) bool {
-	return j.latestStart < now && !j.sentAny
-}
-
 // holdsRoom reports whether the servers that a job has found are kept from the jobs behind it,
 // although it has to wait for others: it is the first job of a flow that is far behind.
 func (s *Scheduler) holdsRoom(j *job) bool {
@@ -157,18 +153,10 @@
 			continue
 		}
 		listed = append(listed, j)
-		if j.isLate(now) {
+		if j.isOverdue(now) {
 			continue
 		}
-		group := len(groups) - 2
-		switch rank := j.fair.flow.Rank(); {
-		case j.sentAny:
-			group = 0
-		case rank >= 0:
-			group = rank + 1
-		case j.fair.unlikely:
-			group = len(groups) - 1
-		}
+		group := j.orderGroup(len(lagging))
 		groups[group] = append(groups[group], j)
 	}
 	clear(f.bySize[len(listed):])
@@ -180,28 +168,32 @@
 	return f.order
 }
 
-// placeFair is place with fair shares.
+// orderGroup returns the index in fairShares.groups of the list to which a job belongs, with
+// a number of lagging flows.
+func (j *job) orderGroup(lagging int) int {
+	switch rank := j.fair.flow.Rank(); {
+	case j.sentAny:
+		return 0
+	case rank >= 0:
+		return rank + 1
+	case j.fair.unlikely:
+		return lagging + 2
+	}
+	return lagging + 1
+}
+
+// placeFair sends the tasks of queued jobs to servers in the order of fairOrder, where place
+// uses that of the queue. Overdue jobs are placed when no other job waits and enough CPU is
+// free, and are refused when an answer would be of no use.
 func (s *Scheduler) placeFair(now time.Duration, effects *Effects) {
 	candidates := s.candidates(now)
 	s.holdFailed(now, candidates)
-	stillQueued := 0
 	s.unplaceable = s.unplaceable[:0]
 	order := s.fairOrder(now)
-	held := false
-	for _, j := range order {
-		s.fair.holder = nil
-		if !held && !j.sentAny && j.fair.flow.Starves() {
-			s.fair.holder = j
-			held = true
-		}
-		if s.isUnplaceable(j) || !s.placeFairJob(now, j, candidates, effects) {
-			stillQueued++
-		}
-	}
-	s.fair.holder = nil
-	if stillQueued == 0 && hasFreeShare(candidates, lateFreeShare) {
+	placedAll := s.placeInOrder(now, order, candidates, effects)
+	if placedAll && hasFreeShare(candidates, lateFreeShare) {
 		for _, j := range s.queue {
-			if j.isLate(now) && !s.isUnplaceable(j) {
+			if j.isOverdue(now) && !s.isUnplaceable(j) {
 				s.placeFairJob(now, j, candidates, effects)
 			}
 		}
@@ -218,6 +210,24 @@
 	s.shedUnlikely(now, order, effects)
 }
 
+// placeInOrder places the jobs of an order and reports whether it placed all. The servers that
+// the first job of a flow far behind has found are kept for it.
+func (s *Scheduler) placeInOrder(now time.Duration, order []*job, candidates []candidate, effects *Effects) bool {
+	placedAll, held := true, false
+	for _, j := range order {
+		s.fair.holder = nil
+		if !held && !j.sentAny && j.fair.flow.Starves() {
+			s.fair.holder = j
+			held = true
+		}
+		if s.isUnplaceable(j) || !s.placeFairJob(now, j, candidates, effects) {
+			placedAll = false
+		}
+	}
+	s.fair.holder = nil
+	return placedAll
+}
+
 // placeFairJob places a job like placeJob and counts it as served.
 func (s *Scheduler) placeFairJob(now time.Duration, j *job, candidates []candidate, effects *Effects) bool {
 	if !s.placeJob(now, j, candidates, effects) {
@@ -246,19 +256,19 @@
 }
 
 // shedUseless refuses the overdue jobs that can't be answered while an answer is of use, and
-// those for which the overdue jobs ahead of them leave no room.
+// those for which the overdue jobs ahead of them leave no capacity.
 func (s *Scheduler) shedUseless(now time.Duration, effects *Effects) {
 	work, capacities := make(map[pool]float64), make(map[pool]float64)
-	kept := s.queue[:0:0]
+	var overdue []*job // A copy, since refuse removes jobs from the queue.
 	for _, j := range s.queue {
 		if j.latestStart >= now {
 			break
 		}
 		if !j.sentAny {
-			kept = append(kept, j)
+			overdue = append(overdue, j)
 		}
 	}
-	for _, j := range kept {
+	for _, j := range overdue {
 		p := s.pool(j)
 		if _, ok := capacities[p]; !ok {
 			capacities[p] = s.poolCapacity(now, p)
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -29,12 +29,12 @@
 	chooser       pollenfront.Chooser
 	demand        map[string]float64 // demand holds the mean number of runs on all known servers by route.
 	demandUpdates int                // demandUpdates is the number of updates of demand.
-	evaluated     time.Duration      // evaluated is when the evidence was last evaluated.
+	evaluatedAt   time.Duration      // evaluatedAt is when the evidence was last evaluated.
 	incarnations  map[string]uint64
 	mixes         map[string]*routeMix // mixes holds the runs on the servers, by the name of the agent.
 	mode          pollenfront.InterferenceMode
 	model         pollenfront.InterferenceModel
-	needs         map[string]float64
+	needs         map[string]float64 // needs holds the mean CPU need of the tasks by route.
 	pool          *interference.Pool
 	route         string // route is that of the task for which servers are being evaluated.
 }
@@ -44,7 +44,9 @@
 	// lastSeqNum and tasks are those of the agent when loads was computed.
 	lastSeqNum uint64
 	loads      []pollenfront.RouteLoad
-	reported   []tasklink.RouteCount
+	// reported are the numbers of runs of configured routes in the newest report, from 0 to
+	// maxRouteCount.
+	reported []tasklink.RouteCount
 	// expected are the numbers of runs by route that are expected on the server, as the
 	// routes are kept apart.
 	expected map[string]float64
@@ -94,13 +96,13 @@
 
 var _ pollenfront.Chooser = &interferenceState{}
 
-// penalty returns the additional time that is expected if a task runs on a server: for the
-// task, and for those that it would slow down.
-func (i *interferenceState) penalty(s *Scheduler, c *candidate, t *task) time.Duration {
+// penalty returns the additional time that is expected if a task with an expected run time
+// runs on a server: for the task, and for those that it would slow down. It records the time
+// for Choose.
+func (i *interferenceState) penalty(s *Scheduler, c *candidate, t *task, run time.Duration) time.Duration {
 	if i == nil {
 		return 0
 	}
-	run := time.Duration(float64(s.expectedRunTimeOn(t.job, c.agent)) * c.report.Slowness)
 	expected := max(0, i.model.AddedTime(t.job.Route.Name, run, i.loads(s, c.agent))).Seconds()
 	// The limit is approached, so that of two bad servers the better one is preferred.
 	added := time.Duration(expected / (1 + expected/maxAddedTime.Seconds()) * float64(time.Second))
@@ -119,8 +121,8 @@
 		return with
 	}
 	plain := slices.Clone(servers)
-	for k := range plain {
-		plain[k].Penalty -= i.added[k]
+	for n := range plain {
+		plain[n].Penalty -= i.added[n]
 	}
 	without := i.chooser.Choose(timing, plain)
 	if with == without || without < 0 {
--- a/scheduler/interference_events.go
+++ b/scheduler/interference_events.go
@@ -32,6 +32,9 @@
 	mix := i.mix(a)
 	mix.stale = true
 	mix.reported = slices.DeleteFunc(update.RouteCounts, func(r tasklink.RouteCount) bool { return !i.pool.Known(r.Route) })
+	for n := range mix.reported {
+		mix.reported[n].Count = min(max(0, mix.reported[n].Count), maxRouteCount)
+	}
 	if update.Interference == nil {
 		return
 	}
@@ -46,12 +49,14 @@
 }
 
 // decodeEstimates returns the estimates of a message, the number of those that refer to
-// routes that it does not name, and an error if there are any.
+// routes that it does not name, and the fault of the first of these.
 func decodeEstimates(message *tasklink.Interference) (estimates []interference.Estimate, invalid int, err error) {
 	for _, pair := range message.Pairs {
 		if min(pair.Route, pair.Neighbor) < 0 || max(pair.Route, pair.Neighbor) >= len(message.Routes) {
 			invalid++
-			err = fmt.Errorf("%w: routes %d and %d of %d", interference.ErrRoute, pair.Route, pair.Neighbor, len(message.Routes))
+			if err == nil {
+				err = fmt.Errorf("%w: routes %d and %d of %d", interference.ErrRoute, pair.Route, pair.Neighbor, len(message.Routes))
+			}
 			continue
 		}
 		estimates = append(estimates, interference.Estimate{
@@ -63,10 +68,10 @@
 
 // tick evaluates the evidence at regular intervals, and forgets agents that are gone.
 func (i *interferenceState) tick(s *Scheduler, now time.Duration, effects *Effects) {
-	if i == nil || now-i.evaluated < evaluateInterval {
+	if i == nil || now-i.evaluatedAt < evaluateInterval {
 		return
 	}
-	i.evaluated = now
+	i.evaluatedAt = now
 	for name := range i.incarnations {
 		if _, ok := s.agents[name]; !ok {
 			delete(i.incarnations, name)
@@ -75,6 +80,7 @@
 		}
 	}
 	effects.InterferenceChanges = append(effects.InterferenceChanges, i.pool.Evaluate(now)...)
+	i.updateDemand()
 	i.updateSides(s)
 }
 
@@ -101,12 +107,12 @@
 		counts[t.job.Route.Name]++
 	}
 	for _, r := range mix.reported {
-		counts[r.Route] = max(counts[r.Route], min(max(0, r.Count), maxRouteCount))
+		counts[r.Route] = max(counts[r.Route], r.Count)
 	}
-	mix.loads = mix.loads[:0]
 	for route := range mix.expected {
-		counts[route] += 0
+		counts[route] += 0 // Routes without runs are listed too.
 	}
+	mix.loads = mix.loads[:0]
 	for _, route := range slices.Sorted(maps.Keys(counts)) {
 		mix.loads = append(mix.loads, pollenfront.RouteLoad{Count: max(float64(counts[route]), mix.expected[route]), Route: route, RunTime: s.meanRunTime(route, a)})
 	}
@@ -119,7 +125,7 @@
 	if !ok {
 		return time.Duration(a.report.RunSeconds * float64(time.Second))
 	}
-	return time.Duration(math.Exp(stats.mean) * max(0.1, a.report.Slowness) * float64(time.Second))
+	return time.Duration(math.Exp(stats.mean) * a.boundedSlowness() * float64(time.Second))
 }
 
 // setRoutes sets the names of the configured routes. Estimates and numbers of runs of others
--- a/scheduler/interference_sides.go
+++ b/scheduler/interference_sides.go
@@ -22,29 +22,33 @@
 	needWeight = 0.01
 )
 
-// Two routes that slow each other down must meet on as few servers as possible. At most loads
-// every server has runs of both, so that no server is better than another, and tasks that
-// follow the present runs only would stay mixed. The servers are therefore ordered by a hash
-// of their names. One route is expected on the servers at one end, the other at the other end,
-// each on a share that corresponds to its runs. All entries have the same order. What is
-// expected there counts like runs that are there, so a task can still be sent to any server.
-
-// updateSides computes the runs that are expected on the servers by the findings.
-func (i *interferenceState) updateSides(s *Scheduler) {
+// updateDemand updates the mean numbers of runs by route.
+func (i *interferenceState) updateDemand() {
 	counts := make(map[string]float64)
 	for _, mix := range i.mixes {
 		for _, r := range mix.reported {
-			counts[r.Route] += float64(min(max(0, r.Count), maxRouteCount))
+			counts[r.Route] += float64(r.Count)
 		}
 	}
 	for route := range i.demand {
-		counts[route] += 0
+		counts[route] += 0 // The mean of a route without runs falls.
 	}
 	i.demandUpdates++
 	weight := max(demandWeight, 1/float64(i.demandUpdates))
 	for route, count := range counts {
 		i.demand[route] += (count - i.demand[route]) * weight
 	}
+}
+
+// updateSides computes the runs that are expected on the servers by the findings.
+//
+// Two routes that slow each other down must meet on as few servers as possible. At most loads
+// every server has runs of both, so that no server is better than another, and tasks that
+// follow the present runs only would stay mixed. The servers are therefore ordered by a hash
+// of their names. One route is expected on the servers at one end, the other at the other end,
+// each on a share that corresponds to its runs. All entries have the same order. What is
+// expected there counts like runs that are there, so a task can still be sent to any server.
+func (i *interferenceState) updateSides(s *Scheduler) {
 	for _, mix := range i.mixes {
 		mix.expected, mix.stale = nil, true
 	}
@@ -62,7 +66,8 @@
 	}
 }
 
-// divide divides the servers of each service between the two routes of a pair.
+// divide divides the servers between the two routes of a pair. The servers of all services
+// take part.
 func (i *interferenceState) divide(s *Scheduler, pair interference.Pair) {
 	first, second := i.demand[pair.Route], i.demand[pair.Neighbor]
 	if first <= 0 || second <= 0 {
@@ -111,5 +116,5 @@
 // sideCapacity returns the CPU of an agent's server, in thousandths of a core of a server of
 // slowness 1.
 func (a *agent) sideCapacity() float64 {
-	return float64(a.report.Capacity.CPU) / max(a.report.Slowness, 0.1)
+	return float64(a.report.Capacity.CPU) / a.boundedSlowness()
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -150,6 +150,11 @@
 	effects.addResult(pollenfront.Result{Detail: detail, ID: j.ID, Reason: reason, RetryAfter: retryAfter, Trace: j.trace, Verdict: v})
 }
 
+// isOverdue reports whether a job of which nothing was sent has passed its latest start.
+func (j *job) isOverdue(now time.Duration) bool {
+	return j.latestStart < now && !j.sentAny
+}
+
 // enqueue inserts a job into the queue, behind the jobs with the same latest start.
 func (s *Scheduler) enqueue(j *job) {
 	i, _ := slices.BinarySearchFunc(s.queue, j, func(a, b *job) int {
@@ -160,7 +165,7 @@
 	})
 	s.queue = slices.Insert(s.queue, i, j)
 	if s.fair != nil {
-		s.fair.list(j)
+		s.fair.insert(j)
 	}
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -64,7 +64,7 @@
 	placed, stillQueued := 0, 0
 	s.unplaceable = s.unplaceable[:0]
 	for _, j := range s.queue {
-		if j.latestStart < now && !j.sentAny {
+		if j.isOverdue(now) {
 			continue
 		}
 		if s.isUnplaceable(j) {
@@ -92,7 +92,7 @@
 func (s *Scheduler) placeOverdue(now time.Duration, candidates []candidate, effects *Effects) int {
 	placed := 0
 	for _, j := range s.queue {
-		if j.latestStart < now && !j.sentAny && s.placeJob(now, j, candidates, effects) {
+		if j.isOverdue(now) && s.placeJob(now, j, candidates, effects) {
 			placed++
 		}
 	}
@@ -146,10 +146,16 @@
 	return time.Duration(float64(j.expectedRunTime) * s.remoteFactor)
 }
 
+// slowedRunTimeOn returns the expected run time of a job's task on a server at the slowness
+// that its agent reports.
+func (s *Scheduler) slowedRunTimeOn(j *job, a *agent) time.Duration {
+	return time.Duration(float64(s.expectedRunTimeOn(j, a)) * a.report.Slowness)
+}
+
 // evaluate returns the estimates for a task on a server, as Choosers use them.
 func (s *Scheduler) evaluate(c *candidate, t *task) pollenfront.ServerCandidate {
 	delay := c.startDelay(t.job)
-	run := time.Duration(float64(s.expectedRunTimeOn(t.job, c.agent)) * c.report.Slowness)
+	run := s.slowedRunTimeOn(t.job, c.agent)
 	timeToFinish := delay + run
 	if c.zone != s.zone {
 		timeToFinish += crossZoneDelay
@@ -158,7 +164,7 @@
 	if !c.primary {
 		penalty += time.Duration(nonPrimaryPenalty * float64(t.job.expectedRunTime))
 	}
-	penalty += s.interference.penalty(s, c, t)
+	penalty += s.interference.penalty(s, c, t, run)
 	if c.report.FailRate > avoidFailRate || t.avoid == c.agent || s.risky(c, t) {
 		penalty += avoidPenalty
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -136,12 +136,12 @@
 	eligible []int
 	// entries are the registered entries, including this one.
 	entries []pollenfront.EntryRecord
+	// evaluated are the servers among which chooser chooses.
+	evaluated []pollenfront.ServerCandidate
 	// evidence is what was seen of failures, by service.
 	evidence map[string]*attempts.Evidence
 	// fair is nil unless fair shares are enabled.
 	fair *fairShares
-	// evaluated are the servers among which chooser chooses.
-	evaluated []pollenfront.ServerCandidate
 	// interference is what the entry knows of routes that slow each other down. It is nil if
 	// the setting is off.
 	interference *interferenceState
