Count a job with its faded size when it is served or withdrawn

Cause, found by a reader: an arrival fades while its job waits, but the job was added to what was served, and taken out of what arrived, with its full size. A flow whose jobs waited for 4 s had a served share of 2.72, and one whose callers left looked fully served, so both went behind others. The size now fades from the arrival on. TestLateEvents failed in all four cases before.

--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -13,7 +13,7 @@
 //	accounts := fairshare.New()
 //	flow, counted := accounts.Arrive(now, "route", size)
 //	lagging := accounts.Lagging(now)
-//	flow.Serve(now, counted)
+//	flow.Serve(now, arrived, counted)
 package fairshare
 
 import (
@@ -193,16 +193,23 @@
 	r.variance += (deviation*deviation - r.variance) * routeWeight
 }
 
-// Serve adds a job that is sent to servers, with the size that Arrive returned.
-func (f *Flow) Serve(now time.Duration, counted float64) {
+// Serve adds a job that is sent to servers, with the size that Arrive returned for it at the
+// time arrived.
+func (f *Flow) Serve(now, arrived time.Duration, counted float64) {
 	f.fade(now)
-	f.served += counted
+	f.served += counted * fading(now-arrived)
 }
 
-// Withdraw takes back the arrival of a job whose caller has left before it was served.
-func (f *Flow) Withdraw(now time.Duration, counted float64) {
+// Withdraw takes back the arrival of a job whose caller has left before it was served, with the
+// size that Arrive returned for it at the time arrived.
+func (f *Flow) Withdraw(now, arrived time.Duration, counted float64) {
 	f.fade(now)
-	f.arrived = max(0, f.arrived-counted)
+	f.arrived = max(0, f.arrived-counted*fading(now-arrived))
+}
+
+// fading returns the factor by which an entry in an account fades in a time.
+func fading(d time.Duration) float64 {
+	return math.Exp(-d.Seconds() / fadeTime.Seconds())
 }
 
 // Starves reports whether the flow was far behind, below starvingFloor, in the last call of
@@ -221,7 +228,7 @@
 	if now <= f.updated {
 		return
 	}
-	factor := math.Exp(-(now - f.updated).Seconds() / fadeTime.Seconds())
+	factor := fading(now - f.updated)
 	f.arrived *= factor
 	f.served *= factor
 	f.updated = now
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -16,7 +16,7 @@
 	for i := range n {
 		f, counted := a.Arrive(now, route, size)
 		if float64(i) < share*float64(n) {
-			f.Serve(now, counted)
+			f.Serve(now, now, counted)
 		}
 	}
 }
@@ -54,6 +54,40 @@
 	}
 }
 
+// TestLateEvents guards against jobs that count with another size when they are served or
+// withdrawn than when they arrived, since their arrival has faded meanwhile: a flow that waits
+// long would look better served than others.
+func TestLateEvents(t *testing.T) {
+	const wait = 4 * time.Second
+	tests := []struct {
+		name             string
+		served, withdrew int // served and withdrew count the jobs of 40 to which that happens after wait.
+		want             float64
+	}{
+		{name: "all served", served: 40, want: 1},
+		{name: "half served", served: 20, want: 0.5},
+		{name: "half served, the others withdrawn", served: 20, withdrew: 20, want: 1},
+		{name: "a quarter served, half withdrawn", served: 10, withdrew: 20, want: 0.5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a := fairshare.New()
+			var flow *fairshare.Flow
+			var size float64
+			for range 40 {
+				flow, size = a.Arrive(0, "route", 100)
+			}
+			for range test.served {
+				flow.Serve(wait, 0, size)
+			}
+			for range test.withdrew {
+				flow.Withdraw(wait, 0, size)
+			}
+			qt.Assert(t, math.Abs(flow.ServedShare(wait)-test.want) < 1e-9, qt.IsTrue, qt.Commentf("%v", flow.ServedShare(wait)))
+		})
+	}
+}
+
 // TestSharesStayValid guards against accounts that become negative, infinite or not a number
 // in any order of events.
 func TestSharesStayValid(t *testing.T) {
@@ -65,9 +99,9 @@
 			f, counted := a.Arrive(now, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "route"), rapid.Float64().Draw(t, "size"))
 			switch rapid.IntRange(0, 2).Draw(t, "fate") {
 			case 0:
-				f.Serve(now, counted)
+				f.Serve(now, now, counted)
 			case 1:
-				f.Withdraw(now, counted)
+				f.Withdraw(now, now, counted)
 			}
 			a.Lagging(now)
 			for _, r := range a.Routes() {
--- a/scheduler/fair.go
+++ b/scheduler/fair.go
@@ -83,7 +83,7 @@
 // accountLeft takes a job whose caller has left before it was sent out of the accounts.
 func (s *Scheduler) accountLeft(now time.Duration, j *job) {
 	if s.fair != nil && !j.fair.served {
-		j.fair.flow.Withdraw(now, j.fair.size)
+		j.fair.flow.Withdraw(now, j.arrived, j.fair.size)
 	}
 }
 
@@ -235,7 +235,7 @@
 	}
 	if !j.fair.served {
 		j.fair.served = true
-		j.fair.flow.Serve(now, j.fair.size)
+		j.fair.flow.Serve(now, j.arrived, j.fair.size)
 	}
 	return true
 }
