--- a/attempts/attempts_test.go
+++ b/attempts/attempts_test.go
@@ -86,6 +86,22 @@
 	c.Assert(e.Trust(2*time.Minute) > 0.999, qt.IsTrue)
 }
 
+// TestEvidenceFadesBeforeSuccess guards against a success that is taken off the odds against a
+// server as they were, and not as they are after they have faded.
+func TestEvidenceFadesBeforeSuccess(t *testing.T) {
+	const wait = 3 * time.Second
+	odds := func(read bool) float64 {
+		e := attempts.NewEvidence()
+		e.AddSuccess(0, "route", "b", []string{"a"})
+		if read {
+			e.LogOdds(wait, "a") // Makes the evidence fade.
+		}
+		e.AddSuccess(wait, "route", "a", nil)
+		return e.LogOdds(wait, "a")
+	}
+	qt.Assert(t, odds(false), qt.Equals, odds(true))
+}
+
 // TestCompare guards against attempts that are used up on failing servers while another one
 // could run the task in time, and against tasks that wait until no answer is of use.
 func TestCompare(t *testing.T) {
--- a/attempts/evidence.go
+++ b/attempts/evidence.go
@@ -57,14 +57,11 @@
 // AddSuccess records that a task of a route was done on a server. failedOn are the servers
 // on which it had failed before.
 func (e *Evidence) AddSuccess(now time.Duration, route, server string, failedOn []string) {
+	e.fade(now)
 	e.routes[route] = e.routes[route].with(0)
 	if odds, ok := e.servers[server]; ok {
 		e.servers[server] = max(0, odds+math.Log(1-failingShare))
 	}
-	if len(failedOn) == 0 {
-		return
-	}
-	e.fade(now)
 	for _, failed := range failedOn {
 		if failed != server {
 			e.blamedServers++
