Forget the largest rejected task when the capacity is whole again

After a later rejection of a task of one core, room for a probe of 20 cores was offered. TestStepAfterExactRecovery failed before.

--- a/executor/effective_capacity.go
+++ b/executor/effective_capacity.go
@@ -112,7 +112,10 @@
 		c.nextProbe, c.probeAccepted = now, true
 	}
 	if c.probeAccepted && now-c.lastRejection >= restoreDelay && c.learned.Add(c.step).Covers(c.announced) {
-		c.learned, c.step = c.announced, pollenfront.Resources{}
+		c.learned = c.announced
+	}
+	if !c.reduced() {
+		c.step = pollenfront.Resources{}
 	}
 }
 
--- a/executor/effective_capacity_test.go
+++ b/executor/effective_capacity_test.go
@@ -178,6 +178,24 @@
 	})
 }
 
+// TestStepAfterExactRecovery guards against room for a probe of an earlier, larger task after
+// a probe has reached the announced capacity exactly and a small task is rejected later.
+func TestStepAfterExactRecovery(t *testing.T) {
+	c := qt.New(t)
+	capacity, now := announced(), time.Second
+	capacity.rejected(now, cores(44), cores(20))
+	now += minProbePause
+	ok, probe := capacity.admits(now, cores(44), cores(20))
+	c.Assert(ok && probe, qt.IsTrue)
+	capacity.accepted(now, cores(64), true)
+	capacity.endProbe()
+	c.Assert(capacity.reduced(), qt.IsFalse)
+	now += time.Minute
+	capacity.rejected(now, cores(40), cores(1))
+	now += minProbePause
+	c.Assert(capacity.offered(now), qt.Equals, cores(41))
+}
+
 // TestChanceRejection guards against a healthy server that stays small after one rejection
 // while it was idle.
 func TestChanceRejection(t *testing.T) {
