--- /dev/null
+++ b/entry/internal/jobs/submissions.go
@@ -0,0 +1,159 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/observe"
+)
+
+// claimTimeout is the timeout of the store call that claims the ID of an at-most-once
+// job.
+const claimTimeout = time.Second
+
+// An activeSubmission is a job that has no result yet, with the callers that wait
+// for it.
+type activeSubmission struct {
+	arrivedAt time.Duration
+	// callers holds a channel with a buffer of one result for each caller, so
+	// that sending the result never blocks.
+	callers    []chan pollenfront.Result
+	submission pollenfront.Submission
+}
+
+// Pending implements pollenfront.Jobs.
+func (j *Jobs) Pending(route pollenfront.Route) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.scheduler.PendingJobs(route.Name)
+}
+
+// RecordRefusal implements pollenfront.Jobs.
+func (j *Jobs) RecordRefusal(id string, reason pollenfront.Reason, detail string) {
+	j.metrics.refusedRequests.WithLabelValues(string(reason)).Inc()
+	j.logger.Info("request refused", zap.String("request", id), zap.String("reason", string(reason)), zap.String("detail", detail))
+}
+
+// Submit implements pollenfront.Jobs.
+func (j *Jobs) Submit(ctx context.Context, sub pollenfront.Submission) pollenfront.Result {
+	caller := make(chan pollenfront.Result, 1)
+	if sub.AtMostOnce {
+		if reason := j.claim(ctx, sub.ID); reason != "" {
+			return pollenfront.Result{ID: sub.ID, Reason: reason, Verdict: pollenfront.VerdictUnknown}
+		}
+	}
+	if !j.submitOrJoin(sub, caller) {
+		return pollenfront.Result{ID: sub.ID, Reason: pollenfront.ReasonConflict, Verdict: pollenfront.VerdictConflict}
+	}
+	select {
+	case result := <-caller:
+		return result
+	case <-ctx.Done():
+		j.removeCaller(sub.ID, caller)
+		return pollenfront.Result{ID: sub.ID, Reason: pollenfront.ReasonCallerLeft, Verdict: pollenfront.VerdictUnknown}
+	}
+}
+
+// submitOrJoin submits a job. If the same job was submitted before and has no result
+// yet, it adds the caller to that submission instead. It returns false if another job
+// with the same ID has no result yet.
+func (j *Jobs) submitOrJoin(sub pollenfront.Submission, caller chan pollenfront.Result) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if job, ok := j.submissions[sub.ID]; ok {
+		if job.submission.Payload != sub.Payload || job.submission.TaskCount != sub.TaskCount || job.submission.Route.Name != sub.Route.Name {
+			return false
+		}
+		job.callers = append(job.callers, caller)
+		return true
+	}
+	now := bootclock.Now()
+	j.submissions[sub.ID] = &activeSubmission{arrivedAt: now, callers: []chan pollenfront.Result{caller}, submission: sub}
+	if observe.Sampled(sub.ID) {
+		j.logger.Info("job taken", zap.String("request", sub.ID), zap.String("route", sub.Route.Name), zap.Uint64("config-version", j.configVersion()),
+			zap.Int("tasks", sub.TaskCount), zap.Duration("estimate", sub.Estimate), zap.Duration("time-limit", sub.TimeLimit), zap.Int("cpu", sub.Need.CPU))
+	}
+	j.handling = &sub
+	j.applyEffects(now, j.scheduler.Submit(now, sub))
+	j.handling = nil
+	return true
+}
+
+// claim claims the ID of an at-most-once job. It returns the reason why the job must
+// not run, or "" if it may.
+func (j *Jobs) claim(ctx context.Context, id string) pollenfront.Reason {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	err := j.store.Claim(ctx, id)
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(err, pollenfront.ErrClaimed):
+		return pollenfront.ReasonAlreadyClaimed
+	}
+	j.logger.Warn("claim failed", zap.String("request", id), zap.Error(err))
+	return pollenfront.ReasonStoreUnavailable
+}
+
+// removeCaller updates a job after one of its callers has left. If no caller remains,
+// it cancels the job.
+func (j *Jobs) removeCaller(id string, caller chan pollenfront.Result) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	job, ok := j.submissions[id]
+	if !ok {
+		return
+	}
+	for i, c := range job.callers {
+		if c == caller {
+			job.callers = append(job.callers[:i], job.callers[i+1:]...)
+			break
+		}
+	}
+	if len(job.callers) > 0 {
+		return
+	}
+	delete(j.submissions, id)
+	now := bootclock.Now()
+	j.metrics.callersLeft.Inc()
+	j.logger.Info("caller left", zap.String("request", id), zap.Duration("after", now-job.arrivedAt))
+	j.applyEffects(now, j.scheduler.Cancel(now, id))
+}
+
+// SubmissionCount returns the number of jobs that callers wait for.
+func (j *Jobs) SubmissionCount() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.submissions)
+}
+
+// deliverResult sends the result of a job to its callers. mu must be held.
+func (j *Jobs) deliverResult(now time.Duration, result pollenfront.Result) {
+	job, ok := j.submissions[result.ID]
+	if !ok {
+		return
+	}
+	delete(j.submissions, result.ID)
+	for _, caller := range job.callers {
+		caller <- result
+	}
+	took := now - job.arrivedAt
+	j.metrics.recordResult(job.submission.Route.Name, result, took)
+	if result.Verdict != pollenfront.VerdictCompleted || took > result.Trace.Due || observe.Sampled(result.ID) {
+		j.logResult(job, result, took)
+	}
+}
+
+// logResult logs the result of a job and where its time was spent.
+func (j *Jobs) logResult(job *activeSubmission, result pollenfront.Result, took time.Duration) {
+	trace := result.Trace
+	j.logger.Info("job answered", zap.String("request", result.ID), zap.Stringer("verdict", result.Verdict),
+		zap.String("reason", string(result.Reason)), zap.String("detail", result.Detail), zap.Duration("after", took), zap.Duration("due", trace.Due),
+		zap.Duration("expected", trace.ExpectedRunTime), zap.Int("tasks", job.submission.TaskCount), zap.Int("runs", trace.Runs),
+		zap.String("last-server", trace.LastServer), zap.Duration("last-sent", trace.LastSent), zap.Duration("last-run", trace.LastRunTime))
+}
