Clarify the names and order of the interference code

Comparing pairs took four loose names, the covariates of a run were computed in the middle of the bookkeeping of its end, weights of blocks were summed twice, and the least weight of a kept estimate was the constant for another unit (information). Pairs are compared as pairs, each of these has a function or constant of its own, and fields and constants are in order.

AgentCount counted agents that have sent only invalid estimates or whose evidence has decayed, so that pollenctl show interference gave too many. TestAgentCount failed before the change.

--- a/interference/model.go
+++ b/interference/model.go
@@ -8,7 +8,13 @@
 
 var _ pollenfront.InterferenceModel = &Model{}
 
-// A Model estimates added times by the findings of a Pool, and always avoids them.
+// conflictWeight multiplies the added time. A task that makes two routes meet on a server
+// also slows down the tasks that come there during its run. With 1, routes with a factor of
+// 2 do not stay apart at 70 % load.
+const conflictWeight = 2
+
+// A Model estimates added times from the findings of a Pool, and has all decisions carried
+// out.
 type Model struct {
 	pool *Pool
 }
@@ -18,11 +24,6 @@
 	return &Model{pool: pool}
 }
 
-// conflictWeight multiplies the added time. A task that makes two routes meet on a server
-// also slows down the tasks that come there during its run. With 1, routes with a factor of
-// 2 do not stay apart at 70 % load.
-const conflictWeight = 2
-
 // AddedTime implements pollenfront.InterferenceModel.
 func (m *Model) AddedTime(route string, runTime time.Duration, neighbors []pollenfront.RouteLoad) time.Duration {
 	if len(m.pool.findings) == 0 {
--- a/interference/observer.go
+++ b/interference/observer.go
@@ -22,6 +22,7 @@
 package interference
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -42,6 +43,11 @@
 	Weight float64
 }
 
+// pair returns the pair that the estimate is about.
+func (e Estimate) pair() Pair {
+	return Pair{Neighbor: e.Neighbor, Route: e.Route}
+}
+
 // A Run is a run that starts on the server.
 type Run struct {
 	// CPU is the need of the run in thousandths of a core.
@@ -59,25 +65,28 @@
 	active map[any]*activeRun
 	// capacity is the CPU capacity of the server in thousandths of a core.
 	capacity int
-	jobs     map[string]*jobRuns
-	// lastEvent is the time up to which the integrals below are.
+	// cpu is the CPU in use.
+	cpu int
+	// indexes maps the name of each route to its index in routes.
+	indexes map[string]int
+	jobs    map[string]*jobRuns
+	// lastEvent is the time up to which load and the integrals of the routes are computed.
 	lastEvent time.Duration
 	// load is the integral of the CPU in use over the time, as a share of the capacity.
-	load float64
-	// cpu is the CPU in use.
-	cpu    int
+	load   float64
 	routes []*routeState
-	index  map[string]int
 }
 
 // A routeState is what an Observer keeps of a route.
 type routeState struct {
+	// count is the number of runs of the route on the server.
 	count int
-	name  string
-	// present and crowded are the times in seconds in which at least one and at least
-	// two runs of the route were on the server.
-	present, crowded float64
-	regression       *regression
+	// crowded is the time in seconds in which at least two runs were on the server.
+	crowded float64
+	name    string
+	// present is the time in seconds in which at least one run was on the server.
+	present    float64
+	regression *regression
 }
 
 // An activeRun is a run on the server, with the integrals at its start.
@@ -90,14 +99,15 @@
 	started  time.Duration
 }
 
-// A jobRuns counts the runs of a job on the server.
+// A jobRuns counts the runs of a job on the server: active those that have not ended, total
+// all since the job last had none.
 type jobRuns struct {
 	active, total int
 }
 
 // NewObserver returns an Observer for a server without runs.
 func NewObserver() *Observer {
-	return &Observer{active: make(map[any]*activeRun), index: make(map[string]int), jobs: make(map[string]*jobRuns)}
+	return &Observer{active: make(map[any]*activeRun), indexes: make(map[string]int), jobs: make(map[string]*jobRuns)}
 }
 
 // SetCapacity sets the CPU capacity of the server in thousandths of a core.
@@ -125,14 +135,14 @@
 
 // routeIndex returns the index of a route, or -1 if there are too many.
 func (o *Observer) routeIndex(name string) int {
-	i, ok := o.index[name]
+	i, ok := o.indexes[name]
 	if ok {
 		return i
 	}
 	if len(o.routes) == MaxRoutes {
 		return -1
 	}
-	o.index[name] = len(o.routes)
+	o.indexes[name] = len(o.routes)
 	o.routes = append(o.routes, &routeState{name: name, regression: newRegression()})
 	return len(o.routes) - 1
 }
@@ -180,7 +190,6 @@
 		return
 	}
 	o.advance(now)
-	presence := o.presence(a.route)
 	delete(o.active, key)
 	o.cpu -= a.CPU
 	if a.route >= 0 {
@@ -191,12 +200,17 @@
 	if job.active == 0 {
 		delete(o.jobs, a.Job)
 	}
-	seconds := (now - a.started).Seconds()
-	if a.route < 0 || seconds <= 0 || !(ratio > 0) || math.IsInf(ratio, 1) {
+	if a.route < 0 || now <= a.started || !(ratio > 0) || math.IsInf(ratio, 1) {
 		return
 	}
-	x := make([]float64, covariates)
-	for i, value := range presence {
+	o.routes[a.route].regression.add(now, observation{value: math.Log(ratio), weight: 1 / float64(job.total), x: o.covariates(now, a)})
+}
+
+// covariates returns the covariates of a run that ends. The integrals must be advanced to now.
+func (o *Observer) covariates(now time.Duration, a *activeRun) []float64 {
+	seconds := (now - a.started).Seconds()
+	x := make([]float64, covariateCount)
+	for i, value := range o.presence(a.route) {
 		if i < len(a.presence) {
 			value -= a.presence[i]
 		}
@@ -204,7 +218,13 @@
 	}
 	others := (o.load-a.load)/seconds - float64(a.CPU)/float64(max(1, o.capacity))
 	x[loadCovariate], x[loadSquareCovariate] = others, others*others
-	o.routes[a.route].regression.add(now, observation{value: math.Log(ratio), weight: 1 / float64(job.total), x: x})
+	return x
+}
+
+// A RouteCount is the number of runs of a route on a server.
+type RouteCount struct {
+	Count int
+	Route string
 }
 
 // Counts returns the number of runs on the server by route, sorted by name.
@@ -215,18 +235,11 @@
 			counts = append(counts, RouteCount{Count: r.count, Route: r.name})
 		}
 	}
-	slices.SortFunc(counts, func(a, b RouteCount) int { return compareNames(a.Route, b.Route, "", "") })
+	slices.SortFunc(counts, func(a, b RouteCount) int { return cmp.Compare(a.Route, b.Route) })
 	return counts
 }
 
-// A RouteCount is the number of runs of a route on a server.
-type RouteCount struct {
-	Count int
-	Route string
-}
-
-// Estimates returns the estimates for all pairs for which there is evidence, sorted by
-// names.
+// Estimates returns the estimates for all pairs for which there is evidence, sorted by pair.
 func (o *Observer) Estimates(now time.Duration) []Estimate {
 	var estimates []Estimate
 	for _, r := range o.routes {
@@ -236,6 +249,6 @@
 			}
 		}
 	}
-	slices.SortFunc(estimates, func(a, b Estimate) int { return compareNames(a.Route, b.Route, a.Neighbor, b.Neighbor) })
+	slices.SortFunc(estimates, func(a, b Estimate) int { return comparePairs(a.pair(), b.pair()) })
 	return estimates
 }
--- a/interference/pool.go
+++ b/interference/pool.go
@@ -12,8 +12,8 @@
 
 // Parameters of findings.
 const (
-	// agentsToFind is the number of agents that must see the effect. One agent can thus
-	// create no finding.
+	// agentsToFind is the least number of agents that must see the effect, so that one
+	// agent alone creates no finding.
 	agentsToFind = 3
 	// dropEffect and dropScore are the values below which a finding is dropped. They
 	// are well below those that create it, so that a finding does not come and go.
@@ -24,7 +24,8 @@
 	// findScore is the least ratio of the effect to its standard deviation. With a normal
 	// distribution, 1 of 10⁴ estimates exceed it by chance.
 	findScore = 3.7
-	// findScoreWithout is the same without the agent that contributes most.
+	// findScoreWithout is the same without the agent that contributes most. It is lower, as
+	// less evidence is left.
 	findScoreWithout = 3
 	// maxAgentEffect limits the effect that an agent is taken to see, so that one agent does
 	// not hide what the others see.
@@ -39,6 +40,8 @@
 	// maxWeight is the largest weight that an agent can have: maxRuns runs, half of
 	// them beside the neighbor, with the least variance.
 	maxWeight = maxRuns * 0.25 / minVariance
+	// minWeight is the weight below which a decayed estimate is removed.
+	minWeight = 0.25
 	// priorWeight is the weight of the assumption that there is no effect: factors are
 	// mostly within 1/1.2 and 1.2.
 	priorWeight = 25
@@ -104,7 +107,7 @@
 		p.routes[name] = true
 	}
 	for _, records := range p.agents {
-		maps.DeleteFunc(records, func(pair Pair, _ record) bool { return !p.known(pair) })
+		maps.DeleteFunc(records, func(pair Pair, _ record) bool { return !p.knownPair(pair) })
 	}
 }
 
@@ -113,16 +116,15 @@
 	return p.routes == nil || p.routes[route]
 }
 
-// known reports whether both routes of a pair are known.
-func (p *Pool) known(pair Pair) bool {
+// knownPair reports whether both routes of a pair are known.
+func (p *Pool) knownPair(pair Pair) bool {
 	return p.Known(pair.Route) && p.Known(pair.Neighbor)
 }
 
 // validate returns an error if an estimate is invalid.
 func (p *Pool) validate(e Estimate) error {
-	pair := Pair{Neighbor: e.Neighbor, Route: e.Route}
 	switch {
-	case e.Route == "" || e.Neighbor == "" || !p.known(pair):
+	case e.Route == "" || e.Neighbor == "" || !p.knownPair(e.pair()):
 		return fmt.Errorf("%w: %q beside %q", ErrRoute, e.Route, e.Neighbor)
 	case !(math.Abs(e.Effect) <= maxEffect): // This is also so for NaN.
 		return fmt.Errorf("%w: %g", ErrEffect, e.Effect)
@@ -145,7 +147,7 @@
 	}
 	for _, e := range estimates {
 		rowErr := p.validate(e)
-		pair := Pair{Neighbor: e.Neighbor, Route: e.Route}
+		pair := e.pair()
 		if _, known := records[pair]; rowErr == nil && !known && len(records) == maxRows {
 			rowErr = ErrTooMany
 		}
@@ -172,13 +174,13 @@
 }
 
 // Evaluate makes and drops findings by the present evidence, and returns the changes
-// sorted by names.
+// sorted by pair.
 func (p *Pool) Evaluate(now time.Duration) []Change {
 	byPair := make(map[Pair][]record)
 	for _, agent := range slices.Sorted(maps.Keys(p.agents)) {
 		for pair, r := range p.agents[agent] {
 			r.weight = r.decayedWeight(now)
-			if r.weight < minInformation {
+			if r.weight < minWeight {
 				delete(p.agents[agent], pair)
 				continue
 			}
@@ -198,7 +200,7 @@
 			changes = append(changes, change)
 		}
 	}
-	slices.SortFunc(changes, func(a, b Change) int { return compareNames(a.Route, b.Route, a.Neighbor, b.Neighbor) })
+	slices.SortFunc(changes, func(a, b Change) int { return comparePairs(a.Pair, b.Pair) })
 	return changes
 }
 
@@ -258,9 +260,9 @@
 	return c
 }
 
-// Findings returns the findings, sorted by names.
+// Findings returns the findings, sorted by pair.
 func (p *Pool) Findings() []Finding {
-	return slices.SortedFunc(maps.Values(p.findings), func(a, b Finding) int { return compareNames(a.Route, b.Route, a.Neighbor, b.Neighbor) })
+	return slices.SortedFunc(maps.Values(p.findings), func(a, b Finding) int { return comparePairs(a.Pair, b.Pair) })
 }
 
 // Factor returns the factor by which runs of a route take longer beside a neighbor. It is 1
@@ -272,12 +274,18 @@
 	return 1
 }
 
-// compareNames compares the first names, then the second ones.
-func compareNames(first, otherFirst, second, otherSecond string) int {
-	return cmp.Or(cmp.Compare(first, otherFirst), cmp.Compare(second, otherSecond))
+// comparePairs orders pairs by the name of the route, then by that of the neighbor.
+func comparePairs(a, b Pair) int {
+	return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Neighbor, b.Neighbor))
 }
 
 // AgentCount returns the number of agents with evidence.
 func (p *Pool) AgentCount() int {
-	return len(p.agents)
+	count := 0
+	for _, records := range p.agents {
+		if len(records) > 0 {
+			count++
+		}
+	}
+	return count
 }
--- a/interference/pool_test.go
+++ b/interference/pool_test.go
@@ -103,6 +103,17 @@
 	qt.Check(t, err, qt.ErrorIs, interference.ErrTooMany)
 }
 
+// TestAgentCount guards against agents that count as having evidence although all of their
+// estimates were invalid or have decayed.
+func TestAgentCount(t *testing.T) {
+	p := interference.NewPool()
+	_, _ = p.Add(0, "valid", []interference.Estimate{estimate(0.1, 1)})
+	_, _ = p.Add(0, "invalid", []interference.Estimate{estimate(math.NaN(), 1)})
+	qt.Check(t, p.AgentCount(), qt.Equals, 1)
+	p.Evaluate(time.Hour)
+	qt.Check(t, p.AgentCount(), qt.Equals, 0)
+}
+
 // TestAddedTime guards against a penalty that ignores the neighbors, or one without findings.
 func TestAddedTime(t *testing.T) {
 	p := interference.NewPool()
--- a/interference/regression.go
+++ b/interference/regression.go
@@ -12,7 +12,7 @@
 const (
 	loadCovariate       = MaxRoutes
 	loadSquareCovariate = MaxRoutes + 1
-	covariates          = MaxRoutes + 2
+	covariateCount      = MaxRoutes + 2
 )
 
 // Parameters of the regression.
@@ -22,6 +22,8 @@
 	// blockTime is the shortest time that a block covers. Loads with a period of 15 s
 	// change little within it.
 	blockTime = 2 * time.Second
+	// centerWeight is the weight of the newest run in the center of its route.
+	centerWeight = 0.05
 	// halfLife is the time in which evidence loses half of its weight. It is long, since
 	// routes that are kept apart give little new evidence.
 	halfLife = 5 * time.Minute
@@ -35,8 +37,6 @@
 	maxRuns = 1000
 	// minVariance is the least variance assumed of the logarithm of a ratio.
 	minVariance = 0.04
-	// centerWeight is the weight of the newest run in the center of its route.
-	centerWeight = 0.05
 	// minInformation is the least information of a pair that is reported: that of a few
 	// runs.
 	minInformation = 0.25
@@ -64,11 +64,11 @@
 	// center is the moving center of the values, around which they are clamped.
 	center  float64
 	decayed time.Duration // decayed is the time up to which the sums have decayed.
-	matrix  [covariates][covariates]float64
+	matrix  [covariateCount][covariateCount]float64
 	runs    float64 // runs is the number of independent observations in the sums.
 	seen    int     // seen is the number of observations, up to those that center needs.
 	squares float64 // squares is the sum of the squared deviations of the values.
-	vector  [covariates]float64
+	vector  [covariateCount]float64
 }
 
 // newRegression returns a regression without observations.
@@ -91,40 +91,45 @@
 
 // endBlock adds the block to the sums if it is complete.
 func (r *regression) endBlock(now time.Duration) {
-	weight := 0.0
-	for _, o := range r.block {
-		weight += o.weight
-	}
+	weight := blockWeight(r.block)
 	age := now - r.blockStarted
 	if len(r.block) == 0 || age < blockTime || weight < blockRuns && age < maxBlockTime {
 		return
 	}
 	r.decay(now)
-	r.addBlock(weight)
+	r.addBlock()
 	r.block = r.block[:0]
 }
 
+// blockWeight returns the sum of the weights of the runs of a block.
+func blockWeight(block []observation) float64 {
+	weight := 0.0
+	for _, o := range block {
+		weight += o.weight
+	}
+	return weight
+}
+
 // withOpenBlock returns a copy whose sums have the runs of the block that has not ended.
 func (r *regression) withOpenBlock() *regression {
 	c := *r
 	c.block = slices.Clone(r.block)
-	weight := 0.0
 	for i := range c.block {
 		c.block[i].x = slices.Clone(c.block[i].x)
-		weight += c.block[i].weight
 	}
-	c.addBlock(weight)
+	c.addBlock()
 	return &c
 }
 
-// addBlock adds the runs of the block to the sums, as deviations from a linear trend. A block
-// of the runs of two jobs shows nothing.
-func (r *regression) addBlock(weight float64) {
+// addBlock adds the runs of the block to the sums, as deviations from a linear trend. A line
+// fits two runs exactly, so that a block of two independent runs has no information.
+func (r *regression) addBlock() {
+	weight := blockWeight(r.block)
 	if weight <= 2 {
 		return
 	}
 	removeTrend(r.block, weight, func(o *observation) *float64 { return &o.value })
-	for i := range covariates {
+	for i := range covariateCount {
 		removeTrend(r.block, weight, func(o *observation) *float64 { return &o.x[i] })
 	}
 	for _, o := range r.block {
@@ -171,7 +176,7 @@
 	}
 }
 
-// decay reduces the weight of the evidence by its age, and to that of maxRuns runs.
+// decay reduces the weight of the evidence by its age, and to that of maxRuns runs at most.
 func (r *regression) decay(now time.Duration) {
 	factor := math.Exp2(-(now - r.decayed).Seconds() / halfLife.Seconds())
 	r.decayed = now
@@ -199,19 +204,19 @@
 func (r *regression) solve(now time.Duration, n int) []effect {
 	r.endBlock(now)
 	r.decay(now)
-	r = r.withOpenBlock()
+	sums := r.withOpenBlock()
 	effects := make([]effect, n)
-	if r.runs < 1 {
+	if sums.runs < 1 {
 		return effects
 	}
-	variance := max(minVariance, r.squares/r.runs)
+	variance := max(minVariance, sums.squares/sums.runs)
 	var used []int
-	for i := range covariates {
-		if r.matrix[i][i] > minInformation/4 {
+	for i := range covariateCount {
+		if sums.matrix[i][i] > minInformation/4 {
 			used = append(used, i)
 		}
 	}
-	inverse := r.invert(used)
+	inverse := sums.invert(used)
 	for row, i := range used {
 		if i >= n {
 			break
@@ -222,7 +227,7 @@
 		}
 		value := 0.0
 		for column, k := range used {
-			value += inverse[row][column] * r.vector[k]
+			value += inverse[row][column] * sums.vector[k]
 		}
 		effects[i] = effect{effect: value / inverse[row][row] / information, weight: information / variance}
 	}
--- a/interference/simulation_test.go
+++ b/interference/simulation_test.go
@@ -11,28 +11,28 @@
 
 // A load is a route in a simulation.
 type load struct {
+	drift func(at float64) float64 // drift is the factor of the real run times at a time in seconds, of which the estimates do not know.
 	jobs  float64                  // jobs is the number of jobs per second.
 	tasks int                      // tasks is the number of tasks of a job.
+	wave  func(at float64) float64 // wave is the factor of jobs at a time in seconds, at most 1. It is nil for a constant load.
 	work  float64                  // work is the mean run time in seconds.
-	wave  func(at float64) float64 // wave multiplies jobs by the time. It is nil for a constant load.
-	drift func(at float64) float64 // drift multiplies the real run times, so that estimates are wrong by it.
 }
 
 // A simulation is a number of servers to which tasks are sent at random. The Observers of
 // the servers report to one Pool.
 type simulation struct {
-	agents  int
-	factors map[interference.Pair]float64 // factors are the planted effects.
-	loads   []load
-	// slowness multiplies run times by the share of the server in use when the run starts.
-	slowness  func(used float64) float64
+	agents    int
+	factors   map[interference.Pair]float64       // factors are the injected effects.
+	found     map[interference.Pair]time.Duration // found holds when each pair was found first.
+	loads     []load
 	observers []*interference.Observer
 	pool      *interference.Pool
 	random    *rand.Rand
-	servers   [][]*simulatedRun
-	found     map[interference.Pair]time.Duration // found holds when each pair was found first.
-	dropped   int
 	runs      int
+	servers   [][]*simulatedRun
+	// slowness returns the factor of the run time by the share of the server in use when
+	// the run starts. It may be nil.
+	slowness func(used float64) float64
 }
 
 // A simulatedRun is a run in a simulation.
@@ -43,13 +43,13 @@
 	started             float64
 }
 
-// simulatedCapacity is the capacity of a server, and simulatedNeed the need of a run.
+// Parameters of a simulation, as docs/design/8-hard-load.md gives them for a customer.
 const (
-	simulatedCapacity = 32000
-	simulatedNeed     = 2400
-	heavyTailShare    = 0.03
-	heavyTailFactor   = 7
-	estimateDeviation = 0.4
+	estimateDeviation = 0.4   // estimateDeviation is the deviation of the logarithm of the estimates.
+	heavyTailFactor   = 7     // heavyTailFactor is how much longer a task of the heavy tail takes.
+	heavyTailShare    = 0.03  // heavyTailShare is the share of the tasks in the heavy tail.
+	simulatedCapacity = 32000 // simulatedCapacity is the CPU capacity of a server.
+	simulatedNeed     = 2400  // simulatedNeed is the CPU need of a run.
 )
 
 // routeName returns the name of the route with an index.
@@ -188,12 +188,10 @@
 	}
 }
 
-// evaluate records the changes of findings.
+// evaluate records when pairs are found first.
 func (s *simulation) evaluate(now float64) {
 	for _, change := range s.pool.Evaluate(seconds(now)) {
-		if change.Dropped {
-			s.dropped++
-		} else if _, ok := s.found[change.Pair]; !ok {
+		if _, ok := s.found[change.Pair]; !ok && !change.Dropped {
 			s.found[change.Pair] = seconds(now)
 		}
 	}
