Split the checks of a route by field

checkRouteNames and checkMatching each checked two fields, and an unnamed pair of strings was the key of a match. Name, service, host and path prefix have a function each, and the key is a routeMatch. The findings are unchanged.

--- a/configcheck/checks.go
+++ b/configcheck/checks.go
@@ -11,7 +11,9 @@
 const (
 	// maxAttempts is far above the 2 to 4 attempts of the routes in use.
 	maxAttempts = 20
-	maxBodySize = 64 << 20 // bytes
+	// maxBodySize is the largest size in bytes that an entry can hold for many requests
+	// at the same time.
+	maxBodySize = 64 << 20
 	// maxElements is the number of routes or services that entries and agents accept in
 	// the messages in which they pass on the configuration.
 	maxElements = 65536
@@ -25,7 +27,8 @@
 	maxVersion = 1 << 53
 )
 
-// leastWork is the shortest run time that the scheduler expects of a task.
+// leastWork is the shortest run time that the scheduler expects of a task: its constant
+// minEstimate.
 const leastWork = time.Millisecond
 
 // checkGlobals checks the fields that belong to no route and no service.
@@ -86,21 +89,26 @@
 	}
 }
 
-// checkRouteNames checks the name of a route and its service. first maps the names of
-// the routes before it to their indexes.
-func (c *checker) checkRouteNames(index int, first map[string]int) {
+// checkRouteName checks the name of a route. first maps the names of the routes before
+// it to their indexes, and the name is added to it.
+func (c *checker) checkRouteName(index int, first map[string]int) {
 	r, names := &c.document.Config.Routes[index], &c.document.Names
-	if path := c.routePath(index, names.Name); c.has(path) {
-		earlier, duplicate := first[r.Name]
-		switch {
-		case r.Name == "":
-			c.add(KindMissing, path, "the name is empty; name the route")
-		case duplicate:
-			c.add(KindDuplicateName, path, "route %q is already %s[%d], which is used for submissions by name; rename one of them", r.Name, names.Routes, earlier)
-		default:
-			first[r.Name] = index
-		}
+	path := c.routePath(index, names.Name)
+	earlier, duplicate := first[r.Name]
+	switch {
+	case !c.has(path):
+	case r.Name == "":
+		c.add(KindMissing, path, "the name is empty; name the route")
+	case duplicate:
+		c.add(KindDuplicateName, path, "route %q is already %s[%d], which is used for submissions by name; rename one of them", r.Name, names.Routes, earlier)
+	default:
+		first[r.Name] = index
 	}
+}
+
+// checkRouteService checks that the service of a route exists.
+func (c *checker) checkRouteService(index int) {
+	r, names := &c.document.Config.Routes[index], &c.document.Names
 	path := c.routePath(index, names.Service)
 	if _, exists := c.document.Config.Services[r.Service]; !c.has(path) || exists {
 		return
@@ -112,43 +120,62 @@
 	c.add(KindUnknownService, path, "service %q does not exist, so that no server runs the route's tasks; add it to %s or correct the name", r.Service, names.Services)
 }
 
-// checkMatching checks that requests can match a route. first maps the host and the
-// path prefix of the routes before it to their indexes.
-func (c *checker) checkMatching(index int, first map[[2]string]int) {
-	r, names := &c.document.Config.Routes[index], &c.document.Names
-	host, prefix := c.routePath(index, names.Host), c.routePath(index, names.PathPrefix)
-	hasHost, hasPrefix := c.has(host), c.has(prefix)
-	switch {
-	case !hasHost:
-	case r.Host == "":
-		c.add(KindMissing, host, "the host is empty; name the host of the route's requests")
-		hasHost = false
-	case strings.ContainsAny(r.Host, ":/ \t\r\n"):
-		c.add(KindUnreachable, host, "no request has host %q: hosts are compared without a port; write only the name of the host", r.Host)
-		hasHost = false
-	}
-	switch {
-	case !hasPrefix:
-	case r.PathPrefix == "":
-		c.add(KindMissing, prefix, "the prefix is empty; write the path up to the ID of the job, such as \"/jobs/\"")
-		hasPrefix = false
-	case !strings.HasPrefix(r.PathPrefix, "/"):
-		c.add(KindUnreachable, prefix, "no path begins with %q; begin the prefix with a slash", r.PathPrefix)
-		hasPrefix = false
-	}
+// A routeMatch is what a request must have to match a route.
+type routeMatch struct {
+	host, pathPrefix string
+}
+
+// checkRouteMatch checks that requests can match a route. first maps the matches of the
+// routes before it to their indexes, and the match is added to it.
+func (c *checker) checkRouteMatch(index int, first map[routeMatch]int) {
+	hasHost, hasPrefix := c.checkHost(index), c.checkPathPrefix(index)
 	if !hasHost || !hasPrefix {
 		return
 	}
-	key := [2]string{r.Host, r.PathPrefix}
-	if earlier, ok := first[key]; ok {
-		c.add(KindUnreachable, prefix, "%s[%d] has the same host and prefix and takes all requests; change the host or the prefix, or remove one of the routes",
-			names.Routes, earlier)
+	r, names := &c.document.Config.Routes[index], &c.document.Names
+	match := routeMatch{host: r.Host, pathPrefix: r.PathPrefix}
+	if earlier, ok := first[match]; ok {
+		c.add(KindUnreachable, c.routePath(index, names.PathPrefix),
+			"%s[%d] has the same host and prefix and takes all requests; change the host or the prefix, or remove one of the routes", names.Routes, earlier)
 		return
 	}
-	first[key] = index
+	first[match] = index
+}
+
+// checkHost checks the host of a route, and reports whether requests can have it.
+func (c *checker) checkHost(index int) bool {
+	host, path := c.document.Config.Routes[index].Host, c.routePath(index, c.document.Names.Host)
+	switch {
+	case !c.has(path):
+		return false
+	case host == "":
+		c.add(KindMissing, path, "the host is empty; name the host of the route's requests")
+		return false
+	case strings.ContainsAny(host, ":/ \t\r\n"):
+		c.add(KindUnreachable, path, "no request has host %q: hosts are compared without a port; write only the name of the host", host)
+		return false
+	}
+	return true
+}
+
+// checkPathPrefix checks the path prefix of a route, and reports whether paths can have it.
+func (c *checker) checkPathPrefix(index int) bool {
+	prefix, path := c.document.Config.Routes[index].PathPrefix, c.routePath(index, c.document.Names.PathPrefix)
+	switch {
+	case !c.has(path):
+		return false
+	case prefix == "":
+		c.add(KindMissing, path, "the prefix is empty; write the path up to the ID of the job, such as \"/jobs/\"")
+		return false
+	case !strings.HasPrefix(prefix, "/"):
+		c.add(KindUnreachable, path, "no path begins with %q; begin the prefix with a slash", prefix)
+		return false
+	}
+	return true
 }
 
-// checkRouteNumbers checks that each number of a route is neither negative nor absurd.
+// checkRouteNumbers checks that each number of a route is neither negative nor beyond the
+// bound of useful values.
 func (c *checker) checkRouteNumbers(index int) {
 	r, names := &c.document.Config.Routes[index], &c.document.Names
 	for _, n := range []struct {
--- a/configcheck/configcheck.go
+++ b/configcheck/configcheck.go
@@ -112,11 +112,11 @@
 	}
 	c.checkGlobals()
 	c.checkServices()
-	routes := make(map[[2]string]int)
-	names := make(map[string]int)
+	names, matches := make(map[string]int), make(map[routeMatch]int)
 	for i := range document.Config.Routes {
-		c.checkRouteNames(i, names)
-		c.checkMatching(i, routes)
+		c.checkRouteName(i, names)
+		c.checkRouteService(i)
+		c.checkRouteMatch(i, matches)
 		c.checkRouteNumbers(i)
 		c.checkRouteLimits(i)
 	}
@@ -137,7 +137,7 @@
 type checker struct {
 	document *Document
 	findings []Finding
-	// invalid has the paths of the values that could not be read.
+	// invalid has the paths of the values that could not be read or are out of range.
 	invalid map[string]bool
 }
 
