Name what the entry records, and put its fields in order

invalidPeers and loggedShares did not say what they hold: agents whose invalid estimates were logged, and the time of a report that also sets metrics. Two functions that count as well as log were called log only, one of them was in metrics.go, and two comments were wrong: reportFairShares updates the metrics at intervals too, and sendCopies sends a copy once on each link, also to an agent that has it. Names, comments and order of fields say this now. Log messages and metrics are unchanged.

--- a/entry/internal/jobs/config.go
+++ b/entry/internal/jobs/config.go
@@ -37,14 +37,15 @@
 }
 
 // sendCopies sends the configuration in force to the agents whose servers have this entry
-// as their primary entry and which do not have it yet, as far as copyRate allows. A later
-// call sends the remaining copies. The caller must hold mu.
+// as their primary entry, once on each link, as far as copyRate allows. A later call sends
+// the remaining copies. The caller must hold mu.
 func (j *Jobs) sendCopies(now time.Duration) {
 	config := j.config.Load()
 	if config == nil || now < j.nextCopy {
 		return
 	}
 	transmissionTime := time.Duration(float64(config.Msgsize()) / copyRate * float64(time.Second))
+	// At most one tick of unused time is made up for, since a copy waits that long for a call.
 	j.nextCopy = max(j.nextCopy, now-scheduler.TickInterval)
 	for name, link := range j.links {
 		if link.configVersion == config.Version || !j.scheduler.IsPrimary(name) {
--- a/entry/internal/jobs/effects.go
+++ b/entry/internal/jobs/effects.go
@@ -20,7 +20,7 @@
 		j.logPlacement(&effects.Placements[i])
 	}
 	for i := range effects.Withholdings {
-		j.logWithholding(&effects.Withholdings[i])
+		j.recordWithholding(&effects.Withholdings[i])
 	}
 	for name, commands := range effects.Commands {
 		link, ok := j.links[name]
@@ -36,7 +36,7 @@
 	j.recordInvalidShares(effects.InvalidShares)
 	j.logDisabledZones()
 	j.logConfinedRoutes()
-	j.logInterference(effects)
+	j.recordInterference(effects)
 }
 
 // logConfinedRoutes logs the confined routes if they differ from those logged last. The
@@ -68,3 +68,10 @@
 	j.logger.Info("tasks placed", zap.String("request", p.Job), zap.String("server", p.Agent), zap.Int("tasks", p.Tasks), zap.Int("run", p.MaxRunNumber),
 		zap.Duration("waited", p.Waited), zap.Duration("report-age", p.ReportAge), zap.Int("free-cpu", p.FreeCPU), zap.Float64("slowness", p.Slowness))
 }
+
+// recordWithholding logs and counts an attempt that was withheld from a failing server.
+func (j *Jobs) recordWithholding(w *scheduler.Withholding) {
+	j.metrics.withheld.WithLabelValues(w.Agent).Inc()
+	j.logger.Info("attempt withheld", zap.String("request", w.Job), zap.Int("task", w.Task), zap.String("agent", w.Agent),
+		zap.Float64("fail-share", w.FailShare), zap.Bool("last-attempt", w.LastAttempt))
+}
--- a/entry/internal/jobs/fair.go
+++ b/entry/internal/jobs/fair.go
@@ -6,10 +6,10 @@
 	"go.uber.org/zap"
 )
 
-// fairSharesLogInterval is the shortest time between two log lines of fair shares.
-const fairSharesLogInterval = 5 * time.Second
+// fairSharesReportInterval is the shortest time between two reports of fair shares.
+const fairSharesReportInterval = 5 * time.Second
 
-// SetFairShares enables fair shares. It must be called before the first submission.
+// SetFairShares enables fair shares if enabled is set. It must be called before the first submission.
 func (j *Jobs) SetFairShares(enabled bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -18,14 +18,14 @@
 	}
 }
 
-// reportFairShares updates the metrics of fair shares, and logs the lagging flows at intervals.
-// The caller must hold mu.
+// reportFairShares updates the metrics of fair shares and logs the lagging flows, if
+// fairSharesReportInterval has passed. The caller must hold mu.
 func (j *Jobs) reportFairShares(now time.Duration) {
 	accounts := j.scheduler.FairShares()
-	if accounts == nil || now-j.loggedShares < fairSharesLogInterval {
+	if accounts == nil || now-j.reportedFairShares < fairSharesReportInterval {
 		return
 	}
-	j.loggedShares = now
+	j.reportedFairShares = now
 	strictness := make(map[string]float64)
 	for _, route := range accounts.Routes() {
 		strictness[route.Name] = route.Limit.Strictness(now)
--- a/entry/internal/jobs/interference.go
+++ b/entry/internal/jobs/interference.go
@@ -12,7 +12,8 @@
 	"github.com/pollenfront/pollenfront/scheduler"
 )
 
-// interferenceMetrics are the metrics of tasks that slow each other down.
+// interferenceMetrics are the metrics of the detection and avoidance of tasks that slow each
+// other down.
 type interferenceMetrics struct {
 	avoided *prometheus.CounterVec
 	changes *prometheus.CounterVec
@@ -82,27 +83,28 @@
 	j.scheduler.SetRoutes(names)
 }
 
-// logInterference logs and counts the pairs that were found or dropped, and the invalid
-// estimates of agents. The caller must hold mu.
-func (j *Jobs) logInterference(effects *scheduler.Effects) {
+// recordInterference logs and counts the pairs that were found or dropped, and the invalid
+// estimates of agents. It logs only the first invalid ones of each agent. The caller must
+// hold mu.
+func (j *Jobs) recordInterference(effects *scheduler.Effects) {
 	m := &j.metrics.interference
 	for i := range effects.InterferenceChanges {
 		change := &effects.InterferenceChanges[i]
-		message, name := "interference found", "found"
+		message, label := "interference found", "found"
 		if change.Dropped {
-			message, name = "interference dropped", "dropped"
+			message, label = "interference dropped", "dropped"
 			m.factor.DeleteLabelValues(change.Route, change.Neighbor)
 		} else {
 			m.factor.WithLabelValues(change.Route, change.Neighbor).Set(change.Factor)
 		}
-		m.changes.WithLabelValues(name).Inc()
+		m.changes.WithLabelValues(label).Inc()
 		j.logger.Info(message, zap.String("route", change.Route), zap.String("neighbor", change.Neighbor), zap.Float64("factor", change.Factor),
 			zap.Float64("score", change.Score), zap.Int("agents", change.Agents))
 	}
 	for _, invalid := range effects.InvalidEstimates {
 		m.invalid.Add(float64(invalid.Count))
-		if !j.invalidPeers[invalid.Agent] {
-			j.invalidPeers[invalid.Agent] = true
+		if !j.loggedInvalidEstimates[invalid.Agent] {
+			j.loggedInvalidEstimates[invalid.Agent] = true
 			j.logger.Warn("invalid estimates of interference ignored", zap.String("agent", invalid.Agent), zap.Int("count", invalid.Count), zap.Error(invalid.Err))
 		}
 	}
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -39,20 +39,19 @@
 	configured chan struct{}
 	// handling is the job that is being passed to the scheduler, or nil.
 	handling *pollenfront.Submission
-	// invalidPeers are the agents whose invalid estimates of interference were logged.
-	invalidPeers map[string]bool
 	// hellos maps the name of each agent to the record of its newest hello.
 	hellos map[string]helloRecord
 	// links maps the name of each linked agent to its link.
 	links map[string]*agentLink
 	// loggedConfined lists the confined routes that were logged last.
 	loggedConfined []string
+	// loggedInvalidEstimates has the names of the agents of which invalid estimates of
+	// interference were logged.
+	loggedInvalidEstimates map[string]bool
 	// loggedZones lists the disabled zones that were logged last.
 	loggedZones []string
 	logger      *zap.Logger
-	// loggedShares is when the fair shares were logged last.
-	loggedShares time.Duration
-	metrics      *metrics
+	metrics     *metrics
 	// mu guards the fields that change after New, but for config.
 	mu program.Guard
 	// nextCopy is the time from which the next copy of the configuration may be sent to an
@@ -63,7 +62,9 @@
 	offered *pollenfront.Config
 	// offeredAt is the time at which the first copy arrived.
 	offeredAt time.Duration
-	scheduler *scheduler.Scheduler
+	// reportedFairShares is when the fair shares were reported last.
+	reportedFairShares time.Duration
+	scheduler          *scheduler.Scheduler
 	// self is the hello of this entry.
 	self  tasklink.Hello
 	store pollenfront.Store
@@ -79,16 +80,16 @@
 // with registry.
 func New(self tasklink.Hello, store pollenfront.Store, registry *prometheus.Registry, logger *zap.Logger) *Jobs {
 	j := &Jobs{
-		configured:   make(chan struct{}),
-		hellos:       make(map[string]helloRecord),
-		invalidPeers: make(map[string]bool),
-		links:        make(map[string]*agentLink),
-		logger:       logger,
-		metrics:      newMetrics(registry),
-		scheduler:    scheduler.New(bootclock.Now(), self.Name, self.Zone),
-		self:         self,
-		store:        store,
-		submissions:  make(map[string]*activeSubmission),
+		configured:             make(chan struct{}),
+		hellos:                 make(map[string]helloRecord),
+		links:                  make(map[string]*agentLink),
+		loggedInvalidEstimates: make(map[string]bool),
+		logger:                 logger,
+		metrics:                newMetrics(registry),
+		scheduler:              scheduler.New(bootclock.Now(), self.Name, self.Zone),
+		self:                   self,
+		store:                  store,
+		submissions:            make(map[string]*activeSubmission),
 	}
 	j.mu.OnPanic = j.reportPanic
 	return j
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -4,10 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"go.uber.org/zap"
 
 	"github.com/pollenfront/pollenfront"
-	"github.com/pollenfront/pollenfront/scheduler"
 )
 
 // metrics are the Prometheus metrics of an entry's jobs.
@@ -15,10 +13,10 @@
 	answered        *prometheus.CounterVec
 	callersLeft     prometheus.Counter
 	fairShares      *prometheus.GaugeVec
+	interference    interferenceMetrics
 	invalidReports  prometheus.Counter
 	invalidShares   prometheus.Counter
 	limits          *prometheus.GaugeVec
-	interference    interferenceMetrics
 	refusedRequests *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
 	sharedCPU       prometheus.Gauge
@@ -72,10 +70,3 @@
 	m.answered.WithLabelValues(route, result.Verdict.String(), string(result.Reason)).Inc()
 	m.responseTimes.WithLabelValues(route).Observe(responseTime.Seconds())
 }
-
-// logWithholding logs and counts an attempt that was withheld from a failing server.
-func (j *Jobs) logWithholding(w *scheduler.Withholding) {
-	j.metrics.withheld.WithLabelValues(w.Agent).Inc()
-	j.logger.Info("attempt withheld", zap.String("request", w.Job), zap.Int("task", w.Task), zap.String("agent", w.Agent),
-		zap.Float64("fail-share", w.FailShare), zap.Bool("last-attempt", w.LastAttempt))
-}
--- a/entry/internal/jobs/shares.go
+++ b/entry/internal/jobs/shares.go
@@ -15,7 +15,7 @@
 }
 
 // recordInvalidReports counts the reports of agents in which invalid numbers were replaced,
-// and logs the first one on each link.
+// and logs the first one on each link. The caller must hold mu.
 func (j *Jobs) recordInvalidReports(reports []scheduler.InvalidReport) {
 	for _, invalid := range reports {
 		j.metrics.invalidReports.Inc()
