Write the JSON of pollenctl in one place

check-config and show shares each set up an encoder, and the comment on print did not tell which parts have a JSON form of their own. Both use writeJSON now, and the rows of shares say what their numbers are. The output is unchanged.

--- a/pollenctl/checkconfigcmd.go
+++ b/pollenctl/checkconfigcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -96,9 +95,7 @@
 // write writes the report as a table or as JSON.
 func (r configReport) write(w io.Writer, output string) error {
 	if output == "json" {
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(r)
+		return writeJSON(w, r)
 	}
 	if len(r.Findings) == 0 {
 		fmt.Fprintln(w, "no faults found")
@@ -123,7 +120,7 @@
 	return table.Flush()
 }
 
-// usageError returns an error with the exit code of a wrong command line.
+// usageError returns an error that makes the program exit with program.ExitUsage.
 func usageError(err error) error {
 	return program.ExitError{Code: program.ExitUsage, Err: err}
 }
--- a/pollenctl/shares.go
+++ b/pollenctl/shares.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 
@@ -10,14 +9,17 @@
 
 // A shareRow is an entry's share of one server.
 type shareRow struct {
-	CPU    int `json:"cpu"`
+	// CPU is the announced capacity of the server, in thousandths of a core.
+	CPU int `json:"cpu"`
+	// Demand is the entry's demand for the server, in thousandths of a core.
 	Demand int `json:"demand"`
 	// Entries is the number of entries that share the server.
 	Entries int    `json:"entries"`
 	Server  string `json:"server"`
 	// Share is the share that the entry counts on, in thousandths of a core.
 	Share int `json:"share"`
-	// Stated is set if the agent has stated the share. Otherwise it is an equal one.
+	// Stated is set if the agent has stated the share. Otherwise the entry counts on an
+	// equal share.
 	Stated bool   `json:"stated"`
 	Usable bool   `json:"usable"`
 	Zone   string `json:"zone"`
@@ -51,10 +53,3 @@
 		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%d\t%s\t%d\n", row.Server, row.Zone, row.Usable, row.CPU, row.Demand, row.Share, basis, row.Entries)
 	}
 }
-
-// printSharesJSON prints the shares of an entry as a JSON array.
-func printSharesJSON(w io.Writer, dump *scheduler.Dump) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(shareRows(dump))
-}
--- a/pollenctl/showcmd.go
+++ b/pollenctl/showcmd.go
@@ -48,8 +48,8 @@
 	return c.print(data)
 }
 
-// print prints the part of the state that What selects. If the output is JSON, it prints
-// the shares, or else all of the state as it was received.
+// print prints the part of the state that What selects. As JSON, only the shares have a
+// form of their own; for the other parts it prints the whole state as received.
 func (c *showCmd) print(data []byte) error {
 	if c.Output == "json" && c.What != "shares" {
 		_, err := os.Stdout.Write(data)
@@ -60,7 +60,7 @@
 		return fmt.Errorf("decode the entry's state: %w", err)
 	}
 	if c.Output == "json" {
-		return printSharesJSON(os.Stdout, &dump)
+		return writeJSON(os.Stdout, shareRows(&dump))
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	switch c.What {
