--- a/dryrun/interference.go
+++ b/dryrun/interference.go
@@ -13,6 +13,7 @@
 // An InterferenceModel counts and logs what another pollenfront.InterferenceModel would
 // avoid, and avoids nothing.
 type InterferenceModel struct {
+	// avoidable is the number of tasks for which another server would have been chosen.
 	avoidable int
 	logger    *zap.Logger
 	wrapped   pollenfront.InterferenceModel
@@ -35,8 +36,3 @@
 		zap.String("other-server", d.Chosen), zap.Duration("other-added", d.ChosenTime), zap.Int("count", m.avoidable))
 	return false
 }
-
-// Avoidable returns the number of tasks for which another server would have been chosen.
-func (m *InterferenceModel) Avoidable() int {
-	return m.avoidable
-}
