Name the candidates of the search for a free address range

The loop of reserveRange shadowed its parameter octet. It has a name of its own now, and the octet of RangeInUseError a comment. The choice is unchanged.

--- a/soak/internal/fleet/address_range.go
+++ b/soak/internal/fleet/address_range.go
@@ -7,8 +7,8 @@
 	"syscall"
 )
 
-// Octets among which a free range of addresses is searched. The ranges below are left
-// to other uses of the machine.
+// Second octets of the ranges among which reserveRange looks for a free one. The ranges
+// below are left to other uses of the machine.
 const (
 	firstOctet = 40
 	lastOctet  = 239
@@ -16,7 +16,7 @@
 
 // A RangeInUseError reports that another fleet uses the requested range of addresses.
 type RangeInUseError struct {
-	Octet int
+	Octet int // Octet is the second octet of the range.
 }
 
 // Error implements error.
@@ -35,12 +35,11 @@
 		}
 		return listener, octet, err
 	}
-	for octet := firstOctet; octet <= lastOctet; octet++ {
-		listener, err := listenForStore(octet)
-		if errors.Is(err, syscall.EADDRINUSE) {
-			continue
+	for candidate := firstOctet; candidate <= lastOctet; candidate++ {
+		listener, err := listenForStore(candidate)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, candidate, err
 		}
-		return listener, octet, err
 	}
 	return nil, 0, fmt.Errorf("all address ranges from %s to %s are in use", addressRange(firstOctet), addressRange(lastOctet))
 }
@@ -50,8 +49,8 @@
 	return net.Listen("tcp", address(octet, 0, 1, storePort))
 }
 
-// address returns an address in the range with the given second octet. Fleet.address
-// describes the groups.
+// address returns an address in the range with the given second octet. See Fleet.address
+// for the groups.
 func address(octet, group, i, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", octet, group, i, port)
 }
