Clarify the names and order of the hard load parts of the replay

The start of the clock was a bare second in seven places, an expression for the entry of a zone stood inside the arrival of jobs, WatchShares scheduled itself through a second function, LoadCurve was in the file of failures, a loop variable hid the package interference, and fields were out of order. There is a constant startTime, drawEntryOf and checkShares; comments that were hard to follow are rewritten. The waves of three zones with steps of 0.8 radians add up to 0.80 of the amplitude, not 0.81.

Result.Add left out InvalidEstimates; TestAddInvalidEstimates failed before.

--- a/replay/attempts.go
+++ b/replay/attempts.go
@@ -7,11 +7,11 @@
 	"github.com/pollenfront/pollenfront"
 )
 
-// Runs that fail by a failure rate do so minFailTime to minFailTime + failTimeRange after
-// their start.
+// Runs that fail on a server with a failure rate do so minFailTime to minFailTime +
+// failTimeRange after their start.
 const (
-	minFailTime   = 5 * time.Millisecond
 	failTimeRange = 25 * time.Millisecond
+	minFailTime   = 5 * time.Millisecond
 )
 
 // FailRuns makes a share of the runs that a server starts during some time fail, shortly
@@ -28,19 +28,6 @@
 	})
 }
 
-// LoadCurve submits jobs like Load, at rates that follow a curve around the given multiple of
-// the kinds' rates. It approximates the curve by steps.
-func (f *Fleet) LoadCurve(kinds []Kind, from, until time.Duration, factor float64, curve func(at time.Duration) float64) {
-	const step = 250 * time.Millisecond
-	for at := from; at < until; at += step {
-		f.scheduleAt(at, func() {
-			for _, kind := range kinds {
-				f.scheduleArrival(kind, f.now+min(step, until-at), kind.Rate*factor*curve(at))
-			}
-		})
-	}
-}
-
 // drawFailure draws whether a new run fails, and after which time.
 func (s *serverNode) drawFailure() (after time.Duration, fails bool) {
 	share := s.fleet.settings.FailShare + s.failShare
@@ -67,9 +54,10 @@
 }
 
 // couldRun reports whether an agent's server could run a task in time instead of the one
-// that it was just started on. It must have no failure rate, be linked to the entry of the
-// job, and have had room that no queued task needs for so long that the entry could know
-// it: the report of a run's end and the start each travel over two hops.
+// that it was just started on. The server must have no failure rate, be linked to the entry
+// of the job, and have free capacity that no queued task needs. No run may have ended
+// there so recently that the entry could not know of it: the report of the end and the
+// start each travel over two hops.
 func (a *agentNode) couldRun(id pollenfront.TaskID) bool {
 	f, s := a.fleet, a.server
 	j := f.jobs[id.Job]
--- a/replay/attempts_test.go
+++ b/replay/attempts_test.go
@@ -74,7 +74,7 @@
 	tests := []struct {
 		name         string
 		failing      func(i int) bool
-		failedBefore int // failedBefore is the number of failed jobs without package attempts.
+		failedBefore int // failedBefore is the number of failed jobs before package attempts, of which the target is a tenth.
 	}{
 		{name: "6 of 73 servers", failing: func(i int) bool { return i%12 == 5 }, failedBefore: 10},
 		{name: "all of a zone", failing: func(i int) bool { return i%3 == 1 }, failedBefore: 244},
@@ -133,7 +133,8 @@
 			delete(good.Submitted, "extra")
 			c.Check(bad.OnTimeShare() >= good.OnTimeShare()-0.02, qt.IsTrue, qt.Commentf("%.4f, %.4f", bad.OnTimeShare(), good.OnTimeShare()))
 			c.Check(bad.Failed["extra"] > 0, qt.IsTrue)
-			// Three runs on a slow server, each with the longest wait there and the way.
+			// Three runs of 55 ms on a server of factor 1.2, each with a wait of 40 ms there and
+			// 15 ms for the way.
 			c.Check(wait <= 3*(66+40+15)*time.Millisecond, qt.IsTrue)
 		})
 	}
--- a/replay/capacity_test.go
+++ b/replay/capacity_test.go
@@ -50,7 +50,8 @@
 
 // TestUnenforcedCapacity guards against overrunning a server that does not enforce its
 // capacity. Such a server rejects nothing, so nothing may be learned from its answers but
-// that it accepts all. Agents restart under an overload, since theirs is then lost.
+// that it accepts all. Agents restart under an overload, since their accounting of the runs
+// on the server is then lost.
 func TestUnenforcedCapacity(t *testing.T) {
 	c := qt.New(t)
 	result := simulateSeeds(replay.Pattern{Duration: 14 * time.Second, Settings: replay.SmallFleet, Setup: func(f *replay.Fleet) {
--- a/replay/central_queue.go
+++ b/replay/central_queue.go
@@ -34,7 +34,7 @@
 // submit enqueues a new job and dispatches at once. It dispatches again when the latest
 // start has passed, to refuse the job if it still waits.
 func (q *centralQueue) submit(j *callerJob) {
-	// A job with a slow task that no server finishes on time is refused at once.
+	// The slowest task decides: if no server finishes it on time, the job is refused at once.
 	fastestRunTime := time.Duration(float64(j.work) * q.fleet.maxTaskFactor(j) * slices.Min(q.fleet.settings.RunTimeFactors))
 	c := &centralJob{callerJob: j, latestStart: j.due() - fastestRunTime, unfinished: j.taskCount, unstarted: j.taskCount}
 	q.enqueue(c)
--- a/replay/demand.go
+++ b/replay/demand.go
@@ -65,10 +65,10 @@
 
 // Parameters of DemandWave.
 const (
-	// smallEntryWeight is the weight of the small entry.
-	smallEntryWeight = 0.1
 	// demandWaveAmplitude makes the demand at the peak four times that at the trough.
 	demandWaveAmplitude = 0.6
+	// smallEntryWeight is the demand of the small entry as a share of that of the others.
+	smallEntryWeight = 0.1
 )
 
 // DemandWave makes the demand at the entries differ by up to four to one, in a wave that
@@ -77,7 +77,7 @@
 func (f *Fleet) DemandWave() {
 	n := len(f.entries)
 	f.entryWeight = func(now time.Duration, entry int) float64 {
-		phase := (now-time.Second).Seconds()/wavePeriod.Seconds() - float64(entry)/float64(n)
+		phase := (now-startTime).Seconds()/wavePeriod.Seconds() - float64(entry)/float64(n)
 		weight := 1 + demandWaveAmplitude*math.Cos(2*math.Pi*phase)
 		if entry == n-1 {
 			weight *= smallEntryWeight
@@ -116,24 +116,20 @@
 // shareCheckInterval is the time between two checks of WatchShares.
 const shareCheckInterval = 25 * time.Millisecond
 
-// WatchShares records a violation whenever the shares that entries count on exceed the
-// capacity of a server, or when none counts on a server.
+// WatchShares checks the shares at regular intervals.
 func (f *Fleet) WatchShares(from, until time.Duration) {
-	f.checkShares(from)
-	if from < until {
-		f.scheduleAt(from, func() { f.WatchShares(from+shareCheckInterval, until) })
+	for at := from; at <= until; at += shareCheckInterval {
+		f.scheduleAt(at, f.checkShares)
 	}
 }
 
-// checkShares records a violation if the shares of a server exceed its capacity or add up
-// to nothing at the given time.
-func (f *Fleet) checkShares(at time.Duration) {
-	f.scheduleAt(at, func() {
-		held := f.heldShares()
-		for _, a := range f.agents {
-			if sum, capacity := held[a.name], a.server.capacity.CPU; sum > capacity || sum == 0 {
-				f.recordViolation("the shares of the server of %s add up to %d of %d", a.name, sum, capacity)
-			}
+// checkShares records a violation if the shares that entries count on exceed the capacity
+// of a server, or if none counts on a server.
+func (f *Fleet) checkShares() {
+	held := f.heldShares()
+	for _, a := range f.agents {
+		if sum, capacity := held[a.name], a.server.capacity.CPU; sum > capacity || sum == 0 {
+			f.recordViolation("the shares of the server of %s add up to %d of %d", a.name, sum, capacity)
 		}
-	})
+	}
 }
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -29,28 +29,28 @@
 
 // Settings describe a fleet.
 type Settings struct {
-	CellOnly            bool                // CellOnly keeps agents from linking to overloaded entries beyond their cells.
-	Agents              int                 // Agents is the number of agents, each with one server.
-	Chooser             pollenfront.Chooser // Chooser is placement.EarliestFinish by default.
-	Clairvoyant         bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
-	DelayedRequestShare float64             // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
-	DemandShares        bool                // DemandShares makes shares of servers follow demand. They are equal by default.
-	Entries             int
+	Agents      int                 // Agents is the number of agents, each with one server.
+	CellOnly    bool                // CellOnly keeps agents from linking to overloaded entries beyond their cells.
+	Chooser     pollenfront.Chooser // Chooser is placement.EarliestFinish by default.
+	Clairvoyant bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
 	// CorruptEstimates changes the updates of an agent on their way. It may be nil.
-	CorruptEstimates func(agent int, update *tasklink.Update)
-	FailShare        float64        // FailShare is the share of all runs that fail on their own, shortly after their start.
-	FairShares       bool           // FairShares enables the entries' setting fair-shares.
-	FullMesh         bool           // FullMesh makes each agent link to all entries, instead of those of its cell.
-	Interference     []Interference // Interference is planted between kinds. A clairvoyant fleet has none.
-	InterferenceMode pollenfront.InterferenceMode
-	OneWayDelay      time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
-	RecordHistory    bool          // RecordHistory fills Result.History.
-	RecordStrictness bool          // RecordStrictness fills Result.Strictness.
-	RetryRefused     bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
-	RunTimeFactors   []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
-	Seed             uint64
-	SlowTaskShare    float64 // SlowTaskShare is the share of tasks that take slowTaskFactor times as long as the work of their job.
-	Zones            int     // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
+	CorruptEstimates    func(agent int, update *tasklink.Update)
+	DelayedRequestShare float64 // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
+	DemandShares        bool    // DemandShares makes shares of servers follow demand. They are equal by default.
+	Entries             int
+	FailShare           float64        // FailShare is the share of all runs that fail on their own, shortly after their start.
+	FairShares          bool           // FairShares enables the entries' setting fair-shares.
+	FullMesh            bool           // FullMesh makes each agent link to all entries, instead of those of its cell.
+	Interference        []Interference // Interference is injected between kinds. A clairvoyant fleet has none.
+	InterferenceMode    pollenfront.InterferenceMode
+	OneWayDelay         time.Duration // OneWayDelay is the network delay between an entry and an agent. It is 1 ms by default.
+	RecordHistory       bool          // RecordHistory fills Result.History.
+	RecordStrictness    bool          // RecordStrictness fills Result.Strictness.
+	RetryRefused        bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
+	RunTimeFactors      []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
+	Seed                uint64
+	SlowTaskShare       float64 // SlowTaskShare is the share of tasks that take slowTaskFactor times as long as the work of their job.
+	Zones               int     // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
 }
 
 // Parameters of the model. The network delays are one way.
@@ -62,12 +62,13 @@
 	redialDelay          = 80 * time.Millisecond
 	requestDelayRange    = 10 * time.Second // requestDelayRange is the difference between the longest and the shortest delay.
 	resubmitDelay        = 1300 * time.Millisecond
-	serverCPU            = 64000  // serverCPU is in thousandths of a core.
-	serverMemory         = 131072 // serverMemory is in mebibytes.
-	worstSecondCount     = 3      // worstSecondCount is the number of seconds that ValueShares averages as the worst ones.
+	serverCPU            = 64000       // serverCPU is in thousandths of a core.
+	serverMemory         = 131072      // serverMemory is in mebibytes.
+	startTime            = time.Second // startTime is the time of the clock at the start of a simulation.
+	worstSecondCount     = 3           // worstSecondCount is the number of seconds that ValueShares averages as the worst ones.
 )
 
-// A Fleet is a simulated fleet. Its clock starts at one second.
+// A Fleet is a simulated fleet. Its clock starts at startTime.
 type Fleet struct {
 	activeRuns       map[pollenfront.TaskID]*serverRun
 	agents           []*agentNode
@@ -75,6 +76,7 @@
 	crashCounts      map[pollenfront.TaskID]*crashCount
 	earlyCancelShare float64 // earlyCancelShare is the share of new jobs whose callers leave before the answer is due.
 	entries          []*entryNode
+	entryWeight      func(now time.Duration, entry int) float64 // entryWeight is the weight of an entry when callers choose one, or nil if all are alike.
 	events           events
 	faultyServers    int                 // faultyServers is the number of servers with a failure rate.
 	heldMessages     map[[2]int][]func() // heldMessages are the messages held up by a partition, by entry and agent.
@@ -82,8 +84,7 @@
 	lastSeqNum       uint64     // lastSeqNum numbers events and link epochs.
 	loadRandom       *rand.Rand // loadRandom is used only for the load, so that all fleets with the same seed get the same jobs.
 	now              time.Duration
-	partitions       map[[2]int]int                             // partitions counts the faults that partition an entry from an agent.
-	entryWeight      func(now time.Duration, entry int) float64 // entryWeight is the weight of an entry when callers choose one, or nil if all are alike.
+	partitions       map[[2]int]int // partitions counts the faults that partition an entry from an agent.
 	random           *rand.Rand
 	result           Result
 	settings         Settings
@@ -137,8 +138,8 @@
 	}
 }
 
-// Add adds the counts, values and violations of another result. The zero Result can
-// be added to.
+// Add adds the counts, values and violations of another result, but neither its history
+// nor its findings of interference and strictness. The zero Result can be added to.
 func (r *Result) Add(other Result) {
 	if r.OnTime == nil {
 		*r = newResult()
@@ -163,15 +164,16 @@
 	r.addEntries(other)
 	r.CapacityRegained = append(r.CapacityRegained, other.CapacityRegained...)
 	r.Crashes += other.Crashes
+	r.FailedWait += other.FailedWait
+	r.FaultyStarts += other.FaultyStarts
+	r.InvalidEstimates += other.InvalidEstimates
 	r.MaxCrashes = max(r.MaxCrashes, other.MaxCrashes)
 	r.MaxRejectedStarts = max(r.MaxRejectedStarts, other.MaxRejectedStarts)
 	r.Messages += other.Messages
-	r.FailedWait += other.FailedWait
-	r.RepeatedStarts += other.RepeatedStarts
-	r.FaultyStarts += other.FaultyStarts
 	r.RefusalWait += other.RefusalWait
 	r.RefusedDespiteRoom += other.RefusedDespiteRoom
 	r.RejectedStarts += other.RejectedStarts
+	r.RepeatedStarts += other.RepeatedStarts
 	r.Starts += other.Starts
 	r.StartsInFaults += other.StartsInFaults
 	r.UsefulCoreSeconds += other.UsefulCoreSeconds
@@ -223,7 +225,7 @@
 	f := &Fleet{
 		activeRuns: make(map[pollenfront.TaskID]*serverRun), crashCounts: make(map[pollenfront.TaskID]*crashCount),
 		heldMessages: make(map[[2]int][]func()), jobs: make(map[string]*callerJob),
-		loadRandom: rand.New(rand.NewPCG(s.Seed, 2)), now: time.Second, partitions: make(map[[2]int]int), //nolint:gosec // A seed makes runs reproducible.
+		loadRandom: rand.New(rand.NewPCG(s.Seed, 2)), now: startTime, partitions: make(map[[2]int]int), //nolint:gosec // A seed makes runs reproducible.
 		random: rand.New(rand.NewPCG(s.Seed, 1)), result: newResult(), settings: s, //nolint:gosec // A seed makes runs reproducible.
 	}
 	if s.Clairvoyant {
@@ -244,7 +246,7 @@
 // Run simulates the fleet until the given time after the start and returns the result
 // up to then.
 func (f *Fleet) Run(until time.Duration) Result {
-	until += time.Second // The clock starts at one second.
+	until += startTime
 	for len(f.events) > 0 && f.events[0].at <= until {
 		e := heap.Pop(&f.events).(event) // The heap holds only events.
 		f.now = e.at
@@ -260,14 +262,19 @@
 	heap.Push(&f.events, event{at: f.now + d, do: do, seqNum: f.lastSeqNum})
 }
 
+// elapsed returns the time since the start of the simulation.
+func (f *Fleet) elapsed() time.Duration {
+	return f.now - startTime
+}
+
 // scheduleAt schedules a call of do at the given time after the start of the simulation.
 func (f *Fleet) scheduleAt(at time.Duration, do func()) {
-	f.schedule(at+time.Second-f.now, do)
+	f.schedule(at+startTime-f.now, do)
 }
 
 // recordViolation records that an invariant was violated.
 func (f *Fleet) recordViolation(format string, args ...any) {
-	f.result.Violations = append(f.result.Violations, fmt.Sprintf("%v: ", f.now-time.Second)+fmt.Sprintf(format, args...))
+	f.result.Violations = append(f.result.Violations, fmt.Sprintf("%v: ", f.elapsed())+fmt.Sprintf(format, args...))
 }
 
 // An event is a call at a time. Events at the same time run in the order of their
--- a/replay/fleet_test.go
+++ b/replay/fleet_test.go
@@ -130,3 +130,13 @@
 	}
 	qt.Assert(t, simulate(), qt.DeepEquals, simulate())
 }
+
+// TestAddInvalidEstimates guards against invalid estimates that are lost when the results of
+// several seeds are added up.
+func TestAddInvalidEstimates(t *testing.T) {
+	var sum replay.Result
+	for range 2 {
+		sum.Add(replay.Result{InvalidEstimates: 3})
+	}
+	qt.Assert(t, sum.InvalidEstimates, qt.Equals, 6)
+}
--- a/replay/hard_load.go
+++ b/replay/hard_load.go
@@ -13,11 +13,13 @@
 const (
 	// slowTaskFactor is how much longer a slow task takes than the rest of its kind.
 	slowTaskFactor = 7
-	slowTaskShare  = 0.03
-	waveAmplitude  = 0.55
-	wavePeriod     = 15 * time.Second
+	// slowTaskShare is the share of slow tasks.
+	slowTaskShare = 0.03
+	// waveAmplitude is the amplitude of the demand as a share of its mean.
+	waveAmplitude = 0.55
+	wavePeriod    = 15 * time.Second
 	// wavePhaseStep is the difference between the phases of the waves of two neighboring
-	// zones, in radians. The waves of three zones still add up to one of 0.81 of the
+	// zones, in radians. The waves of three zones still add up to one of 0.80 of the
 	// amplitude.
 	wavePhaseStep = 0.8
 )
@@ -66,7 +68,7 @@
 	for zone := range f.settings.Zones {
 		for _, kind := range kinds {
 			rate := kind.Rate * factor / float64(f.settings.Zones)
-			f.scheduleAt(from, func() { f.scheduleWaveArrival(kind, zone, f.now, until+time.Second, rate) })
+			f.scheduleAt(from, func() { f.scheduleWaveArrival(kind, zone, f.now, until+startTime, rate) })
 		}
 	}
 }
@@ -82,13 +84,20 @@
 		}
 		phase := 2*math.Pi*float64(f.now-from)/float64(wavePeriod) + wavePhaseStep*float64(zone)
 		if f.loadRandom.Float64()*(1+waveAmplitude) < 1+waveAmplitude*math.Sin(phase) {
-			entry := zone + f.settings.Zones*f.loadRandom.IntN((len(f.entries)-zone+f.settings.Zones-1)/f.settings.Zones)
+			entry := f.drawEntryOf(zone)
 			f.submitNewJob(kind, func() int { return entry })
 		}
 		f.scheduleWaveArrival(kind, zone, from, until, rate)
 	})
 }
 
+// drawEntryOf returns the index of an entry of a zone, which must have one.
+func (f *Fleet) drawEntryOf(zone int) int {
+	zones := f.settings.Zones
+	entriesInZone := (len(f.entries) - zone + zones - 1) / zones // Entry i is in zone i modulo zones.
+	return zone + zones*f.loadRandom.IntN(entriesInZone)
+}
+
 // taskFactor returns the factor by which a task takes longer than the work of its job. All
 // runs of a task have the same one.
 func (f *Fleet) taskFactor(j *callerJob, index int) float64 {
--- a/replay/hardload/settle_test.go
+++ b/replay/hardload/settle_test.go
@@ -83,9 +83,9 @@
 	}
 }
 
-// set registers or removes every tenth entry, and at least one. The links of a removed one
-// end at once.
-func (m *shareModel) set(registered bool) {
+// setRegistered registers or removes every tenth entry, and at least one. The links of a
+// removed one end at once.
+func (m *shareModel) setRegistered(registered bool) {
 	for e := 1; e < len(m.registered); e += 10 {
 		m.registered[e] = registered
 		for _, a := range m.agents {
@@ -220,7 +220,7 @@
 			m.run(settling)
 			for _, registered := range []bool{false, true} {
 				m.checkSettled()
-				m.set(registered)
+				m.setRegistered(registered)
 				m.run(settling)
 				m.checkSettled()
 				settled := m.links()
--- a/replay/interference.go
+++ b/replay/interference.go
@@ -17,7 +17,7 @@
 // the factor while a run of the other kind is on its server.
 type Interference struct {
 	Factor float64
-	Kinds  [2]string
+	Kinds  [2]string // Kinds are the names of the two kinds.
 }
 
 // interferenceOption returns the option that makes a scheduler work in the mode of the
@@ -36,9 +36,9 @@
 func (f *Fleet) recordInterference(effects *scheduler.Effects) {
 	for _, change := range effects.InterferenceChanges {
 		f.result.InterferenceChanges = append(f.result.InterferenceChanges, change)
-		f.result.ChangeTimes = append(f.result.ChangeTimes, f.now-time.Second)
+		f.result.ChangeTimes = append(f.result.ChangeTimes, f.elapsed())
 		if _, ok := f.result.FirstFindings[change.Pair]; !ok && !change.Dropped {
-			f.result.FirstFindings[change.Pair] = f.now - time.Second
+			f.result.FirstFindings[change.Pair] = f.elapsed()
 		}
 	}
 	for _, invalid := range effects.InvalidEstimates {
@@ -46,7 +46,7 @@
 	}
 }
 
-// corruptUpdate replaces the estimates in an update, if its agent is to send invalid ones.
+// corruptUpdate lets Settings.CorruptEstimates change an update of an agent.
 func (f *Fleet) corruptUpdate(agent int, update *tasklink.Update) {
 	if f.settings.CorruptEstimates != nil {
 		f.settings.CorruptEstimates(agent, update)
@@ -57,10 +57,10 @@
 func (s *serverNode) progressFactor(r *serverRun) float64 {
 	kind := s.fleet.jobs[r.id.Job].kind.Name
 	factor := 1.0
-	for _, interference := range s.fleet.settings.Interference {
-		for side, name := range interference.Kinds {
-			if name == kind && s.kindCounts[interference.Kinds[1-side]] > 0 {
-				factor *= interference.Factor
+	for _, injected := range s.fleet.settings.Interference {
+		for side, name := range injected.Kinds {
+			if name == kind && s.kindCounts[injected.Kinds[1-side]] > 0 {
+				factor *= injected.Factor
 			}
 		}
 	}
@@ -116,7 +116,7 @@
 	s.adaptProgress(r)
 }
 
-// interferedPercent returns the progress of a run in percent.
+// interferedPercent returns the progress of a run in percent, with what interference has cost.
 func (r *serverRun) interferedPercent(now time.Duration) int {
 	remaining := r.remaining - time.Duration(float64(now-r.adapted)/r.factor)
 	return int(100 * (r.runTime - remaining) / r.runTime)
--- a/replay/load.go
+++ b/replay/load.go
@@ -56,13 +56,13 @@
 	entry     int  // entry is the index of the entry of the last submission.
 	estimate  time.Duration
 	id        string
-	origin    int // origin is the index of the entry of the first submission.
 	kind      Kind
-	submitted int                   // submitted is the position of the last submission in the history.
 	need      pollenfront.Resources // need is the need of each task.
+	origin    int                   // origin is the index of the entry of the first submission.
 	outcome   outcome
 	retried   bool // retried is set when the job was refused and its caller retries it.
 	started   bool // started is set when a task has started since the last submission.
+	submitted int  // submitted is the position of the last submission in the history.
 	taskCount int
 	timeLimit time.Duration
 	work      time.Duration // work is the run time of each task on a server with the run time factor 1.
@@ -72,7 +72,20 @@
 // of their rates.
 func (f *Fleet) Load(kinds []Kind, from, until time.Duration, factor float64) {
 	for _, kind := range kinds {
-		f.scheduleAt(from, func() { f.scheduleArrival(kind, until+time.Second, kind.Rate*factor) })
+		f.scheduleAt(from, func() { f.scheduleArrival(kind, until+startTime, kind.Rate*factor) })
+	}
+}
+
+// LoadCurve submits jobs like Load, at rates that follow a curve around the given multiple of
+// the kinds' rates. It approximates the curve by steps.
+func (f *Fleet) LoadCurve(kinds []Kind, from, until time.Duration, factor float64, curve func(at time.Duration) float64) {
+	const step = 250 * time.Millisecond
+	for at := from; at < until; at += step {
+		f.scheduleAt(at, func() {
+			for _, kind := range kinds {
+				f.scheduleArrival(kind, f.now+min(step, until-at), kind.Rate*factor*curve(at))
+			}
+		})
 	}
 }
 
--- a/replay/server.go
+++ b/replay/server.go
@@ -26,7 +26,7 @@
 	fleet               *Fleet
 	hanging             bool // hanging makes new runs hang: they make no progress and do not end by themselves.
 	incarnation         uint64
-	kindCounts          map[string]int // kindCounts holds the number of runs by kind, if interference is planted.
+	kindCounts          map[string]int // kindCounts holds the number of runs by kind, if interference is injected.
 	lastEnd             time.Duration  // lastEnd is the time when a run last ended.
 	lastSeqNum          uint64         // lastSeqNum is the sequence number of the last ended run.
 	leaseExpiry         time.Duration  // leaseExpiry is the time when all runs end, unless the lease is extended.
@@ -46,12 +46,12 @@
 // A serverRun is a run on a server.
 type serverRun struct {
 	adapted   time.Duration // adapted is when factor last changed.
-	end       func()        // end ends the run. It is nil unless interference is planted.
+	end       func()        // end ends the run. It is nil unless interference is injected.
 	endEpoch  int           // endEpoch numbers the scheduled ends, of which only the last counts.
 	ended     bool
-	factor    float64       // factor is the present factor of interference.
-	remaining time.Duration // remaining is the run time without interference that was left when factor last changed.
+	factor    float64 // factor is the present factor of interference.
 	id        pollenfront.RunID
+	remaining time.Duration // remaining is the run time without interference that was left when factor last changed.
 	runTime   time.Duration // runTime is zero for a run that makes no progress.
 	server    *serverNode
 	startedAt time.Duration
