Check that each finding is made again after restarts

A reader noted that TestInterferenceRestarts would pass if another pair was found first after the restart.

--- a/replay/hardload/interference_test.go
+++ b/replay/hardload/interference_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/interference"
 	"github.com/pollenfront/pollenfront/replay"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
@@ -128,20 +129,22 @@
 			}
 		}
 		r := f.Run(35 * time.Second)
-		before, dropped, after := 0, 0, 0
+		before, after, dropped := make(map[interference.Pair]bool), make(map[interference.Pair]bool), 0
 		for i, change := range r.InterferenceChanges {
 			switch {
 			case change.Dropped:
 				dropped++
 			case r.ChangeTimes[i] < 15*time.Second:
-				before++
+				before[change.Pair] = true
 			default:
-				after++
+				after[change.Pair] = true
 			}
 		}
-		t.Logf("%s: %d findings before, %d dropped, %d after", name, before, dropped, after)
-		qt.Check(t, before > 0, qt.IsTrue)
-		qt.Check(t, after > 0, qt.IsTrue, qt.Commentf("%s", name))
+		t.Logf("%s: found before %v, %d dropped, found after %v", name, before, dropped, after)
+		qt.Check(t, len(before) > 0, qt.IsTrue)
+		for pair := range before {
+			qt.Check(t, after[pair], qt.IsTrue, qt.Commentf("%s: %v was not found again", name, pair))
+		}
 		qt.Check(t, r.Violations, qt.HasLen, 0)
 	}
 }
