Send no copy of the configuration back to its source

Found by a reader: an entry that had taken the configuration from agents sent it to the same agents again. A link now knows the version that came over it. TestNoCopyToItsSource failed before.

--- a/entry/internal/jobs/config_test.go
+++ b/entry/internal/jobs/config_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/scheduler"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -60,3 +61,20 @@
 		c.Assert(float64((copies()-1)*size) <= copyRate*(elapsed.Seconds()+0.04), qt.IsTrue)
 	}
 }
+
+// TestNoCopyToItsSource guards against sending a configuration back to the agent from which the
+// entry has it.
+func TestNoCopyToItsSource(t *testing.T) {
+	c := qt.New(t)
+	j := New(tasklink.Hello{Incarnation: 1, Name: "entry-1", Version: tasklink.Version, Zone: "west"}, nil, prometheus.NewRegistry(), zap.NewNop())
+	linkDiscardingAgent(t, j, time.Minute, "source")
+	linkDiscardingAgent(t, j, time.Minute, "other")
+	config := &pollenfront.Config{Version: 7}
+	j.handleUpdate(j.links["source"], &tasklink.Update{Config: config})
+	j.config.Store(config)
+	next := j.nextCopy
+	j.links["other"].configVersion = config.Version
+	j.sendCopies(2 * time.Minute)
+	c.Assert(j.links["source"].configVersion, qt.Equals, config.Version)
+	c.Assert(j.nextCopy-max(next, 2*time.Minute-scheduler.TickInterval), qt.Equals, time.Duration(0), qt.Commentf("a copy was sent"))
+}
--- a/entry/internal/jobs/link.go
+++ b/entry/internal/jobs/link.go
@@ -152,8 +152,11 @@
 		return
 	}
 	now := bootclock.Now()
-	if update.Config != nil && !j.storeRead {
-		j.offerConfig(now, update.Config)
+	if update.Config != nil {
+		link.configVersion = update.Config.Version
+		if !j.storeRead {
+			j.offerConfig(now, update.Config)
+		}
 	}
 	j.applyEffects(now, j.scheduler.HandleUpdate(now, link.hello.Name, update))
 }
