Log the evidence for the end of each run, and what contradicts it

Change: each end of a run names its evidence and the age of it; a run that the server lists after its end, and an incarnation that answers after it was taken for ended, are logged once and counted; so are detections of incarnations, and tasks that another entry sends again. No decision changes.

--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -133,6 +133,7 @@
 	for _, crash := range effects.Crashes {
 		d.recordCrash(crash)
 	}
+	d.recordConclusions(&effects)
 	d.recordInvalidDemands(effects.InvalidDemands)
 	for i := range effects.Ended {
 		d.recordRunEnd(&effects.Ended[i])
@@ -175,12 +176,13 @@
 // run that is reported to its entry, unless the job is sampled.
 func (d *Driver) recordRunEnd(e *executor.EndedRun) {
 	d.metrics.runsEnded.WithLabelValues(string(e.Ending)).Inc()
+	d.metrics.runEvidence.WithLabelValues(string(e.Evidence)).Inc()
 	if e.Ending == pollenfront.EndingDone && e.Reported && !observe.Sampled(e.Run.Job) {
 		return
 	}
 	d.logger.Info("run ended", zap.String("request", e.Run.Job), zap.Int("task", e.Run.Index), zap.Int("run", e.Run.Number),
 		zap.String("ending", string(e.Ending)), zap.String("reason", e.Reason), zap.Float64("seconds", e.Seconds), zap.String("entry", e.Entry),
-		zap.Bool("told", e.Reported))
+		zap.Bool("told", e.Reported), zap.String("evidence", string(e.Evidence)), zap.Float64("evidence-age", e.EvidenceAge.Seconds()))
 }
 
 // recordCrash counts a crash of the backend server and logs the runs that it may have
--- a/agent/internal/driver/metrics.go
+++ b/agent/internal/driver/metrics.go
@@ -4,10 +4,12 @@
 
 // metrics holds the Prometheus metrics of an agent.
 type metrics struct {
+	contradictions       *prometheus.CounterVec
 	crashedRuns          prometheus.Counter
 	effectiveCPURatio    prometheus.Gauge
 	invalidAnnouncements prometheus.Counter
 	invalidDemands       prometheus.Counter
+	runEvidence          *prometheus.CounterVec
 	runsEnded            *prometheus.CounterVec
 	serverCrashes        prometheus.Counter
 	startRequests        prometheus.Counter
@@ -18,6 +20,9 @@
 // newMetrics returns metrics that are registered with registry.
 func newMetrics(registry *prometheus.Registry) *metrics {
 	m := &metrics{
+		contradictions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollenfront_contradicted_conclusions_total", Help: "Conclusions that the backend server contradicted later, by the evidence that they rested on.",
+		}, []string{"evidence"}),
 		crashedRuns: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_crashed_runs_total", Help: "Runs that were on the backend server when it crashed.",
 		}),
@@ -30,6 +35,9 @@
 		invalidDemands: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_demands_ignored_total", Help: "Demands stated by entries that could not be used.",
 		}),
+		runEvidence: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollenfront_run_end_evidence_total", Help: "Runs that ended, by what showed that they were over.",
+		}, []string{"evidence"}),
 		runsEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_runs_ended_total", Help: "Runs that ended, by ending.",
 		}, []string{"ending"}),
@@ -47,7 +55,7 @@
 		}),
 	}
 	registry.MustRegister(
-		m.crashedRuns, m.effectiveCPURatio, m.runsEnded, m.invalidAnnouncements, m.invalidDemands, m.serverCrashes, m.startRequests, m.startsRejected, m.stopRequests,
+		m.contradictions, m.crashedRuns, m.effectiveCPURatio, m.runEvidence, m.runsEnded, m.invalidAnnouncements, m.invalidDemands, m.serverCrashes, m.startRequests, m.startsRejected, m.stopRequests,
 	)
 	return m
 }
--- a/executor/commands.go
+++ b/executor/commands.go
@@ -58,13 +58,15 @@
 			reason = x.taskRefusalReason(now, start, id.TaskID)
 		}
 		if reason != "" {
-			x.reportEnd(now, e, tasklink.RunEnd{Run: id, Ending: pollenfront.EndingNotStarted, Reason: reason}, effects)
+			end := tasklink.RunEnd{Run: id, Ending: pollenfront.EndingNotStarted, Reason: reason}
+			x.reportEnd(now, e, EndedRun{RunEnd: end, Entry: e.Name, Evidence: NoStartSent}, effects)
 			continue
 		}
 		r := &run{
 			acceptedAt: now, atMostOnce: start.AtMostOnce, entry: e, expectedRunTime: time.Duration(start.ExpectedRunTime), id: id,
 			latestStart: now + time.Duration(start.Slack), need: start.Need, payload: start.Payload, priority: clampPriority(start), rerun: task.Rerun, route: start.Route,
 		}
+		x.endings.recordRestart(now, e, id, effects)
 		x.runsByTask[id.TaskID] = r
 		x.acceptedRuns = append(x.acceptedRuns, r)
 		x.enqueue(r)
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -34,18 +34,18 @@
 func (x *Executor) detectCrash(now, sent time.Duration, err error, effects *Effects) {
 	if errors.Is(err, pollenfront.ErrUnreachable) && x.server.announced && sent > x.server.seenAt {
 		x.recordCrash(now, effects)
-		x.endCrashedRuns(now, sent, effects)
+		x.endCrashedRuns(now, proof{asOf: sent, kind: ConnectionRefused}, effects)
 	}
 }
 
 // endCrashedRuns ends the runs that were on the server when its process ended. These are
-// the ones whose last start was answered before the given time, at which that process was
+// the ones whose last start was answered before the time of the evidence, at which that process was
 // still up, or has ended before. A run with a start request that may still be carried out
 // is kept, since the next incarnation may get the request.
-func (x *Executor) endCrashedRuns(now, before time.Duration, effects *Effects) {
+func (x *Executor) endCrashedRuns(now time.Duration, shownBy proof, effects *Effects) {
 	for _, r := range slices.Clone(x.acceptedRuns) {
-		if r.state != queued && r.openStarts == 0 && r.startAnswered < before {
-			x.endRun(now, r, pollenfront.EndingLost, "the server crashed", effects)
+		if r.state != queued && r.openStarts == 0 && r.startAnswered < shownBy.asOf {
+			x.endRun(now, r, pollenfront.EndingLost, shownBy, "the server crashed", effects)
 		}
 	}
 }
@@ -57,7 +57,7 @@
 	if s.crashed {
 		return
 	}
-	s.crashed = true
+	s.crashed, s.crashedAt = true, now
 	crashedAt := now
 	if s.failingSince > 0 {
 		crashedAt = s.failingSince
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/tasklink"
@@ -12,12 +13,18 @@
 type Effects struct {
 	// Crashes lists the crashes of the server that were detected.
 	Crashes []ServerCrash
+	// Contradictions lists what contradicts an earlier conclusion, for the log.
+	Contradictions []Contradiction
 	// Ended lists the runs that ended, for the log.
 	Ended []EndedRun
+	// IncarnationChanges lists the incarnations of the server that were detected, for the log.
+	IncarnationChanges []IncarnationChange
 	// InvalidDemands lists the invalid demands that entries have stated.
 	InvalidDemands []InvalidDemand
 	// Notify lists the names of the entries that need an update now.
 	Notify []string
+	// Restarts lists the accepted tasks of which an earlier run is known, for the log.
+	Restarts []Restart
 	// Starts lists the start requests to send to the server.
 	Starts []pollenfront.StartRequest
 	// Stops lists the stop requests to send to the server.
@@ -30,6 +37,10 @@
 
 	// Entry is the name of the entry that sent the start command.
 	Entry string
+	// Evidence is what shows that the run is over.
+	Evidence Evidence
+	// EvidenceAge is the time since the evidence was taken.
+	EvidenceAge time.Duration
 	// Reported is whether the entry is linked, and so gets the end in an update.
 	Reported bool
 }
@@ -50,9 +61,12 @@
 
 // merge appends other effects.
 func (e *Effects) merge(other Effects) {
+	e.Contradictions = append(e.Contradictions, other.Contradictions...)
 	e.Crashes = append(e.Crashes, other.Crashes...)
 	e.Ended = append(e.Ended, other.Ended...)
+	e.IncarnationChanges = append(e.IncarnationChanges, other.IncarnationChanges...)
 	e.InvalidDemands = append(e.InvalidDemands, other.InvalidDemands...)
+	e.Restarts = append(e.Restarts, other.Restarts...)
 	e.Starts = append(e.Starts, other.Starts...)
 	e.Stops = append(e.Stops, other.Stops...)
 	for _, name := range other.Notify {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -102,9 +102,11 @@
 
 // reportEnd queues the end of a run for the next update to its entry, and keeps it
 // for an entry that links again.
-func (x *Executor) reportEnd(now time.Duration, e *entry, end tasklink.RunEnd, effects *Effects) {
+func (x *Executor) reportEnd(now time.Duration, e *entry, ended EndedRun, effects *Effects) {
+	end := ended.RunEnd
 	e.recentEnds = append(e.recentEnds, recentEnd{at: now, end: end})
-	effects.Ended = append(effects.Ended, EndedRun{RunEnd: end, Entry: e.Name, Reported: e.linked})
+	ended.Reported = e.linked
+	effects.Ended = append(effects.Ended, ended)
 	if e.linked {
 		e.pendingEnds = append(e.pendingEnds, end)
 		effects.notify(e.Name)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -165,6 +165,8 @@
 	disabledZones tasklink.DisabledZones
 	// draining is whether Drain was called, so that the agent takes no new tasks.
 	draining bool
+	// endings are the newest ends of runs, by task.
+	endings endings
 	// entries holds the known entries by name.
 	entries map[string]*entry
 	// interference measures how much runs slow each other down. It is nil if the setting
@@ -203,6 +205,7 @@
 	return &Executor{
 		agentZone:  zone,
 		crashes:    crashlog.New(),
+		endings:    make(endings),
 		entries:    make(map[string]*entry),
 		name:       name,
 		runsByTask: make(map[pollenfront.TaskID]*run),
@@ -251,6 +254,7 @@
 	x.stats.decay(now)
 	x.findOverloaded(now)
 	x.crashes.Expire(now)
+	x.endings.expire(now)
 	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
 		e := x.entries[name]
 		if e.silent(now) && !e.stoppedForSilence {
@@ -282,7 +286,7 @@
 	ended := false
 	for _, r := range slices.Clone(x.acceptedRuns) {
 		if r.state != queued {
-			x.endRun(now, r, pollenfront.EndingLost, "the lease has lapsed", effects)
+			x.endRun(now, r, pollenfront.EndingLost, proof{asOf: x.server.leaseExpiry, kind: LeaseExpired}, "the lease has lapsed", effects)
 			ended = true
 		}
 	}
--- a/executor/run.go
+++ b/executor/run.go
@@ -113,7 +113,7 @@
 	returned := x.queue
 	x.queue = nil
 	for _, r := range returned {
-		x.endRun(now, r, pollenfront.EndingNotStarted, reason, effects)
+		x.endRun(now, r, pollenfront.EndingNotStarted, proof{asOf: now, kind: NoStartSent}, reason, effects)
 	}
 }
 
@@ -138,7 +138,7 @@
 	switch r.state {
 	case queued:
 		x.queue = slices.DeleteFunc(x.queue, func(other *run) bool { return other == r })
-		x.endRun(now, r, pollenfront.EndingNotStarted, reason, effects)
+		x.endRun(now, r, pollenfront.EndingNotStarted, proof{asOf: now, kind: NoStartSent}, reason, effects)
 	case starting, running:
 		r.state, r.stopReason = stopping, reason
 		x.sendStop(now, r, effects)
@@ -191,9 +191,9 @@
 }
 
 // endRun removes a run and reports its end to its entry. The reason for which it was
-// stopped, if any, takes precedence over the given one. A later incarnation of the
-// entry gets no report.
-func (x *Executor) endRun(now time.Duration, r *run, ending pollenfront.Ending, reason string, effects *Effects) {
+// stopped, if any, takes precedence over the given one. shownBy is what shows that the run
+// is over. A later incarnation of the entry gets no report.
+func (x *Executor) endRun(now time.Duration, r *run, ending pollenfront.Ending, shownBy proof, reason string, effects *Effects) {
 	delete(x.runsByTask, r.id.TaskID)
 	x.acceptedRuns = slices.DeleteFunc(x.acceptedRuns, func(other *run) bool { return other == r })
 	if r.stopReason != "" {
@@ -210,11 +210,13 @@
 	if ending != pollenfront.EndingNotStarted {
 		x.recordRelease(now, r)
 	}
+	ended := EndedRun{RunEnd: end, Entry: r.entry.Name, Evidence: shownBy.kind, EvidenceAge: now - shownBy.asOf}
+	x.endings.record(now, r, ended)
 	if x.entries[r.entry.Name] != r.entry {
-		effects.Ended = append(effects.Ended, EndedRun{RunEnd: end, Entry: r.entry.Name})
+		effects.Ended = append(effects.Ended, ended)
 		return
 	}
-	x.reportEnd(now, r.entry, end, effects)
+	x.reportEnd(now, r.entry, ended, effects)
 }
 
 // HandleStopResponse handles the response to a stop request. clock is the server's
--- a/executor/server.go
+++ b/executor/server.go
@@ -20,8 +20,12 @@
 	// clockOffset is the server's clock minus the agent's.
 	clockOffset      time.Duration
 	clockOffsetKnown bool
+	// contradictedBy is the incarnation of the last Contradiction about the server.
+	contradictedBy uint64
 	// crashed is whether the process of this incarnation is known to have ended.
 	crashed bool
+	// crashedAt is when crashed was set.
+	crashedAt time.Duration
 	// draining is whether the server announced that it takes no new tasks.
 	draining bool
 	// failingSince is when a request failed without a response for the first time
@@ -56,7 +60,7 @@
 		return effects, false
 	}
 	if a.Incarnation > s.incarnation {
-		x.handleNewIncarnation(now, a.Incarnation, &effects)
+		x.handleNewIncarnation(now, a.Incarnation, FromAnnouncement, &effects)
 	}
 	before := x.State()
 	s.capacity.announce(a.Capacity)
@@ -91,7 +95,7 @@
 // are lost.
 func (x *Executor) HandleDeregistration(now time.Duration) Effects {
 	var effects Effects
-	x.endRunsAsLost(now, "the server has left", &effects)
+	x.endRunsAsLost(now, proof{asOf: now, kind: LeaveNotice}, "the server has left", &effects)
 	x.token++
 	x.server.announced = false
 	x.notifyAll(&effects)
@@ -102,13 +106,16 @@
 // returns the queued runs, and ends those that were certainly on the earlier incarnation.
 // Any other run may be on either, so it is stopped in the new one before its end is
 // reported.
-func (x *Executor) handleNewIncarnation(now time.Duration, incarnation uint64, effects *Effects) {
+func (x *Executor) handleNewIncarnation(now time.Duration, incarnation uint64, source IncarnationSource, effects *Effects) {
 	former := x.server
+	effects.IncarnationChanges = append(effects.IncarnationChanges, IncarnationChange{
+		Former: former.incarnation, FormerAge: now - former.lastRenewal, Incarnation: incarnation, Source: source,
+	})
 	if former.announced {
 		x.recordCrash(now, effects)
 	}
 	if former.incarnation != 0 {
-		x.endCrashedRuns(now, former.lastRenewal, effects)
+		x.endCrashedRuns(now, proof{asOf: former.lastRenewal, kind: NewIncarnation}, effects)
 	}
 	x.server = server{incarnation: incarnation, leaseExpiry: former.leaseExpiry, seenAt: now}
 	if former.incarnation == 0 {
@@ -129,10 +136,10 @@
 }
 
 // endRunsAsLost ends all started runs as lost, and returns the queued ones.
-func (x *Executor) endRunsAsLost(now time.Duration, reason string, effects *Effects) {
+func (x *Executor) endRunsAsLost(now time.Duration, shownBy proof, reason string, effects *Effects) {
 	for _, r := range slices.Clone(x.acceptedRuns) {
 		if r.state != queued {
-			x.endRun(now, r, pollenfront.EndingLost, reason, effects)
+			x.endRun(now, r, pollenfront.EndingLost, shownBy, reason, effects)
 		}
 	}
 	x.returnQueued(now, reason, effects)
@@ -180,11 +187,12 @@
 // HandleRenewal handles the response to a renewal that was sent at the given time.
 func (x *Executor) HandleRenewal(now, sent time.Duration, response *pollenfront.RenewalResponse) Effects {
 	var effects Effects
+	x.recordIncarnation(now, response.Incarnation, &effects)
 	if response.Incarnation < x.server.incarnation || sent < x.server.lastRenewal {
 		return effects // A newer response or announcement came first.
 	}
 	if response.Incarnation > x.server.incarnation {
-		x.handleNewIncarnation(now, response.Incarnation, &effects)
+		x.handleNewIncarnation(now, response.Incarnation, FromRenewal, &effects)
 	}
 	x.recordClock(now, response.Clock)
 	before := x.State()
@@ -196,7 +204,7 @@
 		}
 		x.server.lastSeqNum = ended.SeqNum
 		if r, ok := x.runsByTask[ended.Run.TaskID]; ok && r.id == ended.Run && r.state != queued {
-			x.endRun(now, r, ended.Ending, "", &effects)
+			x.endRun(now, r, ended.Ending, proof{asOf: sent, kind: EndListed}, "", &effects)
 		}
 	}
 	x.reconcile(now, sent, response.Running, &effects)
@@ -241,6 +249,7 @@
 		r, ok := x.runsByTask[reported.Run.TaskID]
 		if !ok || r.id != reported.Run || r.state == queued {
 			x.noUnknownRuns = false
+			x.endings.recordListed(now, sent, x.server.incarnation, reported.Run, effects)
 			effects.Stops = append(effects.Stops, StopRequest{Run: reported.Run, Token: x.token})
 			continue
 		}
@@ -258,9 +267,9 @@
 		}
 		switch {
 		case r.state == running && r.mustBeListed(sent):
-			x.endRun(now, r, pollenfront.EndingLost, "the server does not know it any more", effects)
+			x.endRun(now, r, pollenfront.EndingLost, proof{asOf: sent, kind: Unlisted}, "the server does not know it any more", effects)
 		case r.state == stopping && r.stopConfirmed != 0 && r.stopConfirmed < sent:
-			x.endRun(now, r, r.stoppedEnding(), r.stopReason, effects)
+			x.endRun(now, r, r.stoppedEnding(), proof{asOf: sent, kind: StoppedAndUnlisted}, r.stopReason, effects)
 		}
 	}
 }
--- a/executor/start.go
+++ b/executor/start.go
@@ -31,7 +31,7 @@
 		x.queue = x.queue[1:]
 		if r.entry.silent(now) {
 			x.endProbe(r)
-			x.endRun(now, r, pollenfront.EndingNotStarted, entrySilent, effects)
+			x.endRun(now, r, pollenfront.EndingNotStarted, proof{asOf: now, kind: NoStartSent}, entrySilent, effects)
 			continue
 		}
 		inUse = inUse.Add(r.need)
@@ -89,7 +89,7 @@
 	case r.startAttempts > 1:
 		x.handleRefusedRetry(now, r, err, &effects)
 	case r.state == stopping:
-		x.endRun(now, r, pollenfront.EndingNotStarted, r.stopReason, &effects)
+		x.endRun(now, r, pollenfront.EndingNotStarted, proof{asOf: now, kind: StartRefused}, r.stopReason, &effects)
 	default:
 		x.handleRefusedStart(now, r, err, &effects)
 	}
@@ -201,7 +201,7 @@
 	if errors.Is(err, pollenfront.ErrRejected) {
 		ending = pollenfront.EndingFailed
 	}
-	x.endRun(now, r, ending, err.Error(), effects)
+	x.endRun(now, r, ending, proof{asOf: now, kind: StartRefused}, err.Error(), effects)
 }
 
 // tokenIncrement is added to the fencing token when the server has seen a higher one.
--- a/executor/start_evidence.go
+++ b/executor/start_evidence.go
@@ -91,7 +91,7 @@
 			x.queue = append(x.queue, last)
 			return
 		}
-		x.endRun(now, last, pollenfront.EndingNotStarted, "the server is full", effects)
+		x.endRun(now, last, pollenfront.EndingNotStarted, proof{asOf: now, kind: NoStartSent}, "the server is full", effects)
 	}
 }
 
