--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -247,7 +247,7 @@
 		d.logger.Info("stop not done", zap.String("request", request.Run.Job), zap.Int("task", request.Run.Index),
 			zap.Int("run", request.Run.Number), zap.Error(err))
 	}
-	d.executor.HandleStopResponse(bootclock.Now(), request.Run, clock, err)
+	d.executor.HandleStopResponse(bootclock.Now(), request, clock, err)
 }
 
 // Drain returns the queued tasks to their entries and refuses new ones. It then
--- a/executor/crash_test.go
+++ b/executor/crash_test.go
@@ -80,7 +80,7 @@
 	c.Assert(reportedEndings(x, at(60)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingLost})
 	x.HandleAnnouncement(at(3000), pollenfront.Announcement{Capacity: pollenfront.Resources{CPU: 12000}, Clock: time.Second, Incarnation: 2, SeqNum: 1, Zone: "west"})
 	c.Assert(reportedEndings(x, at(3000)), qt.HasLen, 0)
-	x.HandleStopResponse(at(3010), runID(1), 0, nil)
+	x.HandleStopResponse(at(3010), executor.StopRequest{Incarnation: 2, Run: runID(1)}, 0, nil)
 	x.HandleRenewal(at(3030), at(3020), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 2})
 	c.Assert(reportedEndings(x, at(3030)), qt.DeepEquals, map[int]pollenfront.Ending{1: pollenfront.EndingStopped})
 }
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -55,8 +55,10 @@
 
 // A StopRequest tells the server to stop a run, or not to start it.
 type StopRequest struct {
-	Run   pollenfront.RunID
-	Token uint64
+	// Incarnation is the incarnation of the server that the request is meant for.
+	Incarnation uint64
+	Run         pollenfront.RunID
+	Token       uint64
 }
 
 // merge appends other effects.
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -170,12 +170,12 @@
 	for ms := 35; len(effects.Stops) == 0 && ms < 200; ms += 15 {
 		effects = x.HandleStartResponse(at(ms), pollenfront.StartRequest{Run: runID(0)}, 0, context.DeadlineExceeded)
 	}
-	c.Assert(effects.Stops, qt.DeepEquals, []executor.StopRequest{{Run: runID(0), Token: 10}})
+	c.Assert(effects.Stops, qt.DeepEquals, []executor.StopRequest{{Incarnation: 1, Run: runID(0), Token: 10}})
 	c.Assert(reportedEndings(x, at(200)), qt.HasLen, 0)
 	response := &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1}
 	x.HandleRenewal(at(210), at(190), response)
 	c.Assert(reportedEndings(x, at(210)), qt.HasLen, 0)
-	x.HandleStopResponse(at(220), runID(0), 0, nil)
+	x.HandleStopResponse(at(220), effects.Stops[0], 0, nil)
 	x.HandleRenewal(at(230), at(210), response)
 	c.Assert(reportedEndings(x, at(230)), qt.HasLen, 0)
 	x.HandleRenewal(at(240), at(225), response)
@@ -293,7 +293,7 @@
 		{Ending: pollenfront.EndingDone, Run: runID(0), SeqNum: 7},
 	}})
 	c.Assert(x.NextRenewal(at(11)).AcknowledgedSeqNum, qt.Equals, uint64(7))
-	x.HandleStopResponse(at(999), runID(0), 0, nil) // This response does not show which incarnation sent it.
+	x.HandleStopResponse(at(999), executor.StopRequest{Incarnation: 1, Run: runID(0)}, 0, nil) // This response does not show which incarnation sent it.
 	c.Assert(x.NextRenewal(at(1000)).AcknowledgedSeqNum, qt.Equals, uint64(0))
 	x.HandleRenewal(at(1010), at(1005), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1})
 	c.Assert(x.NextRenewal(at(1011)).AcknowledgedSeqNum, qt.Equals, uint64(7))
--- a/executor/run.go
+++ b/executor/run.go
@@ -149,7 +149,12 @@
 // sendStop sends a request to stop a run.
 func (x *Executor) sendStop(now time.Duration, r *run, effects *Effects) {
 	r.lastStopSent = now
-	effects.Stops = append(effects.Stops, StopRequest{Run: r.id, Token: x.token})
+	effects.Stops = append(effects.Stops, x.stopRequest(r.id))
+}
+
+// stopRequest returns a request to stop a run on the current incarnation of the server.
+func (x *Executor) stopRequest(id pollenfront.RunID) StopRequest {
+	return StopRequest{Incarnation: x.server.incarnation, Run: id, Token: x.token}
 }
 
 // stopSlowRuns stops runs that make no progress, and first runs of tasks that are
@@ -222,7 +227,7 @@
 // HandleStopResponse handles the response to a stop request. clock is the server's
 // clock, or zero if it is not known. err is nil if the server confirmed the stop; on
 // any error, a later Tick repeats the stop.
-func (x *Executor) HandleStopResponse(now time.Duration, id pollenfront.RunID, clock time.Duration, err error) {
+func (x *Executor) HandleStopResponse(now time.Duration, request StopRequest, clock time.Duration, err error) {
 	x.recordClock(now, clock)
 	x.recordResponse(now, err)
 	if errors.Is(err, pollenfront.ErrFenced) {
@@ -231,6 +236,7 @@
 	if err != nil {
 		return
 	}
+	id := request.Run
 	if r, ok := x.runsByTask[id.TaskID]; ok && r.id == id && r.state == stopping {
 		r.stopConfirmed = now
 	}
--- a/executor/server.go
+++ b/executor/server.go
@@ -250,7 +250,7 @@
 		if !ok || r.id != reported.Run || r.state == queued {
 			x.noUnknownRuns = false
 			x.endings.recordListed(now, sent, x.server.incarnation, reported.Run, effects)
-			effects.Stops = append(effects.Stops, StopRequest{Run: reported.Run, Token: x.token})
+			effects.Stops = append(effects.Stops, x.stopRequest(reported.Run))
 			continue
 		}
 		if !r.started || r.percent != reported.Percent {
--- a/executor/slow_server_test.go
+++ b/executor/slow_server_test.go
@@ -103,7 +103,7 @@
 func (m *slowServerModel) stopRuns(effects executor.Effects) {
 	for _, stop := range effects.Stops {
 		delete(m.running, stop.Run.Index)
-		m.executor.HandleStopResponse(m.now, stop.Run, m.now, nil)
+		m.executor.HandleStopResponse(m.now, stop, m.now, nil)
 	}
 }
 
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -102,7 +102,7 @@
 	}
 	for _, request := range effects.Stops {
 		a.callServer(executor.StopTimeout, func() error { return a.server.stop(request.Run, request.Token) }, func(err error) {
-			a.executor.HandleStopResponse(a.fleet.now, request.Run, a.fleet.now, err)
+			a.executor.HandleStopResponse(a.fleet.now, request, a.fleet.now, err)
 		})
 	}
 	for _, name := range effects.Notify {
