Bound the lease of a server by each run's right to run

Callers saw: a task could run on two servers at once when its entry was killed, suspended or had canceled the job while stops were lost or carried out late. The caller submitted again after 1.3 s, and the run went on for as long as the agent extended the server's lease for other runs. Cause: the lease belongs to the server, the right to run to each run. The agent stopped runs without a right, but extended the lease whether or not the stop was carried out. A slow agent also did so between the silence of an entry and the tick that noticed it, and a restarted agent for runs that it did not know. Change: the lease is never extended beyond Lease from the time at which the first run lost its right, nor while the server lists an unknown run. While less than 400 ms can be granted, the server is unavailable. The executors of other tests start with a renewal that lists nothing, without which an agent links to no entry either. Why it works: silence (600 ms) and one lease (600 ms at most 3 % slow, 30 ms to end) are 1.25 s, without relying on any answer, whatever the agent's speed.

--- a/executor/commands.go
+++ b/executor/commands.go
@@ -16,6 +16,7 @@
 	if !ok || e.EntryRef != ref {
 		return effects
 	}
+	x.checkSilence(now, e, &effects)
 	echo := time.Duration(commands.EchoedClock)
 	if echo > e.lastEcho {
 		e.lastEcho = echo
@@ -31,6 +32,7 @@
 	}
 	for _, id := range commands.Stops {
 		if r, ok := x.runsByTask[id.TaskID]; ok && r.entry == e && r.id.Number <= id.Number {
+			r.revoke(now)
 			x.stopRun(now, r, "its entry stopped it", &effects)
 		}
 	}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -43,7 +43,12 @@
 // silent reports whether the newest echo of an entry is so old that its runs must
 // end.
 func (e *entry) silent(now time.Duration) bool {
-	return now-e.lastEcho > EntrySilenceTimeout
+	return now > e.silentAt()
+}
+
+// silentAt returns the time from which on the entry is silent if it sends no newer echo.
+func (e *entry) silentAt() time.Duration {
+	return e.lastEcho + EntrySilenceTimeout
 }
 
 // A recentEnd is the end of a run, kept for runEndRetention.
@@ -58,12 +63,12 @@
 func (x *Executor) LinkEntry(now time.Duration, ref EntryRef) ([]tasklink.RunState, Effects) {
 	var effects Effects
 	e, ok := x.entries[ref.Name]
-	switch {
-	case ok && e.Incarnation != ref.Incarnation:
-		x.stopAllRuns(now, e, "its entry was restarted", &effects)
+	if ok {
+		x.checkSilence(now, e, &effects)
+	}
+	if ok && e.Incarnation != ref.Incarnation {
+		x.revokeAllRuns(now, now, e, "its entry was restarted", &effects)
 		ok = false
-	case ok && e.silent(now):
-		x.stopAllRuns(now, e, entrySilent, &effects)
 	}
 	if !ok {
 		e = &entry{EntryRef: ref}
@@ -123,10 +128,19 @@
 	return false
 }
 
-// stopAllRuns stops all runs of an entry.
-func (x *Executor) stopAllRuns(now time.Duration, e *entry, reason string, effects *Effects) {
+// checkSilence stops all runs of an entry once it has become silent.
+func (x *Executor) checkSilence(now time.Duration, e *entry, effects *Effects) {
+	if e.silent(now) && !e.stoppedForSilence {
+		e.stoppedForSilence = true
+		x.revokeAllRuns(now, e.silentAt(), e, entrySilent, effects)
+	}
+}
+
+// revokeAllRuns stops all runs of an entry, which lost the right to run at the given time.
+func (x *Executor) revokeAllRuns(now, revokedAt time.Duration, e *entry, reason string, effects *Effects) {
 	for _, r := range slices.Clone(x.acceptedRuns) {
 		if r.entry == e {
+			r.revoke(revokedAt)
 			x.stopRun(now, r, reason, effects)
 		}
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -22,6 +22,10 @@
 //   - Each start and each renewal extends the server's lease, which then lasts
 //     for Lease. The server kills all of its runs when the lease expires, so they
 //     also end if the agent dies, is suspended or is cut off from the server.
+//   - The lease covers all runs on the server. It is therefore not extended beyond Lease
+//     from the time at which one of them lost its right to run: when its entry became
+//     silent, was restarted or stopped it. It is not extended at all while the server lists
+//     a run that the agent does not know. If such a run can't be stopped, all of them expire.
 //   - Hence a run ends within EntrySilenceTimeout plus Lease of the last echo of
 //     its entry. This is less than the time after which a caller resubmits, so
 //     that the resubmitted job does not run beside it.
@@ -169,6 +173,8 @@
 	endings endings
 	// entries holds the known entries by name.
 	entries map[string]*entry
+	// leaseLimited is whether the lease can't be extended for long enough to start runs.
+	leaseLimited bool
 	// interference measures how much runs slow each other down. It is nil if the setting
 	// is off.
 	interference *interferenceState
@@ -196,6 +202,8 @@
 	stats  runStats
 	// token is the fencing token of the next request to the server.
 	token uint64
+	// unknownListedAt is when the server last listed runs that the executor does not know.
+	unknownListedAt time.Duration
 }
 
 // New returns an Executor for the agent with the given name in a zone, whose backend
@@ -218,7 +226,7 @@
 // State returns whether entries may send tasks to the server.
 func (x *Executor) State() tasklink.State {
 	switch {
-	case !x.server.announced || x.server.unresponsive:
+	case !x.server.announced || x.server.unresponsive || x.leaseLimited:
 		return tasklink.StateUnavailable
 	case x.draining || x.server.draining || x.zoneDisabled():
 		return tasklink.StateDraining
@@ -257,10 +265,7 @@
 	x.endings.expire(now)
 	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
 		e := x.entries[name]
-		if e.silent(now) && !e.stoppedForSilence {
-			e.stoppedForSilence = true
-			x.stopAllRuns(now, e, entrySilent, &effects)
-		}
+		x.checkSilence(now, e, &effects)
 		for len(e.recentEnds) > 0 && now-e.recentEnds[0].at > runEndRetention {
 			e.recentEnds = e.recentEnds[1:]
 		}
@@ -273,6 +278,7 @@
 		x.expireLease(now, &effects)
 	}
 	x.returnTimedOut(now, &effects)
+	x.checkLeaseLimit(now, &effects)
 	x.stopSlowRuns(now, &effects)
 	x.retryStarts(now, &effects)
 	x.retryStops(now, &effects)
--- a/executor/server.go
+++ b/executor/server.go
@@ -153,15 +153,8 @@
 	}
 }
 
-// extendLease extends the lease to Lease from now, and returns its expiry on the
-// server's clock for the request.
-func (x *Executor) extendLease(now time.Duration) time.Duration {
-	x.server.leaseExpiry = max(x.server.leaseExpiry, now+time.Duration(float64(Lease)*maxClockDrift)+leaseExpiryMargin)
-	return now + x.server.clockOffset + Lease
-}
-
 // NextRenewal returns the next request to renew the lease. It counts as sent now. Until
-// the server's clock is known, it does not extend the lease.
+// the server's clock is known, and while a run must not go on, it does not extend the lease.
 func (x *Executor) NextRenewal(now time.Duration) pollenfront.RenewalRequest {
 	request := pollenfront.RenewalRequest{
 		AcknowledgedSeqNum: x.server.lastSeqNum, Interval: RenewalWait + renewalTimeoutMargin, Timeout: RenewalWait + renewalTimeoutMargin, Token: x.token, Wait: RenewalWait,
@@ -172,7 +165,7 @@
 	if x.serverSuspect(now) {
 		request.Interval, request.Timeout, request.Wait = suspectRenewalWait, suspectRenewalWait+renewalTimeoutMargin, suspectRenewalWait
 	}
-	if x.server.clockOffsetKnown {
+	if x.server.clockOffsetKnown && x.leaseLimit() > now {
 		request.LeaseExpiry = x.extendLease(now)
 	}
 	return request
@@ -248,7 +241,7 @@
 		present[reported.Run] = true
 		r, ok := x.runsByTask[reported.Run.TaskID]
 		if !ok || r.id != reported.Run || r.state == queued {
-			x.noUnknownRuns = false
+			x.noUnknownRuns, x.unknownListedAt = false, now
 			x.endings.recordListed(now, sent, x.server.incarnation, reported.Run, effects)
 			effects.Stops = append(effects.Stops, x.stopRequest(reported.Run))
 			continue
@@ -290,9 +283,11 @@
 
 // EarlierRunsEnded reports whether all runs of earlier incarnations of the agent have
 // ended: the response to the newest renewal listed no unknown run, or the longest
-// lease that the server grants has expired since the agent started.
+// lease that the server grants has expired since the agent started and an unknown run was
+// listed last.
 func (x *Executor) EarlierRunsEnded(now, started time.Duration) bool {
-	return x.noUnknownRuns || now-started > time.Duration(float64(maxServerLease)*maxClockDrift)+leaseExpiryMargin
+	longestLease := time.Duration(float64(maxServerLease)*maxClockDrift) + leaseExpiryMargin
+	return x.noUnknownRuns || now-max(started, x.unknownListedAt) > longestLease
 }
 
 // ServerAnnounced reports whether the server's current incarnation has announced
--- a/executor/shares_test.go
+++ b/executor/shares_test.go
@@ -18,6 +18,7 @@
 func newSharingExecutor() *executor.Executor {
 	x := executor.New("agent-1", "service", "west", 10)
 	x.EnableDemandShares()
+	renewFirst(x)
 	x.HandleAnnouncement(at(0), pollenfront.Announcement{Capacity: pollenfront.Resources{CPU: 12000}, Clock: time.Second, Incarnation: 1, SeqNum: 1, Zone: "west"})
 	x.LinkEntry(at(0), testEntry)
 	x.LinkEntry(at(0), secondEntry)
--- a/executor/slow_server_test.go
+++ b/executor/slow_server_test.go
@@ -53,6 +53,7 @@
 // newSlowServerModel returns an agent with a server on which nothing has run.
 func newSlowServerModel(rate float64, seed uint64) *slowServerModel {
 	x := executor.New("agent-1", "service", "west", 10)
+	renewFirst(x)
 	x.HandleAnnouncement(at(0), announcement(1, 1<<30))
 	x.LinkEntry(at(0), testEntry)
 	random := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // A seed makes runs reproducible.
--- a/executor/start.go
+++ b/executor/start.go
@@ -17,7 +17,7 @@
 		x.returnQueued(now, "the server takes no new tasks", effects)
 		return
 	}
-	if now < x.noStartBefore || !x.server.clockOffsetKnown {
+	if now < x.noStartBefore || !x.server.clockOffsetKnown || x.leaseLimit() <= now {
 		return
 	}
 	inUse := x.inUse()
@@ -108,7 +108,7 @@
 	case r.state != starting:
 	case r.entry.silent(now):
 		x.stopRun(now, r, entrySilent, effects)
-	case unresponsive || r.startAttempts == maxStartAttempts:
+	case unresponsive || r.startAttempts == maxStartAttempts || x.leaseLimit() <= now:
 		x.stopRun(now, r, "the server did not answer the start", effects)
 	case now-r.lastStartSent < suspectStartTimeout: // The connection broke, so an immediate retry could loop.
 		r.startRetryPending = true
@@ -120,7 +120,7 @@
 // retryStarts repeats starts whose connection broke, at most every suspectStartTimeout.
 func (x *Executor) retryStarts(now time.Duration, effects *Effects) {
 	for _, r := range x.acceptedRuns {
-		if r.state == starting && r.startRetryPending && now-r.lastStartSent >= suspectStartTimeout && !r.entry.silent(now) {
+		if r.state == starting && r.startRetryPending && now-r.lastStartSent >= suspectStartTimeout && !r.entry.silent(now) && x.leaseLimit() > now {
 			x.sendStart(now, r, effects)
 		}
 	}
--- a/executor/start_evidence_test.go
+++ b/executor/start_evidence_test.go
@@ -15,6 +15,7 @@
 // runs the given number of them.
 func newLargeExecutor(runs int) *executor.Executor {
 	x := executor.New("agent-1", "service", "west", 10)
+	renewFirst(x)
 	x.HandleAnnouncement(at(0), announcement(1, 60000))
 	x.LinkEntry(at(0), testEntry)
 	listRuns(x, 0)
