Keep the runs of a server that gives notice until they end

Callers saw: a task could run on two servers at once when a server left. Its agent ended all runs as lost before it answered the notice, and their entries placed the tasks elsewhere. The server ends only when it has the answer, or seconds later if the answer is lost; a delayed notice of an earlier lifetime under the same ID has the same effect. Cause: a notice of an end was taken for the end. Evidence: TestRunsOutliveInference, case of the notice, failed: the server still lists the runs. Change: the notice makes the server unavailable and returns what waits. What runs ends by the server's lists, or with its lease. Result: the case passes.

--- a/executor/evidence.go
+++ b/executor/evidence.go
@@ -24,8 +24,6 @@
 	ConnectionRefused Evidence = "connection-refused"
 	// NewIncarnation means that a later incarnation of the server has shown up.
 	NewIncarnation Evidence = "new-incarnation"
-	// LeaveNotice means that the server gave notice that it shuts down.
-	LeaveNotice Evidence = "leave-notice"
 )
 
 // A proof is evidence with the time as of which it holds.
--- a/executor/server.go
+++ b/executor/server.go
@@ -91,11 +91,12 @@
 	return effects
 }
 
-// HandleDeregistration handles the server's notice that it shuts down. All of its runs
-// are lost.
+// HandleDeregistration handles the server's notice that it shuts down. It may still run what
+// it has started until it receives the answer to the notice, or longer without one, so its
+// runs end as those of any server that does not respond.
 func (x *Executor) HandleDeregistration(now time.Duration) Effects {
 	var effects Effects
-	x.endRunsAsLost(now, proof{asOf: now, kind: LeaveNotice}, "the server has left", &effects)
+	x.returnQueued(now, "the server has left", &effects)
 	x.token++
 	x.server.announced = false
 	x.notifyAll(&effects)
@@ -135,16 +136,6 @@
 	}
 }
 
-// endRunsAsLost ends all started runs as lost, and returns the queued ones.
-func (x *Executor) endRunsAsLost(now time.Duration, shownBy proof, reason string, effects *Effects) {
-	for _, r := range slices.Clone(x.acceptedRuns) {
-		if r.state != queued {
-			x.endRun(now, r, pollenfront.EndingLost, shownBy, reason, effects)
-		}
-	}
-	x.returnQueued(now, reason, effects)
-}
-
 // recordClock records a reading of the server's clock, where zero means that there is
 // none.
 func (x *Executor) recordClock(now, clock time.Duration) {
