Take a server for ended only if a request was cut off and nothing listens

Callers saw: a task could run on two servers at once when connections to a server were refused while it went on: its agent ended all runs at once, and their entries placed the tasks elsewhere. Stops to it were not repeated from then on, even when it answered again. Cause: a closed listener was taken for the end of the process. The leases went on growing by refused renewals. Evidence: TestRunsOutliveInference, case of the refused connection, failed: the server still lists the runs. Change: runs end at once only if the renewal in progress was cut off before, which a process that closes its listener still answers. Otherwise they end with their lease, which is no longer extended while nothing listens. A run whose start may still be carried out waits for the next incarnation, as before. The fencing token rises at the crash, so that the first request to the next incarnation fences delayed ones. A server that answers again is not crashed. The replay's servers answered the pending renewal when they crashed, and now cut it off. The case and TestFaults pass.

--- a/executor/crash.go
+++ b/executor/crash.go
@@ -30,11 +30,31 @@
 
 // detectCrash records that the server's process has ended if err, the error of a renewal
 // that was sent at the given time, shows it. An earlier renewal may have been refused
-// before this incarnation of the server was up.
+// before this incarnation of the server was up. A process that only closes its listener
+// still answers the renewal in progress and goes on with its runs. So these end at once if
+// that renewal was cut off before, and otherwise with the lease, which is no longer extended.
 func (x *Executor) detectCrash(now, sent time.Duration, err error, effects *Effects) {
-	if errors.Is(err, pollenfront.ErrUnreachable) && x.server.announced && sent > x.server.seenAt {
+	s := &x.server
+	if sent <= s.seenAt {
+		return
+	}
+	switch {
+	case errors.Is(err, pollenfront.ErrDisconnected):
+		s.disconnectedAt = now
+	case errors.Is(err, pollenfront.ErrUnreachable) && s.announced:
+		x.fenceCrashed()
 		x.recordCrash(now, effects)
-		x.endCrashedRuns(now, proof{asOf: sent, kind: ConnectionRefused}, effects)
+		if s.disconnectedAt > 0 && sent >= s.disconnectedAt {
+			x.endCrashedRuns(now, proof{asOf: s.disconnectedAt, kind: ProcessEnded}, effects)
+		}
+	}
+}
+
+// fenceCrashed raises the fencing token when the server crashes, so that the first request to
+// its next incarnation fences the delayed ones to this one.
+func (x *Executor) fenceCrashed() {
+	if !x.server.crashed {
+		x.token++
 	}
 }
 
--- a/executor/endings.go
+++ b/executor/endings.go
@@ -123,7 +123,7 @@
 	case incarnation < s.incarnation:
 		conclusion.Conclusion, conclusion.Age = NewIncarnation, now-s.seenAt
 	case incarnation == s.incarnation && s.crashed:
-		conclusion.Conclusion, conclusion.Age = ConnectionRefused, now-s.crashedAt
+		conclusion.Conclusion, conclusion.Age = ProcessEnded, now-s.crashedAt
 	default:
 		return
 	}
--- a/executor/evidence.go
+++ b/executor/evidence.go
@@ -20,8 +20,9 @@
 	LeaseExpired Evidence = "lease-expired"
 	// Unlisted means that the server does not list a run that it had started.
 	Unlisted Evidence = "unlisted"
-	// ConnectionRefused means that nothing listened at the server's address.
-	ConnectionRefused Evidence = "connection-refused"
+	// ProcessEnded means that a request in progress was cut off, and that nothing listened at
+	// the server's address then.
+	ProcessEnded Evidence = "process-ended"
 	// NewIncarnation means that a later incarnation of the server has shown up.
 	NewIncarnation Evidence = "new-incarnation"
 )
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -287,11 +287,13 @@
 }
 
 // expireLease ends all started runs as lost. It is called when the lease has expired
-// even on the slowest clock that maxClockDrift allows.
+// even on the slowest clock that maxClockDrift allows. If the server has crashed, a run with
+// a start request that may still be carried out is kept, as the next incarnation may get the
+// request.
 func (x *Executor) expireLease(now time.Duration, effects *Effects) {
 	ended := false
 	for _, r := range slices.Clone(x.acceptedRuns) {
-		if r.state != queued {
+		if r.state != queued && (r.openStarts == 0 || !x.server.crashed) {
 			x.endRun(now, r, pollenfront.EndingLost, proof{asOf: x.server.leaseExpiry, kind: LeaseExpired}, "the lease has lapsed", effects)
 			ended = true
 		}
--- a/executor/server.go
+++ b/executor/server.go
@@ -26,6 +26,9 @@
 	crashed bool
 	// crashedAt is when crashed was set.
 	crashedAt time.Duration
+	// disconnectedAt is when a renewal was cut off before its answer, and zero if a request
+	// was answered since.
+	disconnectedAt time.Duration
 	// draining is whether the server announced that it takes no new tasks.
 	draining bool
 	// failingSince is when a request failed without a response for the first time
@@ -42,6 +45,8 @@
 	lastSeqNum uint64
 	// lastUnanswered is when a request last failed without a response.
 	lastUnanswered time.Duration
+	// refusing is whether the newest request was refused because nothing listens.
+	refusing bool
 	// leaseExpiry is the time on the agent's clock by which the server has killed
 	// all of its runs, unless the lease is extended before.
 	leaseExpiry time.Duration
@@ -145,7 +150,8 @@
 }
 
 // NextRenewal returns the next request to renew the lease. It counts as sent now. Until
-// the server's clock is known, and while a run must not go on, it does not extend the lease.
+// the server's clock is known, while nothing listens at the server's address and while a run
+// must not go on, it does not extend the lease.
 func (x *Executor) NextRenewal(now time.Duration) pollenfront.RenewalRequest {
 	request := pollenfront.RenewalRequest{
 		AcknowledgedSeqNum: x.server.lastSeqNum, Interval: RenewalWait + renewalTimeoutMargin, Timeout: RenewalWait + renewalTimeoutMargin, Token: x.token, Wait: RenewalWait,
@@ -156,7 +162,7 @@
 	if x.serverSuspect(now) {
 		request.Interval, request.Timeout, request.Wait = suspectRenewalWait, suspectRenewalWait+renewalTimeoutMargin, suspectRenewalWait
 	}
-	if x.server.clockOffsetKnown && x.leaseLimit() > now {
+	if x.server.clockOffsetKnown && !x.server.refusing && x.leaseLimit() > now {
 		request.LeaseExpiry = x.extendLease(now)
 	}
 	return request
@@ -180,7 +186,7 @@
 	}
 	x.recordClock(now, response.Clock)
 	before := x.State()
-	x.server.lastRenewal = sent
+	x.server.lastRenewal, x.server.crashed = sent, false
 	x.recordResponse(now, nil)
 	for _, ended := range response.Ended {
 		if ended.SeqNum <= x.server.lastSeqNum {
--- a/executor/start.go
+++ b/executor/start.go
@@ -148,9 +148,10 @@
 func (x *Executor) recordResponse(now time.Duration, err error) {
 	switch {
 	case errors.Is(err, pollenfront.ErrUnreachable):
-		x.server.lastUnanswered, x.server.unresponsive = now, true
+		x.server.lastUnanswered, x.server.unresponsive, x.server.refusing = now, true, true
 	case isDefinite(err):
-		x.server.lastResponse, x.server.unresponsive, x.server.failingSince = now, false, 0
+		x.server.lastResponse, x.server.unresponsive, x.server.refusing = now, false, false
+		x.server.disconnectedAt, x.server.failingSince = 0, 0
 		return
 	default:
 		x.server.lastUnanswered = now
--- a/replay/server.go
+++ b/replay/server.go
@@ -251,7 +251,7 @@
 	s.abortRenewal = func() {
 		if !responded {
 			responded = true
-			respond(nil, errNoResponse)
+			respond(nil, pollenfront.ErrDisconnected)
 		}
 	}
 	s.fleet.schedule(request.Wait, respondOnce)
@@ -284,8 +284,9 @@
 // crash ends all runs as lost and starts a new incarnation without the state of the
 // previous one.
 func (s *serverNode) crash() {
+	s.respondToRenewal = nil // The ends of its runs are not reported.
 	s.endAllRuns()
 	s.incarnation++
-	s.token, s.lastSeqNum, s.acknowledged, s.endedRuns, s.leaseExpiry, s.respondToRenewal, s.abortRenewal = 0, 0, 0, nil, 0, nil, nil
+	s.token, s.lastSeqNum, s.acknowledged, s.endedRuns, s.leaseExpiry, s.abortRenewal = 0, 0, 0, nil, 0, nil
 	clear(s.supersededRuns)
 }
