Learn of a server's incarnations from its own answers only

Callers saw: a task could run on two servers at once when somebody announced a server with a later time of birth than it had, be it another writer or a clock that was ahead: its agent ended its runs as lost. After a restart with the time of day set back, the agent ignored all answers of the new server and its tasks were never seen to end. Cause: any announcement with a higher time of birth was taken for a restart, and any lower one for an old message. Evidence: TestRunsOutliveInference, case of the announcement, and TestRestartsWithAnyClock/1 failed. Change: an announcement of another incarnation than the current one applies only when the server itself states that incarnation in its answer to a renewal, which is sent at once then. Incarnations are compared for equality; which is later is told by the order in which their renewals were sent, and answers of former ones are ignored. The clock of an announcement, which may be delayed, is not used any more. Three tests pass the answer to a renewal after an announcement that they expect to apply; the replay's agents send the renewal too.

--- a/agent/internal/driver/announcements.go
+++ b/agent/internal/driver/announcements.go
@@ -9,6 +9,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/executor"
 	"github.com/pollenfront/pollenfront/program"
 )
 
@@ -23,24 +24,22 @@
 )
 
 // HandleAnnouncement passes an announcement of the backend server to the executor.
-// If the executor accepts it, the announcement is saved in the store, and later
-// requests are addressed to the announced instance.
 func (d *Driver) HandleAnnouncement(a pollenfront.Announcement) {
 	now := bootclock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	previous := d.executor.State()
-	effects, accepted := d.executor.HandleAnnouncement(now, a)
-	if accepted {
-		d.instance = a.Instance
-		d.server.SetInstance(a.Instance)
-		d.saveAnnouncement(a)
-	}
-	if state := d.executor.State(); state != previous {
+	d.handleEvent(now, func() executor.Effects { return d.executor.HandleAnnouncement(now, a) })
+}
+
+// adoptAnnouncement saves an announcement that applies from now on in the store, and
+// addresses later requests to the announced instance. The caller must hold mu.
+func (d *Driver) adoptAnnouncement(a pollenfront.Announcement) {
+	d.instance = a.Instance
+	d.server.SetInstance(a.Instance)
+	d.saveAnnouncement(a)
+	if state := d.executor.State(); state != d.announcedState {
+		d.announcedState = state
 		d.logger.Info("backend server announced", zap.String("instance", a.Instance), zap.Uint64("incarnation", a.Incarnation), zap.Uint8("state", uint8(state)),
 			zap.Int("cpu", a.Capacity.CPU))
 	}
-	d.applyEffects(now, effects)
 }
 
 // saveAnnouncement saves an announcement in the store for the next incarnation of
--- a/agent/internal/driver/capacity_test.go
+++ b/agent/internal/driver/capacity_test.go
@@ -36,10 +36,7 @@
 	now := bootclock.Now()
 	entry := pollenfront.EntryRef{Incarnation: 1, Name: "entry-1"}
 	handleAnnouncement := func(a pollenfront.Announcement) {
-		d.handleEvent(now, func() executor.Effects {
-			effects, _ := d.executor.HandleAnnouncement(now, a)
-			return effects
-		})
+		d.handleEvent(now, func() executor.Effects { return d.executor.HandleAnnouncement(now, a) })
 	}
 	handleAnnouncement(announcement)
 	d.handleEvent(now, func() executor.Effects {
--- a/agent/internal/driver/conclusions.go
+++ b/agent/internal/driver/conclusions.go
@@ -12,7 +12,7 @@
 func (d *Driver) recordConclusions(effects *executor.Effects) {
 	for _, change := range effects.IncarnationChanges {
 		d.logger.Info("backend server incarnation detected", zap.Uint64("incarnation", change.Incarnation), zap.Uint64("former", change.Former),
-			zap.Float64("former-age", change.FormerAge.Seconds()), zap.String("source", string(change.Source)))
+			zap.Float64("former-age", change.FormerAge.Seconds()))
 	}
 	for _, c := range effects.Contradictions {
 		d.metrics.contradictions.WithLabelValues(string(c.Conclusion)).Inc()
--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -44,6 +44,8 @@
 type Driver struct {
 	// announcement is the newest announcement to be saved in the store.
 	announcement pollenfront.Announcement
+	// announcedState is the state that was logged with the newest announcement.
+	announcedState tasklink.State
 	// capacityReduced is whether the log tells that the backend server provides less than it
 	// announces.
 	capacityReduced bool
@@ -64,6 +66,8 @@
 	mu      program.Guard
 	// renewalFailed is whether the newest renewal of the lease failed.
 	renewalFailed bool
+	// renewNow holds a value when the next renewal is to be sent without a delay.
+	renewNow chan struct{}
 	// savedAnnouncement is the announcement that the store last accepted.
 	savedAnnouncement pollenfront.Announcement
 	// saving is whether an announcement is being written to the store.
@@ -85,6 +89,7 @@
 		links:    make(map[string]*entryLink),
 		logger:   logger,
 		metrics:  newMetrics(registry),
+		renewNow: make(chan struct{}, 1),
 		self:     self,
 		server:   server,
 		started:  bootclock.Now(),
@@ -130,6 +135,12 @@
 // applyEffects carries out the effects that the executor returned. The caller must
 // hold mu.
 func (d *Driver) applyEffects(now time.Duration, effects executor.Effects) {
+	for _, announcement := range effects.Announced {
+		d.adoptAnnouncement(announcement)
+	}
+	if effects.RenewNow {
+		d.requestRenewal()
+	}
 	for _, crash := range effects.Crashes {
 		d.recordCrash(crash)
 	}
--- a/agent/internal/driver/renewals.go
+++ b/agent/internal/driver/renewals.go
@@ -10,7 +10,6 @@
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
 	"github.com/pollenfront/pollenfront/executor"
-	"github.com/pollenfront/pollenfront/program"
 )
 
 // renewLease renews the lease of all runs on the backend server until ctx is done.
@@ -28,7 +27,7 @@
 		select {
 		case err := <-done:
 			if err != nil && failedBefore { // The next renewal after a first failure shows whether the server has crashed.
-				program.Sleep(ctx, executor.RenewalRetryDelay)
+				d.awaitRenewalRetry(ctx)
 			}
 			failedBefore = err != nil
 		case <-time.After(request.Interval):
@@ -36,6 +35,24 @@
 	}
 }
 
+// awaitRenewalRetry waits for executor.RenewalRetryDelay, until a renewal is requested or until
+// ctx is done.
+func (d *Driver) awaitRenewalRetry(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-d.renewNow:
+	case <-time.After(executor.RenewalRetryDelay):
+	}
+}
+
+// requestRenewal makes awaitRenewalRetry return.
+func (d *Driver) requestRenewal() {
+	select {
+	case d.renewNow <- struct{}{}:
+	default: // It is requested already.
+	}
+}
+
 // logServerAvailability logs when renewals start to fail and when they succeed
 // again. err is the error of the newest renewal, or nil if it succeeded.
 func (d *Driver) logServerAvailability(err error) {
--- a/executor/crash_test.go
+++ b/executor/crash_test.go
@@ -44,8 +44,8 @@
 		}},
 		{name: "next incarnation announces itself", detect: func(x *executor.Executor) executor.Effects {
 			x.HandleRenewalError(at(40), at(40), errTimeout)
-			effects, _ := x.HandleAnnouncement(at(90), pollenfront.Announcement{Clock: time.Second, Incarnation: 2, SeqNum: 1})
-			return effects
+			x.HandleAnnouncement(at(90), pollenfront.Announcement{Clock: time.Second, Incarnation: 2, SeqNum: 1})
+			return x.HandleRenewal(at(92), at(91), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 2})
 		}},
 		{name: "next incarnation answers", detect: func(x *executor.Executor) executor.Effects {
 			x.HandleRenewalError(at(40), at(40), errTimeout)
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -13,6 +13,8 @@
 type Effects struct {
 	// Crashes lists the crashes of the server that were detected.
 	Crashes []ServerCrash
+	// Announced lists the announcements of the server that apply from now on.
+	Announced []pollenfront.Announcement
 	// Contradictions lists what contradicts an earlier conclusion, for the log.
 	Contradictions []Contradiction
 	// Ended lists the runs that ended, for the log.
@@ -23,6 +25,8 @@
 	InvalidDemands []InvalidDemand
 	// Notify lists the names of the entries that need an update now.
 	Notify []string
+	// RenewNow is whether the next renewal is to be sent without the delay after a failed one.
+	RenewNow bool
 	// Restarts lists the accepted tasks of which an earlier run is known, for the log.
 	Restarts []Restart
 	// Starts lists the start requests to send to the server.
@@ -63,11 +67,13 @@
 
 // merge appends other effects.
 func (e *Effects) merge(other Effects) {
+	e.Announced = append(e.Announced, other.Announced...)
 	e.Contradictions = append(e.Contradictions, other.Contradictions...)
 	e.Crashes = append(e.Crashes, other.Crashes...)
 	e.Ended = append(e.Ended, other.Ended...)
 	e.IncarnationChanges = append(e.IncarnationChanges, other.IncarnationChanges...)
 	e.InvalidDemands = append(e.InvalidDemands, other.InvalidDemands...)
+	e.RenewNow = e.RenewNow || other.RenewNow
 	e.Restarts = append(e.Restarts, other.Restarts...)
 	e.Starts = append(e.Starts, other.Starts...)
 	e.Stops = append(e.Stops, other.Stops...)
--- a/executor/endings.go
+++ b/executor/endings.go
@@ -58,18 +58,8 @@
 	// was sent.
 	FormerAge   time.Duration
 	Incarnation uint64
-	Source      IncarnationSource
 }
 
-// An IncarnationSource is the message by which an incarnation was detected.
-type IncarnationSource string
-
-// Sources of incarnations.
-const (
-	FromAnnouncement IncarnationSource = "announcement"
-	FromRenewal      IncarnationSource = "renewal"
-)
-
 // record records the end of a run that was sent to the server.
 func (e endings) record(now time.Duration, r *run, ended EndedRun) {
 	if r.state == queued {
@@ -113,22 +103,10 @@
 	}
 }
 
-// recordIncarnation adds a Contradiction to the effects if a renewal was answered by an
-// incarnation that was concluded to have ended: because connections were refused, or because
-// a later one was detected.
-func (x *Executor) recordIncarnation(now time.Duration, incarnation uint64, effects *Effects) {
-	s := &x.server
-	conclusion := Contradiction{Incarnation: incarnation}
-	switch {
-	case incarnation < s.incarnation:
-		conclusion.Conclusion, conclusion.Age = NewIncarnation, now-s.seenAt
-	case incarnation == s.incarnation && s.crashed:
-		conclusion.Conclusion, conclusion.Age = ProcessEnded, now-s.crashedAt
-	default:
-		return
-	}
-	if s.contradictedBy != incarnation {
-		s.contradictedBy = incarnation
-		effects.Contradictions = append(effects.Contradictions, conclusion)
+// checkCrashConclusion adds a Contradiction to the effects if an incarnation answers a renewal
+// that was taken for crashed.
+func (x *Executor) checkCrashConclusion(now time.Duration, incarnation uint64, effects *Effects) {
+	if s := &x.server; incarnation == s.incarnation && s.crashed {
+		effects.Contradictions = append(effects.Contradictions, Contradiction{Age: now - s.crashedAt, Conclusion: ProcessEnded, Incarnation: incarnation})
 	}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -37,6 +37,8 @@
 //   - A server that leaves requests unanswered is first suspect, and requests are
 //     repeated sooner. If it does not respond for longer, it is unavailable and
 //     gets no tasks until it responds.
+//   - The server has a new incarnation when its own answer to a renewal says so.
+//     Announcements may be delayed or come from somebody else.
 //   - A task under which too many servers have crashed is refused.
 //   - The response to a renewal lists the runs on the server. A run that it
 //     should list but does not is lost.
@@ -101,6 +103,9 @@
 	// nothing for that long, so the commands or the echoed update were delayed.
 	// The entry may consider the agent lost by now.
 	maxCommandAge = 500 * time.Millisecond
+	// maxFormerIncarnations is how many replaced incarnations of the server are kept, to
+	// ignore their delayed responses.
+	maxFormerIncarnations = 8
 	// maxQueueWait is the longest time that a task may wait here. When its entry
 	// chose this server, it did not know what other entries had sent. It places a
 	// returned task elsewhere.
@@ -175,10 +180,15 @@
 	entries map[string]*entry
 	// leaseLimited is whether the lease can't be extended for long enough to start runs.
 	leaseLimited bool
+	// formerIncarnations are the newest incarnations of the server that were replaced.
+	formerIncarnations []uint64
 	// interference measures how much runs slow each other down. It is nil if the setting
 	// is off.
 	interference *interferenceState
 	name         string
+	// pendingAnnouncement is the newest announcement of an incarnation that the server has
+	// not stated itself, or what it announced to an earlier incarnation of the agent.
+	pendingAnnouncement pollenfront.Announcement
 	// noStartBefore is the time until which nothing starts.
 	noStartBefore time.Duration
 	// noUnknownRuns is whether the response to the newest renewal listed no run
@@ -190,9 +200,6 @@
 	queue []*run
 	// releases lists the newest ends of runs that were on the server, the oldest first.
 	releases []release
-	// restoredAnnouncement is what the server announced to an earlier
-	// incarnation of the agent.
-	restoredAnnouncement pollenfront.Announcement
 	// runsByTask holds the runs of acceptedRuns by their tasks.
 	runsByTask map[pollenfront.TaskID]*run
 	server     server
--- a/executor/interference_test.go
+++ b/executor/interference_test.go
@@ -21,8 +21,9 @@
 		ref := pollenfront.EntryRef{Incarnation: 1, Name: "entry"}
 		now := time.Second
 		x.LinkEntry(now, ref)
-		_, ok := x.HandleAnnouncement(now, pollenfront.Announcement{Capacity: pollenfront.Resources{CPU: 64000, Memory: 1000}, Clock: now, Incarnation: 1, SeqNum: 1})
-		qt.Assert(t, ok, qt.IsTrue)
+		x.HandleRenewal(now, now, &pollenfront.RenewalResponse{Clock: now, Incarnation: 1})
+		effects := x.HandleAnnouncement(now, pollenfront.Announcement{Capacity: pollenfront.Resources{CPU: 64000, Memory: 1000}, Clock: now, Incarnation: 1, SeqNum: 1})
+		qt.Assert(t, effects.Announced, qt.HasLen, 1)
 		counted, estimated := 0, 0
 		var seqNum uint64
 		for i := range 300 {
--- a/executor/server.go
+++ b/executor/server.go
@@ -20,8 +20,6 @@
 	// clockOffset is the server's clock minus the agent's.
 	clockOffset      time.Duration
 	clockOffsetKnown bool
-	// contradictedBy is the incarnation of the last Contradiction about the server.
-	contradictedBy uint64
 	// crashed is whether the process of this incarnation is known to have ended.
 	crashed bool
 	// crashedAt is when crashed was set.
@@ -57,43 +55,55 @@
 	zone         string
 }
 
-// HandleAnnouncement handles an announcement of the server. It reports whether the
-// announcement was accepted; one that is older than the newest known is ignored.
-func (x *Executor) HandleAnnouncement(now time.Duration, a pollenfront.Announcement) (effects Effects, accepted bool) {
-	s := &x.server
-	if a.Incarnation < s.incarnation || a.Incarnation == s.incarnation && a.SeqNum < s.announcementSeqNum {
-		return effects, false
-	}
-	if a.Incarnation > s.incarnation {
-		x.handleNewIncarnation(now, a.Incarnation, FromAnnouncement, &effects)
-	}
-	before := x.State()
-	s.capacity.announce(a.Capacity)
-	s.draining, s.announced, s.labels, s.announcementSeqNum, s.zone = a.Draining, true, a.Labels, a.SeqNum, a.Zone
-	x.recordClock(now, a.Clock)
-	x.startQueued(now, &effects)
-	if x.State() != before {
-		x.notifyAll(&effects)
+// HandleAnnouncement handles an announcement of the server. One of another incarnation than
+// the current one applies when the server itself states that incarnation in its answer to a
+// renewal: it may be delayed, or somebody else's.
+func (x *Executor) HandleAnnouncement(now time.Duration, a pollenfront.Announcement) Effects {
+	var effects Effects
+	switch {
+	case a.Incarnation != x.server.incarnation:
+		x.pendingAnnouncement = a
+		effects.RenewNow = true
+	case a.SeqNum >= x.server.announcementSeqNum:
+		x.applyAnnouncement(now, a, &effects)
 	}
-	return effects, true
+	return effects
 }
 
 // RestoreAnnouncement records what the server announced to an earlier incarnation of
 // the agent. It applies until the next announcement, if a renewal shows that the
 // server has not been restarted since.
 func (x *Executor) RestoreAnnouncement(now time.Duration, a pollenfront.Announcement) Effects {
-	x.restoredAnnouncement = a
-	return x.applyRestoredAnnouncement(now)
+	var effects Effects
+	if x.pendingAnnouncement.Incarnation == 0 {
+		x.pendingAnnouncement = a
+		x.applyPendingAnnouncement(now, &effects)
+	}
+	return effects
 }
 
-// applyRestoredAnnouncement handles the restored announcement if it is one of the
-// server's current incarnation, which has not announced itself yet.
-func (x *Executor) applyRestoredAnnouncement(now time.Duration) Effects {
-	if x.server.announced || x.restoredAnnouncement.Incarnation == 0 || x.restoredAnnouncement.Incarnation != x.server.incarnation {
-		return Effects{}
+// applyPendingAnnouncement applies the pending announcement if it is one of the server's
+// current incarnation, which has not announced itself yet.
+func (x *Executor) applyPendingAnnouncement(now time.Duration, effects *Effects) {
+	a := x.pendingAnnouncement
+	if x.server.announced || a.Incarnation == 0 || a.Incarnation != x.server.incarnation {
+		return
+	}
+	x.pendingAnnouncement = pollenfront.Announcement{}
+	x.applyAnnouncement(now, a, effects)
+}
+
+// applyAnnouncement applies an announcement of the server's current incarnation.
+func (x *Executor) applyAnnouncement(now time.Duration, a pollenfront.Announcement, effects *Effects) {
+	s := &x.server
+	before := x.State()
+	s.capacity.announce(a.Capacity)
+	s.draining, s.announced, s.labels, s.announcementSeqNum, s.zone = a.Draining, true, a.Labels, a.SeqNum, a.Zone
+	effects.Announced = append(effects.Announced, a)
+	x.startQueued(now, effects)
+	if x.State() != before {
+		x.notifyAll(effects)
 	}
-	effects, _ := x.HandleAnnouncement(now, x.restoredAnnouncement)
-	return effects
 }
 
 // HandleDeregistration handles the server's notice that it shuts down. It may still run what
@@ -112,11 +122,12 @@
 // returns the queued runs, and ends those that were certainly on the earlier incarnation.
 // Any other run may be on either, so it is stopped in the new one before its end is
 // reported.
-func (x *Executor) handleNewIncarnation(now time.Duration, incarnation uint64, source IncarnationSource, effects *Effects) {
+func (x *Executor) handleNewIncarnation(now time.Duration, incarnation uint64, effects *Effects) {
 	former := x.server
 	effects.IncarnationChanges = append(effects.IncarnationChanges, IncarnationChange{
-		Former: former.incarnation, FormerAge: now - former.lastRenewal, Incarnation: incarnation, Source: source,
+		Former: former.incarnation, FormerAge: now - former.lastRenewal, Incarnation: incarnation,
 	})
+	x.recordFormerIncarnation(former.incarnation)
 	if former.announced {
 		x.recordCrash(now, effects)
 	}
@@ -141,6 +152,14 @@
 	}
 }
 
+// recordFormerIncarnation records that an incarnation of the server has been replaced.
+func (x *Executor) recordFormerIncarnation(incarnation uint64) {
+	x.formerIncarnations = append(x.formerIncarnations, incarnation)
+	if len(x.formerIncarnations) > maxFormerIncarnations {
+		x.formerIncarnations = x.formerIncarnations[1:]
+	}
+}
+
 // recordClock records a reading of the server's clock, where zero means that there is
 // none.
 func (x *Executor) recordClock(now, clock time.Duration) {
@@ -177,12 +196,12 @@
 // HandleRenewal handles the response to a renewal that was sent at the given time.
 func (x *Executor) HandleRenewal(now, sent time.Duration, response *pollenfront.RenewalResponse) Effects {
 	var effects Effects
-	x.recordIncarnation(now, response.Incarnation, &effects)
-	if response.Incarnation < x.server.incarnation || sent < x.server.lastRenewal {
-		return effects // A newer response or announcement came first.
+	if sent < x.server.lastRenewal || slices.Contains(x.formerIncarnations, response.Incarnation) {
+		return effects // A newer response came first.
 	}
-	if response.Incarnation > x.server.incarnation {
-		x.handleNewIncarnation(now, response.Incarnation, FromRenewal, &effects)
+	x.checkCrashConclusion(now, response.Incarnation, &effects)
+	if response.Incarnation != x.server.incarnation {
+		x.handleNewIncarnation(now, response.Incarnation, &effects)
 	}
 	x.recordClock(now, response.Clock)
 	before := x.State()
@@ -198,7 +217,7 @@
 		}
 	}
 	x.reconcile(now, sent, response.Running, &effects)
-	effects.merge(x.applyRestoredAnnouncement(now))
+	x.applyPendingAnnouncement(now, &effects)
 	x.startQueued(now, &effects)
 	if x.State() != before {
 		x.notifyAll(&effects)
--- a/executor/start_evidence_test.go
+++ b/executor/start_evidence_test.go
@@ -149,6 +149,7 @@
 			answerStart(x, 3, 5, pollenfront.ErrNoCapacity)
 			test.announcement.SeqNum++
 			x.HandleAnnouncement(at(4), test.announcement)
+			x.HandleRenewal(at(4), at(4), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: test.announcement.Incarnation})
 			qt.Assert(t, effectiveCPU(x, 4), qt.Equals, test.want)
 		})
 	}
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -29,6 +29,7 @@
 	lastReceived       map[int]time.Duration // lastReceived is the time of the last message from an entry, by index of the entry.
 	linkEpochs         map[int]uint64        // linkEpochs are the epochs of the open links, by index of the entry. Epochs are never zero.
 	name               string
+	renewals           int // renewals is the number of renewals sent.
 	server             *serverNode
 	startedAt          time.Duration
 	wanted             map[int]bool // wanted holds the entries to which there should be links, by index.
@@ -95,6 +96,9 @@
 
 // applyEffects carries out the effects that the executor returned.
 func (a *agentNode) applyEffects(effects executor.Effects) {
+	if effects.RenewNow {
+		a.renew()
+	}
 	for _, request := range effects.Starts {
 		a.callServer(request.Timeout, func() error { return a.server.start(request) }, func(err error) {
 			a.applyEffects(a.executor.HandleStartResponse(a.fleet.now, request, a.fleet.now, err))
--- a/replay/agent_server.go
+++ b/replay/agent_server.go
@@ -24,7 +24,7 @@
 		return
 	}
 	a.announcementSeqNum++
-	effects, _ := a.executor.HandleAnnouncement(a.fleet.now, pollenfront.Announcement{
+	effects := a.executor.HandleAnnouncement(a.fleet.now, pollenfront.Announcement{
 		Capacity: a.server.capacity, Clock: a.fleet.now, Draining: a.server.draining, Incarnation: a.server.incarnation, Labels: []string{a.rack()},
 		SeqNum: a.announcementSeqNum, Zone: a.zone,
 	})
@@ -37,11 +37,17 @@
 func (a *agentNode) renew() {
 	sent := a.fleet.now
 	request := a.executor.NextRenewal(sent)
+	a.renewals++
+	number := a.renewals
 	scheduled := false
 	scheduleNext := func(delay time.Duration) {
 		if !scheduled {
 			scheduled = true
-			a.schedule(delay, a.renew)
+			a.schedule(delay, func() {
+				if a.renewals == number {
+					a.renew()
+				}
+			})
 		}
 	}
 	responded := false
