Ignore what a former incarnation of a server answers

Callers saw: a task could run on two servers at once after a restart of one of them. A stop that the former incarnation had confirmed counted for the next one, which could still carry out the delayed start. A clock reading of the former one made leases on the next one longer than they should be, up to the longest that the server grants. Cause: answers to starts and stops were not tied to the incarnation that they were sent to. Change: starts and stops carry the incarnation that they are meant for. Confirmations and clocks of another one than the current are ignored. Tests state the incarnation of their requests.

--- a/backend_server.go
+++ b/backend_server.go
@@ -35,6 +35,8 @@
 
 // A StartRequest tells a backend server to start a run of a task.
 type StartRequest struct {
+	// Incarnation is the incarnation of the server that the request is meant for.
+	Incarnation uint64
 	// LeaseExpiry is the time on the server's clock at which the lease expires.
 	// The server then kills everything that it runs, unless the lease was
 	// extended.
--- a/executor/crash_test.go
+++ b/executor/crash_test.go
@@ -57,7 +57,7 @@
 			c := qt.New(t)
 			x := newExecutor()
 			x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
-			x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+			x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, nil)
 			x.HandleCommands(at(30), testEntry, startCommands(at(30), 1, 2))
 			c.Assert(crashedTasks(test.detect(x)), qt.DeepEquals, map[int]int64{0: 40, 1: 10}, qt.Commentf("task 2 is queued"))
 			effects := x.HandleRenewalError(at(95), at(95), errRefused)
@@ -71,9 +71,9 @@
 func newCrashExecutor() *executor.Executor {
 	x := newExecutor()
 	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0, 1))
-	x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
-	x.HandleStartResponse(at(35), pollenfront.StartRequest{Run: runID(1)}, 0, errTimeout)
-	x.HandleStartResponse(at(40), pollenfront.StartRequest{Run: runID(1)}, 0, nil)
+	x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, nil)
+	x.HandleStartResponse(at(35), pollenfront.StartRequest{Incarnation: 1, Run: runID(1)}, 0, errTimeout)
+	x.HandleStartResponse(at(40), pollenfront.StartRequest{Incarnation: 1, Run: runID(1)}, 0, nil)
 	return x
 }
 
@@ -125,7 +125,7 @@
 	x.HandleRenewal(at(3010), at(3005), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 2})
 	x.LinkEntry(at(3010), testEntry)
 	x.HandleCommands(at(3011), testEntry, startCommands(at(3011), 0))
-	x.HandleStartResponse(at(3012), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+	x.HandleStartResponse(at(3012), pollenfront.StartRequest{Incarnation: 2, Run: runID(0)}, 0, nil)
 	effects := x.HandleRenewalError(at(3020), at(3015), errRefused)
 	c.Assert(crashedTasks(effects), qt.DeepEquals, map[int]int64{0: 9})
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -76,7 +76,7 @@
 	shortTasks.Starts[0].ExpectedRunTime = int64(20 * time.Millisecond)
 	c.Assert(startedTasks(x.HandleCommands(at(0), testEntry, shortTasks)), qt.DeepEquals, []int{0, 1})
 	for i := range 2 {
-		x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(i)}, 0, nil)
+		x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(i)}, 0, nil)
 	}
 	effects := x.HandleRenewal(at(50), at(10), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
 		{Ending: pollenfront.EndingDone, Run: runID(0), SeqNum: 1},
@@ -147,7 +147,7 @@
 			c := qt.New(t)
 			x := newExecutor()
 			x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
-			x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+			x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, nil)
 			stops := 0
 			for i, percent := range test.percent {
 				now := at(100 * (i + 1))
@@ -175,7 +175,7 @@
 	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
 	var effects executor.Effects
 	for ms := 35; len(effects.Stops) == 0 && ms < 200; ms += 15 {
-		effects = x.HandleStartResponse(at(ms), pollenfront.StartRequest{Run: runID(0)}, 0, context.DeadlineExceeded)
+		effects = x.HandleStartResponse(at(ms), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, context.DeadlineExceeded)
 	}
 	c.Assert(effects.Stops, qt.DeepEquals, []executor.StopRequest{{Incarnation: 1, Run: runID(0), Token: 10}})
 	c.Assert(reportedEndings(x, at(200)), qt.HasLen, 0)
@@ -212,10 +212,10 @@
 			x := newExecutor()
 			x.NextRenewal(at(0))
 			x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
-			effects := x.HandleStartResponse(at(35), pollenfront.StartRequest{Run: runID(0)}, 0, context.DeadlineExceeded)
+			effects := x.HandleStartResponse(at(35), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, context.DeadlineExceeded)
 			c.Assert(startedTasks(effects), qt.DeepEquals, []int{0})
 			c.Assert(x.Report(at(35)).State, qt.Equals, tasklink.StateReady)
-			effects = x.HandleStartResponse(at(36), pollenfront.StartRequest{Run: runID(0)}, 0, test.err)
+			effects = x.HandleStartResponse(at(36), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, test.err)
 			c.Assert(len(effects.Stops) > 0, qt.Equals, test.stopped)
 			c.Assert(reportedEndings(x, at(36)), qt.HasLen, 0)
 			if test.running {
@@ -234,7 +234,7 @@
 	c := qt.New(t)
 	x := newExecutor()
 	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
-	c.Assert(startedTasks(x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, io.ErrUnexpectedEOF)), qt.HasLen, 0)
+	c.Assert(startedTasks(x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, io.ErrUnexpectedEOF)), qt.HasLen, 0)
 	c.Assert(startedTasks(x.Tick(at(10))), qt.HasLen, 0)
 	c.Assert(startedTasks(x.Tick(at(25))), qt.DeepEquals, []int{0})
 }
@@ -247,7 +247,7 @@
 	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
 	stops := 0
 	for ms := 35; ms <= 110; ms += 15 {
-		stops += len(x.HandleStartResponse(at(ms), pollenfront.StartRequest{Run: runID(0)}, 0, context.DeadlineExceeded).Stops)
+		stops += len(x.HandleStartResponse(at(ms), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, context.DeadlineExceeded).Stops)
 	}
 	c.Assert(stops > 0, qt.IsTrue)
 	c.Assert(x.Report(at(110)).State, qt.Equals, tasklink.StateUnavailable)
@@ -264,7 +264,7 @@
 		firstEvent func(x *executor.Executor) executor.Effects
 	}{
 		{name: "start was not answered", firstEvent: func(x *executor.Executor) executor.Effects {
-			return x.HandleStartResponse(at(1500), pollenfront.StartRequest{Run: runID(0)}, 0, context.DeadlineExceeded)
+			return x.HandleStartResponse(at(1500), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, context.DeadlineExceeded)
 		}},
 		{name: "resources become free", firstEvent: func(x *executor.Executor) executor.Effects {
 			return x.HandleRenewal(at(1500), at(10), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
@@ -273,7 +273,7 @@
 		}},
 		{name: "entry links again", firstEvent: func(x *executor.Executor) executor.Effects {
 			_, effects := x.LinkEntry(at(1500), testEntry)
-			more := x.HandleStartResponse(at(1501), pollenfront.StartRequest{Run: runID(0)}, 0, context.DeadlineExceeded)
+			more := x.HandleStartResponse(at(1501), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, context.DeadlineExceeded)
 			effects.Starts = append(effects.Starts, more.Starts...)
 			return effects
 		}},
@@ -359,7 +359,7 @@
 	x := newExecutor()
 	x.NextRenewal(at(0))
 	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
-	x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+	x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, nil)
 	x.HandleCommands(at(600), testEntry, &tasklink.Commands{EchoedClock: int64(at(600))})
 	x.Tick(at(610))
 	c.Assert(reportedEndings(x, at(610)), qt.HasLen, 0)
@@ -373,9 +373,9 @@
 	c := qt.New(t)
 	x := newExecutor()
 	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0, 1))
-	x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+	x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, nil)
 	x.UnlinkEntry(testEntry)
-	x.HandleStartResponse(at(2), pollenfront.StartRequest{Run: runID(1)}, 0, pollenfront.ErrRejected)
+	x.HandleStartResponse(at(2), pollenfront.StartRequest{Incarnation: 1, Run: runID(1)}, 0, pollenfront.ErrRejected)
 	runs, _ := x.LinkEntry(at(3), testEntry)
 	c.Assert(runs, qt.DeepEquals, []tasklink.RunState{
 		{Run: runID(0)}, {Ending: pollenfront.EndingFailed, Reason: pollenfront.ErrRejected.Error(), Run: runID(1)},
@@ -393,13 +393,13 @@
 	c := qt.New(t)
 	x := newExecutor()
 	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
-	x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+	x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, nil)
 	c.Assert(x.Release(at(10), testEntry.Name).Notify, qt.DeepEquals, []string{testEntry.Name})
 	update, _ := x.NextUpdate(at(10), testEntry.Name)
 	c.Assert(update.Report.State, qt.Equals, tasklink.StateDraining)
 	c.Assert(x.Release(at(11), testEntry.Name).Notify, qt.HasLen, 0)
 	c.Assert(startedTasks(x.HandleCommands(at(11), testEntry, startCommands(at(5), 1))), qt.DeepEquals, []int{1})
-	x.HandleStartResponse(at(12), pollenfront.StartRequest{Run: runID(1)}, 0, nil)
+	x.HandleStartResponse(at(12), pollenfront.StartRequest{Incarnation: 1, Run: runID(1)}, 0, nil)
 	x.HandleRenewal(at(50), at(20), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
 		{Ending: pollenfront.EndingDone, Run: runID(0), SeqNum: 1}, {Ending: pollenfront.EndingDone, Run: runID(1), SeqNum: 2},
 	}})
@@ -431,7 +431,7 @@
 			c := qt.New(t)
 			x := newExecutor()
 			x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
-			x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+			x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, nil)
 			x.HandleRenewal(at(test.reportedAt), at(10), &pollenfront.RenewalResponse{
 				Clock: time.Second, Incarnation: 1, Running: []pollenfront.RunningRun{{Percent: 15, Run: runID(0)}},
 			})
--- a/executor/one_run_test.go
+++ b/executor/one_run_test.go
@@ -52,7 +52,7 @@
 	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
 	x.HandleCommands(at(0), busyEntry, startCommands(at(0), 1))
 	for i := range 2 {
-		x.HandleStartResponse(at(1), pollenfront.StartRequest{Run: runID(i)}, serverClock(at(1)), nil)
+		x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(i)}, serverClock(at(1)), nil)
 	}
 	return x
 }
@@ -144,7 +144,7 @@
 			x.HandleRenewal(at(11), at(10), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 2})
 			x.LinkEntry(at(11), testEntry)
 			x.HandleCommands(at(12), testEntry, startCommands(at(12), 0))
-			x.HandleStartResponse(at(13), pollenfront.StartRequest{Run: runID(0)}, 0, nil)
+			x.HandleStartResponse(at(13), pollenfront.StartRequest{Incarnation: 2, Run: runID(0)}, 0, nil)
 			x.HandleRenewal(at(21), at(20), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 2, Running: []pollenfront.RunningRun{{Run: runID(0)}}})
 			later := former
 			later.Incarnation, later.SeqNum, later.Clock = incarnation, 1, time.Millisecond
@@ -166,7 +166,7 @@
 	c := qt.New(t)
 	x := newExecutor()
 	x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
-	x.HandleStartResponse(at(35), pollenfront.StartRequest{Run: runID(0)}, 0, errTimeout)
+	x.HandleStartResponse(at(35), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, errTimeout)
 	stop := x.HandleCommands(at(40), testEntry, &tasklink.Commands{EchoedClock: int64(at(40)), Stops: []pollenfront.RunID{runID(0)}}).Stops[0]
 	x.HandleRenewal(at(51), at(50), &pollenfront.RenewalResponse{Clock: time.Millisecond, Incarnation: 2})
 	x.HandleStopResponse(at(52), stop, time.Hour, nil)
--- a/executor/run.go
+++ b/executor/run.go
@@ -231,6 +231,9 @@
 // clock, or zero if it is not known. err is nil if the server confirmed the stop; on
 // any error, a later Tick repeats the stop.
 func (x *Executor) HandleStopResponse(now time.Duration, request StopRequest, clock time.Duration, err error) {
+	if request.Incarnation != x.server.incarnation {
+		return // A stop is confirmed by the incarnation that may carry out the start.
+	}
 	x.recordClock(now, clock)
 	x.recordResponse(now, err)
 	if errors.Is(err, pollenfront.ErrFenced) {
--- a/executor/run_stats_test.go
+++ b/executor/run_stats_test.go
@@ -15,7 +15,7 @@
 func completeRun(x *executor.Executor, index, startMS, runTimeMS int) float64 {
 	now := at(startMS)
 	x.HandleCommands(now, testEntry, startCommands(now, index))
-	x.HandleStartResponse(now, pollenfront.StartRequest{Run: runID(index)}, 0, nil)
+	x.HandleStartResponse(now, pollenfront.StartRequest{Incarnation: 1, Run: runID(index)}, 0, nil)
 	now += time.Duration(runTimeMS) * time.Millisecond
 	x.HandleRenewal(now, now, &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
 		{Ending: pollenfront.EndingDone, Run: runID(index), SeqNum: uint64(index) + 1},
--- a/executor/slow_server_test.go
+++ b/executor/slow_server_test.go
@@ -66,7 +66,7 @@
 	commands := startCommands(m.now, m.lastIndex)
 	commands.Starts[0].ExpectedRunTime = int64(expectedRunTime)
 	m.executor.HandleCommands(m.now, testEntry, commands)
-	m.executor.HandleStartResponse(m.now, pollenfront.StartRequest{Run: runID(m.lastIndex)}, 0, nil)
+	m.executor.HandleStartResponse(m.now, pollenfront.StartRequest{Incarnation: 1, Run: runID(m.lastIndex)}, 0, nil)
 	factor := m.factor * math.Exp(m.random.NormFloat64()*estimateDeviation)
 	if m.random.Float64() < longTaskShare {
 		factor *= longTaskFactor
--- a/executor/start.go
+++ b/executor/start.go
@@ -48,7 +48,7 @@
 	r.startAttempts++
 	r.lastStartSent, r.state, r.startRetryPending = now, starting, false
 	effects.Starts = append(effects.Starts, pollenfront.StartRequest{
-		LeaseExpiry: x.extendLease(now), Payload: r.payload, Run: r.id, Timeout: x.startTimeout(now), Token: x.token,
+		Incarnation: x.server.incarnation, LeaseExpiry: x.extendLease(now), Payload: r.payload, Run: r.id, Timeout: x.startTimeout(now), Token: x.token,
 	})
 }
 
@@ -66,8 +66,10 @@
 // any other error if the request may still be carried out.
 func (x *Executor) HandleStartResponse(now time.Duration, request pollenfront.StartRequest, clock time.Duration, err error) Effects {
 	var effects Effects
-	x.recordClock(now, clock)
-	x.recordResponse(now, err)
+	if request.Incarnation == x.server.incarnation {
+		x.recordClock(now, clock)
+		x.recordResponse(now, err)
+	}
 	r, ok := x.runsByTask[request.Run.TaskID]
 	if !ok || r.id != request.Run || r.state == queued {
 		return effects
--- a/executor/start_evidence_test.go
+++ b/executor/start_evidence_test.go
@@ -33,7 +33,7 @@
 
 // answerStart passes the server's answer to the start of a task.
 func answerStart(x *executor.Executor, ms, index int, err error) executor.Effects {
-	return x.HandleStartResponse(at(ms), pollenfront.StartRequest{Run: runID(index)}, 0, err)
+	return x.HandleStartResponse(at(ms), pollenfront.StartRequest{Incarnation: 1, Run: runID(index)}, 0, err)
 }
 
 // listRuns passes a response to a renewal that lists runs.
@@ -121,7 +121,7 @@
 	x.HandleCommands(at(2), testEntry, startCommands(at(0), 5))
 	answerStart(x, 3, 5, pollenfront.ErrNoCapacity)
 	c.Assert(startedTasks(x.HandleCommands(at(60), testEntry, startCommands(at(60), 6))), qt.DeepEquals, []int{6})
-	x.HandleStartResponse(at(95), pollenfront.StartRequest{Run: runID(6)}, 0, context.DeadlineExceeded)
+	x.HandleStartResponse(at(95), pollenfront.StartRequest{Incarnation: 1, Run: runID(6)}, 0, context.DeadlineExceeded)
 	answerStart(x, 97, 6, nil)
 	c.Assert(effectiveCPU(x, 97), qt.Equals, 30000)
 	c.Assert(startedTasks(x.HandleCommands(at(100), testEntry, startCommands(at(100), 7))), qt.DeepEquals, []int{7})
