Grant leases by the slowest clock that a server may have

Cause: the end of a lease is a time on the server's clock, which the agent extrapolates from its last reading. The clock may be 2 % slow, so after seconds without an answer the lease was longer than the agent and its entries assume, by 0.1 s after 5 s. Change: the extrapolation assumes the slowest clock.

--- a/executor/lease.go
+++ b/executor/lease.go
@@ -45,7 +45,7 @@
 func (x *Executor) extendLease(now time.Duration) time.Duration {
 	lease := min(Lease, x.leaseLimit()-now)
 	x.server.leaseExpiry = max(x.server.leaseExpiry, now+time.Duration(float64(lease)*maxClockDrift)+leaseExpiryMargin)
-	return now + lease + x.server.clockOffset
+	return x.slowestClock(now) + lease
 }
 
 // checkLeaseLimit makes the server unavailable while the lease can't be extended for long
--- a/executor/one_run_test.go
+++ b/executor/one_run_test.go
@@ -174,3 +174,12 @@
 	c.Assert(reportedEndings(x, at(61)), qt.HasLen, 0)
 	c.Assert(x.NextRenewal(at(62)).LeaseExpiry < time.Minute, qt.IsTrue)
 }
+
+// TestLeaseOnSlowClock guards against leases that are too long because the server's clock is
+// slow and was read long before.
+func TestLeaseOnSlowClock(t *testing.T) {
+	x := newExecutor()
+	x.HandleRenewal(at(1), at(0), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1})
+	slowClock := time.Second + 4900*time.Millisecond // After 5 s on a clock that is 2 % slow.
+	qt.Assert(t, x.NextRenewal(at(5001)).LeaseExpiry <= slowClock+executor.Lease, qt.IsTrue)
+}
--- a/executor/server.go
+++ b/executor/server.go
@@ -20,6 +20,8 @@
 	// clockOffset is the server's clock minus the agent's.
 	clockOffset      time.Duration
 	clockOffsetKnown bool
+	// clockReadAt is when the server's clock was read.
+	clockReadAt time.Duration
 	// crashed is whether the process of this incarnation is known to have ended.
 	crashed bool
 	// crashedAt is when crashed was set.
@@ -164,10 +166,16 @@
 // none.
 func (x *Executor) recordClock(now, clock time.Duration) {
 	if clock > 0 {
-		x.server.clockOffset, x.server.clockOffsetKnown = clock-now, true
+		x.server.clockOffset, x.server.clockOffsetKnown, x.server.clockReadAt = clock-now, true, now
 	}
 }
 
+// slowestClock returns the reading of the server's clock if it is as slow as maxClockDrift
+// allows since it was read. A lease that is granted from then on is not too long.
+func (x *Executor) slowestClock(now time.Duration) time.Duration {
+	return x.server.clockReadAt + x.server.clockOffset + time.Duration(float64(now-x.server.clockReadAt)/maxClockDrift)
+}
+
 // NextRenewal returns the next request to renew the lease. It counts as sent now. Until
 // the server's clock is known, while nothing listens at the server's address and while a run
 // must not go on, it does not extend the lease.
