Count an entry as heard from when it was dialed, not when its hello arrives

Cause: a hello may be held up by a partition for as long as the agent waits for it (1.5 s). The entry that sent it may be dead by then, and its callers may already have submitted its jobs elsewhere, but its runs went on for another 0.6 s and a lease. Evidence: TestDelayedHello failed: lease extended to 1.75 s in place of 1.25 s. Change: the time at which the agent began to dial counts, since the hello was sent later. An echo that is newer than the agent's clock counts as sent now. Result: the test passes, and so do executor, agent and TestFaults.

--- a/executor/commands.go
+++ b/executor/commands.go
@@ -17,7 +17,7 @@
 		return effects
 	}
 	x.checkSilence(now, e, &effects)
-	echo := time.Duration(commands.EchoedClock)
+	echo := min(time.Duration(commands.EchoedClock), now) // An echo can't be newer than the clock.
 	if echo > e.lastEcho {
 		e.lastEcho = echo
 		e.stoppedForSilence = e.stoppedForSilence && e.silent(now)
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -17,7 +17,7 @@
 	// invalidDemand is whether this incarnation has stated an invalid demand.
 	invalidDemand bool
 	// lastEcho is the newest reading of the agent's clock that the entry has
-	// echoed, or the time at which it linked if that is later.
+	// echoed, or the time at which it was dialed if that is later.
 	lastEcho time.Duration
 	// lastSeqNum is the highest sequence number of the tasks that the entry has
 	// sent on its current link.
@@ -57,10 +57,11 @@
 	end tasklink.RunEnd
 }
 
-// LinkEntry records that an entry has linked. It returns the runs of the entry that
+// LinkEntry records that an entry has linked, whose hello was sent after the agent had begun
+// to dial it. It returns the runs of the entry that
 // the agent knows, including those that ended within runEndRetention. It stops the
 // runs of an earlier incarnation, and those of an entry that has been silent.
-func (x *Executor) LinkEntry(now time.Duration, ref EntryRef) ([]tasklink.RunState, Effects) {
+func (x *Executor) LinkEntry(now, dialed time.Duration, ref EntryRef) ([]tasklink.RunState, Effects) {
 	var effects Effects
 	e, ok := x.entries[ref.Name]
 	if ok {
@@ -74,7 +75,8 @@
 		e = &entry{EntryRef: ref}
 		x.entries[ref.Name] = e
 	}
-	e.lastEcho, e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = now, 0, true, 0, false, nil
+	e.lastEcho = max(e.lastEcho, dialed)
+	e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = 0, true, 0, false, nil
 	e.crashCursor = 0
 	x.removeFromShares(e) // A new link starts without a statement.
 	x.addToShares(e)
