End the runs of a crashed server with its lease

Cause: still inferred the end of a process, from a renewal that is cut off and another that is refused. A process may close all of its sockets and go on with its work, and something between may reset and reject connections. Evidence: TestRunsOutliveConnections (branch of the replay): tasks run twice if connections are reset and refused for 0.1 s and 0.4 s. Change: only the server's lists, the answer of its next incarnation and the end of its lease end runs. Refused connections still count as a crash for the blame of tasks, and stop the lease from being extended. Result: that test passes.

--- a/backend_server.go
+++ b/backend_server.go
@@ -29,10 +29,6 @@
 	ErrUnhealthy = errors.New("the backend server takes no orders now")
 )
 
-// ErrDisconnected means that the connection to a BackendServer was closed or reset before the
-// response. The request may have been carried out.
-var ErrDisconnected = errors.New("the backend server cut off the request")
-
 // A StartRequest tells a backend server to start a run of a task.
 type StartRequest struct {
 	// Incarnation is the incarnation of the server that the request is meant for.
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -28,25 +28,15 @@
 	Started bool
 }
 
-// detectCrash records that the server's process has ended if err, the error of a renewal
-// that was sent at the given time, shows it. An earlier renewal may have been refused
-// before this incarnation of the server was up. A process that only closes its listener
-// still answers the renewal in progress and goes on with its runs. So these end at once if
-// that renewal was cut off before, and otherwise with the lease, which is no longer extended.
+// detectCrash records that the server's process has most likely ended if err, the error of a
+// renewal that was sent at the given time, shows it. An earlier renewal may have been refused
+// before this incarnation of the server was up. The process may also have closed its listener
+// and its connections, or something between may reject them. So its runs end with the lease,
+// which is no longer extended.
 func (x *Executor) detectCrash(now, sent time.Duration, err error, effects *Effects) {
-	s := &x.server
-	if sent <= s.seenAt {
-		return
-	}
-	switch {
-	case errors.Is(err, pollenfront.ErrDisconnected):
-		s.disconnectedAt = now
-	case errors.Is(err, pollenfront.ErrUnreachable) && s.announced:
+	if errors.Is(err, pollenfront.ErrUnreachable) && x.server.announced && sent > x.server.seenAt {
 		x.fenceCrashed()
 		x.recordCrash(now, effects)
-		if s.disconnectedAt > 0 && sent >= s.disconnectedAt {
-			x.endCrashedRuns(now, proof{asOf: s.disconnectedAt, kind: ProcessEnded}, effects)
-		}
 	}
 }
 
@@ -58,7 +48,7 @@
 	}
 }
 
-// endCrashedRuns ends the runs that were on the server when its process ended. These are
+// endCrashedRuns ends the runs that were on the former incarnation of the server. These are
 // the ones whose last start was answered before the time of the evidence, at which that process was
 // still up, or has ended before. A run with a start request that may still be carried out
 // is kept, since the next incarnation may get the request.
--- a/executor/endings.go
+++ b/executor/endings.go
@@ -107,6 +107,6 @@
 // that was taken for crashed.
 func (x *Executor) checkCrashConclusion(now time.Duration, incarnation uint64, effects *Effects) {
 	if s := &x.server; incarnation == s.incarnation && s.crashed {
-		effects.Contradictions = append(effects.Contradictions, Contradiction{Age: now - s.crashedAt, Conclusion: ProcessEnded, Incarnation: incarnation})
+		effects.Contradictions = append(effects.Contradictions, Contradiction{Age: now - s.crashedAt, Conclusion: ConnectionRefused, Incarnation: incarnation})
 	}
 }
--- a/executor/evidence.go
+++ b/executor/evidence.go
@@ -5,8 +5,7 @@
 // Evidence is what shows that a run is over, or that it will never start.
 type Evidence string
 
-// Kinds of evidence. The first ones are statements of the server, or follow from its
-// lease. The others are inferred.
+// Kinds of evidence.
 const (
 	// NoStartSent means that no start request was sent for the run.
 	NoStartSent Evidence = "no-start-sent"
@@ -20,10 +19,10 @@
 	LeaseExpired Evidence = "lease-expired"
 	// Unlisted means that the server does not list a run that it had started.
 	Unlisted Evidence = "unlisted"
-	// ProcessEnded means that a request in progress was cut off, and that nothing listened at
-	// the server's address then.
-	ProcessEnded Evidence = "process-ended"
-	// NewIncarnation means that a later incarnation of the server has shown up.
+	// ConnectionRefused means that nothing listened at the server's address. It shows that the
+	// server has crashed, but not that a run is over.
+	ConnectionRefused Evidence = "connection-refused"
+	// NewIncarnation means that a later incarnation of the server has answered.
 	NewIncarnation Evidence = "new-incarnation"
 )
 
--- a/executor/server.go
+++ b/executor/server.go
@@ -26,9 +26,6 @@
 	crashed bool
 	// crashedAt is when crashed was set.
 	crashedAt time.Duration
-	// disconnectedAt is when a renewal was cut off before its answer, and zero if a request
-	// was answered since.
-	disconnectedAt time.Duration
 	// draining is whether the server announced that it takes no new tasks.
 	draining bool
 	// failingSince is when a request failed without a response for the first time
--- a/executor/start.go
+++ b/executor/start.go
@@ -152,8 +152,7 @@
 	case errors.Is(err, pollenfront.ErrUnreachable):
 		x.server.lastUnanswered, x.server.unresponsive, x.server.refusing = now, true, true
 	case isDefinite(err):
-		x.server.lastResponse, x.server.unresponsive, x.server.refusing = now, false, false
-		x.server.disconnectedAt, x.server.failingSince = 0, 0
+		x.server.lastResponse, x.server.unresponsive, x.server.refusing, x.server.failingSince = now, false, false, 0
 		return
 	default:
 		x.server.lastUnanswered = now
--- a/replay/server.go
+++ b/replay/server.go
@@ -251,7 +251,7 @@
 	s.abortRenewal = func() {
 		if !responded {
 			responded = true
-			respond(nil, pollenfront.ErrDisconnected)
+			respond(nil, errNoResponse)
 		}
 	}
 	s.fleet.schedule(request.Wait, respondOnce)
