Log the runs that a server lists and its agent does not know

Cause: such a run is what a start leaves that was carried out late, on this or the next incarnation of the server, or by an earlier incarnation of the agent. The log did not show it. Change: one line each time that it is listed, until it is stopped. No decision changes. Result: tests of executor and agent pass.

--- a/agent/internal/driver/conclusions.go
+++ b/agent/internal/driver/conclusions.go
@@ -19,6 +19,9 @@
 		d.logger.Error("conclusion contradicted by the backend server", zap.String("evidence", string(c.Conclusion)), zap.Float64("age", c.Age.Seconds()),
 			zap.Uint64("incarnation", c.Incarnation), zap.String("request", c.Run.Job), zap.Int("task", c.Run.Index), zap.Int("run", c.Run.Number), zap.String("entry", c.Entry))
 	}
+	for _, run := range effects.UnknownRuns {
+		d.logger.Info("unknown run on the backend server", zap.String("request", run.Job), zap.Int("task", run.Index), zap.Int("run", run.Number))
+	}
 	for _, r := range effects.Restarts {
 		d.logger.Info("task accepted again", zap.String("request", r.Run.Job), zap.Int("task", r.Run.Index), zap.Int("run", r.Run.Number), zap.String("entry", r.Entry),
 			zap.String("earlier-entry", r.EarlierEntry), zap.Int("earlier-run", r.EarlierRun), zap.String("ending", string(r.Ending)), zap.String("evidence", string(r.Evidence)),
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -33,6 +33,8 @@
 	Starts []pollenfront.StartRequest
 	// Stops lists the stop requests to send to the server.
 	Stops []StopRequest
+	// UnknownRuns lists the runs on the server that the executor does not know, for the log.
+	UnknownRuns []pollenfront.RunID
 }
 
 // An EndedRun is a run that ended, or one whose start command was refused.
@@ -77,6 +79,7 @@
 	e.Restarts = append(e.Restarts, other.Restarts...)
 	e.Starts = append(e.Starts, other.Starts...)
 	e.Stops = append(e.Stops, other.Stops...)
+	e.UnknownRuns = append(e.UnknownRuns, other.UnknownRuns...)
 	for _, name := range other.Notify {
 		e.notify(name)
 	}
--- a/executor/server.go
+++ b/executor/server.go
@@ -265,6 +265,7 @@
 			x.noUnknownRuns, x.unknownListedAt = false, now
 			x.endings.recordListed(now, sent, x.server.incarnation, reported.Run, effects)
 			effects.Stops = append(effects.Stops, x.stopRequest(reported.Run))
+			effects.UnknownRuns = append(effects.UnknownRuns, reported.Run)
 			continue
 		}
 		if !r.started || r.percent != reported.Percent {
