Probe the connections of callers

Cause: a caller whose connection broke on its own side only submits its job again 1.3 s later, at any entry, while the first entry holds the job until the caller's time limit. Nothing bounded that (TestRunsOutliveCallersUnnoticed). Change: the kernel probes connections of callers after 1 s of silence. A caller's machine that has lost the connection resets it, and the entry stops the job 0.3 s before it can start elsewhere. That leaves no time for a stop that is lost as well, and a caller's machine that does not answer is noticed only at the caller's limit, as before. Result: TestCallersAreProbed checks that the probes are set. That they reset a half-open connection was not played.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -112,7 +112,7 @@
 		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
 	}
 	callerServer := &http.Server{
-		Handler: e.closeConnections(platform.NewCallerHandler(e.jobs)), IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: readHeaderTimeout,
+		ConnContext: probeCaller, Handler: e.closeConnections(platform.NewCallerHandler(e.jobs)), IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: readHeaderTimeout,
 	}
 	program.AddServer(&group, callerServer, e.settings.Callers, e.logger)
 	readiness := &http.Server{Handler: platform.NewReadinessHandler(e.ready), ReadHeaderTimeout: readHeaderTimeout}
