Drop start requests that were held up by a suspension of the agent

Cause: a start that the executor has decided on is sent by a goroutine of its own. If the agent is suspended between the two, it is sent seconds later. The server rejects it by its lease, unless it was restarted meanwhile under the same ID: its clock then starts anew, and it carries the request out although the entry has placed the task elsewhere. Evidence: TestSuspendedStart failed (it did not compile before, as startRun had no time; without the check the request is sent). Change: a start that was decided on more than 200 ms before is not sent. Result: the test passes.

--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -25,6 +25,10 @@
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
+// maxStartDelay is the longest time between the decision to send a start request and the
+// sending.
+const maxStartDelay = 200 * time.Millisecond
+
 // stateLogInterval is the time between two log lines about the server's state.
 const stateLogInterval = 5 * time.Second
 
@@ -151,7 +155,7 @@
 	}
 	for _, request := range effects.Starts {
 		d.metrics.startRequests.Inc()
-		go d.startRun(request)
+		go d.startRun(now, request)
 	}
 	for _, request := range effects.Stops {
 		d.metrics.stopRequests.Inc()
@@ -229,8 +233,14 @@
 }
 
 // startRun asks the backend server to start a run and passes the response to the
-// executor. Failed requests are logged, and so are those of sampled jobs.
-func (d *Driver) startRun(request pollenfront.StartRequest) {
+// executor. Failed requests are logged, and so are those of sampled jobs. A request that the
+// executor decided on more than maxStartDelay before is not sent: the process was suspended
+// meanwhile, and the server may have been restarted.
+func (d *Driver) startRun(decided time.Duration, request pollenfront.StartRequest) {
+	if now := bootclock.Now(); now-decided > maxStartDelay {
+		d.handleEvent(now, func() executor.Effects { return d.executor.HandleStartResponse(now, request, 0, pollenfront.ErrNotSent) })
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), request.Timeout)
 	defer cancel()
 	sent := bootclock.Now()
--- a/agent/internal/driver/driver_test.go
+++ b/agent/internal/driver/driver_test.go
@@ -352,3 +352,16 @@
 		other.Close()
 	}
 }
+
+// TestSuspendedStart guards against a start request that is sent after a suspension of the
+// agent. The server may have been restarted meanwhile, and would start a run that its entry
+// considers lost.
+func TestSuspendedStart(t *testing.T) {
+	c := qt.New(t)
+	server := &fakeServer{}
+	d := New(tasklink.Hello{Name: "agent-1"}, server, &fakeStore{}, prometheus.NewRegistry(), zap.NewNop())
+	d.startRun(bootclock.Now()-time.Second, pollenfront.StartRequest{Timeout: time.Second})
+	c.Assert(server.startRequests, qt.HasLen, 0)
+	d.startRun(bootclock.Now(), pollenfront.StartRequest{Timeout: time.Second})
+	c.Assert(server.startRequests, qt.HasLen, 1)
+}
--- a/backend_server.go
+++ b/backend_server.go
@@ -16,6 +16,8 @@
 	ErrLate = errors.New("the order reached the backend server after its lease")
 	// ErrNoCapacity means that the server has too few free resources for the task.
 	ErrNoCapacity = errors.New("the backend server has no room for the task")
+	// ErrNotSent means that the agent did not send the request.
+	ErrNotSent = errors.New("the request was not sent")
 	// ErrRejected means that the server will never accept this task.
 	ErrRejected = errors.New("the backend server does not accept the task")
 	// ErrReplaced means that another incarnation of the server responded.
--- a/executor/start.go
+++ b/executor/start.go
@@ -149,6 +149,8 @@
 // recordResponse records whether the server responded to a request that returned err.
 func (x *Executor) recordResponse(now time.Duration, err error) {
 	switch {
+	case errors.Is(err, pollenfront.ErrNotSent):
+		return
 	case errors.Is(err, pollenfront.ErrUnreachable):
 		x.server.lastUnanswered, x.server.unresponsive, x.server.refusing = now, true, true
 	case isDefinite(err):
@@ -169,7 +171,7 @@
 		return true
 	}
 	for _, definite := range []error{
-		pollenfront.ErrFenced, pollenfront.ErrLate, pollenfront.ErrNoCapacity, pollenfront.ErrRejected, pollenfront.ErrReplaced,
+		pollenfront.ErrFenced, pollenfront.ErrLate, pollenfront.ErrNoCapacity, pollenfront.ErrNotSent, pollenfront.ErrRejected, pollenfront.ErrReplaced,
 		pollenfront.ErrRunSuperseded, pollenfront.ErrUnhealthy, pollenfront.ErrUnreachable,
 	} {
 		if errors.Is(err, definite) {
