Dial the seeds as soon as no member of a cell has a link

What happened: with thousands of records of another writer in the table of entries, to which nothing answers, an agent had no link for 15 s after its start, and then a link to a seed that it closed and opened again by turns.

Cause: seeds were dialed only once every wanted entry had been without a link for 2 s. Each substitute restarted that time, and the first substitutes are tried again after 15 s.

Change: seeds are dialed while no wanted entry has had a link for 2 s, which is what the documentation of the package says.

Measured: TestRecordsOfAnotherWriter (1 entry among 5,000 such records) failed before (the seed was not dialed after 10 s) and passes now, as do the other tests of cell.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -89,6 +89,9 @@
 	extra extraLinks
 	// loaded is set once registered entries are known.
 	loaded bool
+	// memberLinked is the newest time at which a wanted registered entry had a link, or none
+	// was known.
+	memberLinked time.Duration
 	// ranked are the registered entries by descending weight for the agent.
 	ranked []pollenfront.EntryRecord
 	// resized is the time of the start or of the newest change of size.
@@ -112,7 +115,7 @@
 // New returns the cell of an agent that starts now. seeds are addresses of entries that
 // may not be registered.
 func New(now time.Duration, agent, zone string, seeds []string) *Cell {
-	return &Cell{agent: agent, resized: now, seeds: seeds, size: DefaultSize, started: now, unlinked: make(map[string]unlinkedEntry), zone: zone}
+	return &Cell{agent: agent, memberLinked: now, resized: now, seeds: seeds, size: DefaultSize, started: now, unlinked: make(map[string]unlinkedEntry), zone: zone}
 }
 
 // SetEntries sets the registered entries.
@@ -184,17 +187,20 @@
 }
 
 // needsSeeds reports whether the seeds must be dialed: no registered entry is known, or
-// none of the wanted ones has a link although they were dialed for substituteDelay.
+// none of the wanted ones has had a link for substituteDelay. It does not wait for all
+// substitutes, since another writer may have left records to which nothing answers.
 func (c *Cell) needsSeeds(now time.Duration, wanted, linked map[string]bool) bool {
 	if !c.loaded {
+		c.memberLinked = now
 		return now-c.started >= seedDelay
 	}
 	for address := range wanted {
-		if linked[address] || !c.isUnreachable(now, address) {
+		if linked[address] {
+			c.memberLinked = now
 			return false
 		}
 	}
-	return true
+	return now-c.memberLinked > substituteDelay
 }
 
 // recordUnlinked records the wanted addresses without a link, and forgets the others
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -162,3 +162,27 @@
 		c.Assert(slices.Contains(newCell(agent, zone, entries).Update(0, nil), e.Address), qt.IsTrue)
 	}
 }
+
+// TestRecordsOfAnotherWriter guards against an agent without links because thousands of
+// records of another writer, to which nothing answers, rank before those of the entries.
+func TestRecordsOfAnotherWriter(t *testing.T) {
+	c := qt.New(t)
+	seed := "10.0.0.1:7000"
+	agent := New(0, "agent-1", "west", []string{seed})
+	all := []pollenfront.EntryRecord{{Address: seed, Incarnation: 1, Name: "entry-1", Zone: "west"}}
+	for i := range 5000 {
+		zone := []string{"west", "no-such-zone"}[i%2]
+		all = append(all, pollenfront.EntryRecord{Address: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250), Incarnation: 1, Name: fmt.Sprintf("odd-%d", i), Zone: zone})
+	}
+	agent.SetEntries(all)
+	wanted := agent.Update(0, nil)
+	for now := time.Duration(0); now < 10*time.Second; now += 500 * time.Millisecond {
+		wanted = agent.Update(now, nil)
+		c.Assert(len(wanted) <= 6*DefaultSize+1, qt.IsTrue, qt.Commentf("%d addresses are dialed", len(wanted)))
+	}
+	c.Assert(slices.Contains(wanted, seed), qt.IsTrue)
+	// The link to the seed is kept while the others remain unreachable.
+	for now := 10 * time.Second; now < time.Minute; now += 500 * time.Millisecond {
+		c.Assert(slices.Contains(agent.Update(now, []Link{{Address: seed, AgentCount: 20}}), seed), qt.IsTrue, qt.Commentf("%v", now))
+	}
+}
