Report odd rows of the store once, and bound what they cost

What happened: rows of another writer in the tables of the store were passed on as entries to which no link can be made (ports 0, -1, 65536 and 99999, host names, no zone), which took places in the cells of agents, or were dropped without a trace. A row with a field that can't be decoded, or nested deeper than 10,000 levels in the response itself, made every read and poll fail, so that the list was not followed any more. A table with large rows was held in memory as a whole: 400 rows of 200 kB raised the heap by 204 MB, and agents have 152 MB. An invalid saved announcement was read again every 200 ms, and one with a negative or huge capacity was used. An invalid configuration was logged with each poll.

Cause: values were decoded without checks of their ranges and sizes, a response as a whole, and a table before its rows were looked at.

What is not used is counted in pollenfront_invalid_inputs_total and logged once an hour for each key and fault.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -126,7 +126,10 @@
 // watchEntries applies changes to the registered entries until ctx is done.
 func (a *agent) watchEntries(ctx context.Context) error {
 	w := storewatch.Watcher[pollenfront.Entries]{
-		Apply:       func(entries pollenfront.Entries) { a.entryDialer.setEntries(ctx, entries) },
+		Apply: func(entries pollenfront.Entries) {
+			a.driver.RecordInvalidRows("entries", entries.InvalidRows)
+			a.entryDialer.setEntries(ctx, entries)
+		},
 		Logger:      a.logger,
 		Name:        "entries",
 		Poll:        a.store.PollEntries,
--- a/agent/entry_dialer.go
+++ b/agent/entry_dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	driver  *driver.Driver
 	// mu guards cancels and cell.
 	mu sync.Mutex
+	// records are the registered entries. Only setEntries uses them.
+	records map[string]pollenfront.EntryRecord
 }
 
 // newEntryDialer returns an entryDialer without links.
@@ -31,8 +34,14 @@
 	return &entryDialer{cancels: make(map[string]context.CancelFunc), cell: c, driver: d}
 }
 
-// setEntries sets the registered entries.
+// setEntries sets the registered entries. It does nothing if they have not changed, as a cell
+// of thousands of records takes milliseconds to draw and a poll may return several times a
+// second.
 func (d *entryDialer) setEntries(ctx context.Context, entries pollenfront.Entries) {
+	if maps.Equal(d.records, entries.Records) {
+		return
+	}
+	d.records = entries.Records
 	records := make([]pollenfront.EntryRecord, 0, len(entries.Records))
 	for _, record := range entries.Records {
 		records = append(records, record)
--- a/agent/internal/driver/announcements.go
+++ b/agent/internal/driver/announcements.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"reflect"
 	"time"
 
@@ -84,10 +85,15 @@
 // RestoreAnnouncement loads the announcement that an earlier incarnation of this
 // agent has saved and passes it to the executor, so that the agent can use the
 // server before the server announces itself again. It retries failed calls to the
-// store until ctx is done or the server has announced itself.
+// store until ctx is done or the server has announced itself. What is saved may be
+// invalid, which another call would not change.
 func (d *Driver) RestoreAnnouncement(ctx context.Context) {
 	for ctx.Err() == nil && !d.serverAnnounced() {
 		a, found, err := d.store.LoadAnnouncement(ctx, d.self.Name)
+		if errors.Is(err, pollenfront.ErrInvalidRow) {
+			d.RecordInvalidRows("saved-announcement", []pollenfront.InvalidRow{{Fault: err.Error(), Key: d.self.Name}})
+			return
+		}
 		if err != nil {
 			program.Sleep(ctx, loadRetryDelay)
 			continue
@@ -142,8 +148,16 @@
 }
 
 // HandleInvalidAnnouncement counts and logs an announcement that could not be
-// decoded or failed a check, for example one of a server of another service.
+// decoded or failed a check, for example one of a server of another service. It logs each
+// fault of an instance once.
 func (d *Driver) HandleInvalidAnnouncement(instance string, err error) {
 	d.metrics.invalidAnnouncements.Inc()
-	d.logger.Warn("announcement ignored", zap.String("instance", instance), zap.Error(err))
+	if d.faults.IsNew("announcement", instance, err.Error()) {
+		d.logger.Warn("announcement ignored", zap.String("instance", instance), zap.Error(err))
+	}
+}
+
+// RecordInvalidRows counts rows from a source that can't be used, and logs each fault once.
+func (d *Driver) RecordInvalidRows(source string, rows []pollenfront.InvalidRow) {
+	d.faults.RecordRows(d.logger, source, rows)
 }
--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -51,6 +51,7 @@
 	// that start while the store is unavailable.
 	config   *pollenfront.Config
 	executor *executor.Executor
+	faults   *observe.Faults
 	// instance is the ID of the instance of the backend server that was announced last,
 	// or empty if none was.
 	instance string
@@ -82,6 +83,7 @@
 func New(self tasklink.Hello, server Server, store pollenfront.Store, registry *prometheus.Registry, logger *zap.Logger) *Driver {
 	return &Driver{
 		executor: executor.New(self.Name, self.Service, self.Zone, self.Incarnation),
+		faults:   observe.NewFaults(registry),
 		links:    make(map[string]*entryLink),
 		logger:   logger,
 		metrics:  newMetrics(registry),
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -20,6 +20,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/observe"
 	"github.com/pollenfront/pollenfront/program"
 	"github.com/pollenfront/pollenfront/scheduler"
 	"github.com/pollenfront/pollenfront/tasklink"
@@ -37,6 +38,9 @@
 	config atomic.Pointer[pollenfront.Config]
 	// configured is closed once there is a configuration.
 	configured chan struct{}
+	// entries are the registered entries.
+	entries map[string]pollenfront.EntryRecord
+	faults  *observe.Faults
 	// handling is the job that is being passed to the scheduler, or nil.
 	handling *pollenfront.Submission
 	// hellos maps the name of each agent to the record of its newest hello.
@@ -81,6 +85,7 @@
 func New(self tasklink.Hello, store pollenfront.Store, registry *prometheus.Registry, logger *zap.Logger) *Jobs {
 	j := &Jobs{
 		configured:             make(chan struct{}),
+		faults:                 observe.NewFaults(registry),
 		hellos:                 make(map[string]helloRecord),
 		links:                  make(map[string]*agentLink),
 		loggedInvalidEstimates: make(map[string]bool),
@@ -112,6 +117,9 @@
 // not be decoded, whose previous values stay in force.
 func (j *Jobs) SetOperatorState(state pollenfront.OperatorState) {
 	for _, decodeError := range state.DecodeErrors {
+		if !j.faults.Count("operator-state", "", decodeError) {
+			continue
+		}
 		j.logger.Warn("part of the operator state could not be decoded, its previous value stays in force", zap.String("fault", decodeError), zap.Uint64("store-version", state.Version))
 	}
 	j.mu.Lock()
@@ -131,10 +139,16 @@
 	j.scheduler.SetRemoteFactor(factor)
 }
 
-// SetEntries sets the registered entries, which share the backend servers.
+// SetEntries sets the registered entries, which share the backend servers. It records the
+// rows that are no records of entries.
 func (j *Jobs) SetEntries(entries pollenfront.Entries) {
+	j.faults.RecordRows(j.logger, "entries", entries.InvalidRows)
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.entries != nil && maps.Equal(j.entries, entries.Records) {
+		return
+	}
+	j.entries = entries.Records
 	j.scheduler.SetEntries(slices.Collect(maps.Values(entries.Records)))
 }
 
--- a/resources.go
+++ b/resources.go
@@ -1,5 +1,7 @@
 package pollenfront
 
+import "math"
+
 // Resources is an amount of a backend server's resources.
 //
 //msgp:tuple Resources
@@ -9,6 +11,10 @@
 	Memory int `json:"memory"` // Memory is in mebibytes.
 }
 
+// MaxCapacity is the largest capacity of a server that is accepted: two million cores and two
+// billion mebibytes. Sums over all servers of a fleet do not overflow with it.
+var MaxCapacity = Resources{CPU: math.MaxInt32, GPU: math.MaxInt32, Memory: math.MaxInt32}
+
 // Add returns the sum of r and other.
 func (r Resources) Add(other Resources) Resources {
 	return Resources{CPU: r.CPU + other.CPU, GPU: r.GPU + other.GPU, Memory: r.Memory + other.Memory}
--- a/store.go
+++ b/store.go
@@ -13,6 +13,10 @@
 // version, so that the current state must be read instead.
 var ErrHistoryGone = errors.New("the store's history since the version is gone")
 
+// ErrInvalidRow means that a row of the store holds something that can't be used, which
+// another attempt to read it does not change.
+var ErrInvalidRow = errors.New("the row of the store is invalid")
+
 // OperatorState is what the operators have set in the store: the configuration
 // and the zones that are out of service.
 type OperatorState struct {
@@ -36,8 +40,18 @@
 	Zone        string `json:"zone"`
 }
 
+// An InvalidRow is a row of the store that can't be used. The other rows stay in force.
+type InvalidRow struct {
+	// Fault describes what is wrong with the row, in one line of bounded length.
+	Fault string
+	Key   string
+}
+
 // Entries are the registered entries.
 type Entries struct {
+	// InvalidRows lists those of the newest changes that are not records of entries, but no
+	// more than a thousand.
+	InvalidRows []InvalidRow
 	// Records maps the name of each entry to its record.
 	Records map[string]EntryRecord
 	// Version is the store's version of this state.
@@ -77,6 +91,7 @@
 	SaveAnnouncement(ctx context.Context, agent string, announcement Announcement) error
 
 	// LoadAnnouncement returns the announcement that SaveAnnouncement saved, or
-	// false if there is none.
+	// false if there is none. It returns an error that wraps ErrInvalidRow if what the
+	// store holds is not a valid announcement.
 	LoadAnnouncement(ctx context.Context, agent string) (Announcement, bool, error)
 }
