Use the agents' copies if the configuration in the store is invalid

What happened: an entry that started while the configuration in the store could not be decoded had none, and served no job until an operator wrote a valid one, although the other entries went on with the previous one and the agents keep it.

Cause: copies of agents were used only if the store did not answer.

Measured: TestStartWithInvalidConfig failed before (version 0 in force) and passes now.

--- a/entry/internal/jobs/invalid_rows_test.go
+++ b/entry/internal/jobs/invalid_rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
@@ -51,3 +52,20 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(problems, qt.HasLen, 0)
 }
+
+// TestStartWithInvalidConfig guards against an entry that serves no job after a start because
+// the configuration in the store can't be decoded, although agents keep the one that is in
+// force elsewhere.
+func TestStartWithInvalidConfig(t *testing.T) {
+	c := qt.New(t)
+	j, _, _ := newLoggedJobs()
+	linkDiscardingAgent(t, j, time.Second, "agent-1")
+	j.SetOperatorState(pollenfront.OperatorState{DecodeErrors: []string{"too deep"}, DisabledZones: []string{"east"}, Version: 9})
+	j.handleUpdate(j.links["agent-1"], &tasklink.Update{Config: &pollenfront.Config{Version: 7}})
+	j.mu.Lock()
+	j.adoptConfig(j.offeredAt + time.Second)
+	j.mu.Unlock()
+	c.Assert(j.configVersion(), qt.Equals, uint64(7))
+	j.SetOperatorState(pollenfront.OperatorState{Config: &pollenfront.Config{Version: 8}, Version: 10})
+	c.Assert(j.configVersion(), qt.Equals, uint64(8))
+}
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -124,8 +124,11 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if state.Config != nil {
+	switch {
+	case state.Config != nil:
 		j.setConfig(state.Config)
+	case len(state.DecodeErrors) > 0:
+		j.storeFailed = true // The copies that agents keep are the newest configuration that can be read.
 	}
 	disabled := tasklink.DisabledZones{Version: state.Version, Zones: state.DisabledZones}
 	j.applyEffects(bootclock.Now(), j.scheduler.SetDisabledZones(disabled))
