--- a/standin/backendserver/server.go
+++ b/standin/backendserver/server.go
@@ -229,7 +229,7 @@
 	silent := s.fault.Dark || s.address != "" && s.httpServer == nil
 	body, err := json.Marshal(map[string]any{
 		"address": address, "born": s.startTime.UnixMilli(), "capacity": map[string]int{"cpu": s.options.CPU, "mem-mb": 65536, "gpu": 0},
-		"clock-ms": s.clockMS(), "labels": []string{"a", "r1-1"}, "seq": s.announcementSeqNum, "service": s.options.Service, "slots": 8,
+		"clock-ms": s.clockMS(), "cold-remaining-ms": 0, "labels": []string{"a", "r1-1"}, "seq": s.announcementSeqNum, "service": s.options.Service, "slots": 8,
 		"state": state, "version": "v1", "zone": s.options.Zone,
 	})
 	s.mu.Unlock()
