--- a/agent/internal/driver/renewals.go
+++ b/agent/internal/driver/renewals.go
@@ -59,6 +59,7 @@
 	defer cancel()
 	response, err := d.server.Renew(ctx, request)
 	d.logServerAvailability(err)
+	d.RecordInvalidRows("renewal", response.InvalidRows)
 	switch {
 	case err == nil:
 		now := bootclock.Now()
--- a/backend_server.go
+++ b/backend_server.go
@@ -74,6 +74,9 @@
 	Ended []EndedRun
 	// Incarnation is the server's current incarnation.
 	Incarnation uint64
+	// InvalidRows lists rows of both lists that can't be used, with the names of the lists as
+	// keys.
+	InvalidRows []InvalidRow
 	// Running lists the runs that have not ended.
 	Running []RunningRun
 }
--- a/store.go
+++ b/store.go
@@ -40,7 +40,8 @@
 	Zone        string `json:"zone"`
 }
 
-// An InvalidRow is a row of the store that can't be used. The other rows stay in force.
+// An InvalidRow is a row of the store, or of a list of a backend server, that can't be used.
+// The other rows stay in force.
 type InvalidRow struct {
 	// Fault describes what is wrong with the row, in one line of bounded length.
 	Fault string
