Bound the durations of a route's configuration

What happened: a route with a target or a stretch far beyond a duration got times that overflow, so that its jobs were due in the past. The result of the conversion differed between x86-64 and arm64.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -117,10 +117,21 @@
 	trace   pollenfront.Trace
 }
 
+// maxUntilDue bounds the time that a job may take and be on time. It is far above the longest
+// time limit, and sums with it do not overflow.
+const maxUntilDue = 24 * time.Hour
+
+// untilDue returns how long a job of a route may take and be on time. Operators may have
+// configured numbers that are out of the range of a duration.
+func untilDue(route pollenfront.Route, expectedRunTime time.Duration) time.Duration {
+	nanoseconds := route.Stretch*float64(expectedRunTime) + float64(route.LatencyTarget)
+	return time.Duration(min(max(nanoseconds, -float64(maxUntilDue)), float64(maxUntilDue)))
+}
+
 // newJob returns a job that arrives now. expectedRunTime is the expected run time of
 // a task on a server of slowness 1.
 func newJob(now time.Duration, sub pollenfront.Submission, expectedRunTime time.Duration) *job {
-	untilDue := time.Duration(sub.Route.Stretch*float64(expectedRunTime)) + sub.Route.LatencyTarget
+	untilDue := untilDue(sub.Route, expectedRunTime)
 	j := &job{
 		Submission:      sub,
 		arrived:         now,
