Limit the polls of a list that changes all the time

What happened: a row that another writer writes every few milliseconds made each process poll as often. The reads per second are shared by all processes, so with a fleet of hundreds the store answers 429 and nobody follows the list. A poll whose response does not arrive in time, since it holds too many changes, was repeated for ever.

Change: after 10 polls that return at once, a watcher polls every 250 ms. After 8 failed polls in turn it reads the full state, in pages.

--- a/storewatch/watcher.go
+++ b/storewatch/watcher.go
@@ -28,6 +28,21 @@
 	maxRetryDelay     = 400 * time.Millisecond
 )
 
+// Limits on polls that return at once. All processes share the store's rate of reads, and a row
+// that another writer writes every few milliseconds would make each of them poll as often.
+const (
+	// pollBurst is the number of polls that may return at once after a quiet time. Changes
+	// of operators and starts of a fleet come in such bursts.
+	pollBurst = 10
+	// pollInterval is the time between two polls while more changes come.
+	pollInterval = 250 * time.Millisecond
+)
+
+// failedPollLimit is the number of failed polls in turn after which the full state is read. Its
+// pages are bounded in size, so that they may arrive in time where the response to a poll,
+// which holds all changes, does not.
+const failedPollLimit = 8
+
 // A Watcher keeps a copy of a part of the store up to date.
 type Watcher[T any] struct {
 	// Apply is called with the state after each successful call to the store,
@@ -54,12 +69,16 @@
 func (w *Watcher[T]) Run(ctx context.Context) error {
 	var known T
 	loaded := false
-	delayBound := time.Duration(0)
+	delayBound, failedPolls := time.Duration(0), 0
+	var limiter pollLimiter
 	for ctx.Err() == nil {
+		if loaded {
+			program.Sleep(ctx, limiter.delay(time.Now()))
+		}
 		next, err := w.fetch(ctx, known, loaded)
 		switch {
 		case err == nil:
-			known, loaded = next, true
+			known, loaded, failedPolls = next, true, 0
 			w.Apply(known)
 			if delayBound > 0 {
 				w.Logger.Info("store regained", zap.String("followed", w.Name))
@@ -70,7 +89,7 @@
 			delayBound = 0
 		case errors.Is(err, pollenfront.ErrHistoryGone):
 			loaded = false
-			w.Logger.Info("store history gone, reading the full state", zap.String("followed", w.Name))
+			w.Logger.Info("store history gone, reading the full state", zap.String("followed", w.Name), zap.Error(err))
 			sleepUpTo(ctx, initialRetryDelay) // All processes read the full state at the same time otherwise.
 		case ctx.Err() == nil:
 			if delayBound == 0 {
@@ -80,6 +99,9 @@
 					w.OnFailure()
 				}
 			}
+			if failedPolls++; failedPolls >= failedPollLimit {
+				loaded, failedPolls = false, 0
+			}
 			delayBound = min(2*delayBound, maxRetryDelay)
 			sleepUpTo(ctx, delayBound)
 		}
@@ -87,6 +109,22 @@
 	return ctx.Err()
 }
 
+// A pollLimiter limits polls to pollBurst and then one in each pollInterval. The zero value
+// has the whole burst left.
+type pollLimiter struct {
+	// freeAt is the time at which the whole burst is left again.
+	freeAt time.Time
+}
+
+// delay returns the time to wait before a poll at now, and counts the poll.
+func (l *pollLimiter) delay(now time.Time) time.Duration {
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(pollInterval)
+	return max(0, l.freeAt.Sub(now)-pollBurst*pollInterval)
+}
+
 // sleepUpTo sleeps for a random time below limit, or until ctx is done.
 func sleepUpTo(ctx context.Context, limit time.Duration) {
 	program.Sleep(ctx, time.Duration(rand.Int64N(int64(limit)))) //nolint:gosec // The delay need not be unpredictable.
--- a/storewatch/watcher_test.go
+++ b/storewatch/watcher_test.go
@@ -78,3 +78,53 @@
 	_ = w.Run(ctx)
 	qt.Assert(t, reads <= 50, qt.IsTrue, qt.Commentf("%d reads", reads))
 }
+
+// TestRowWrittenAgain guards against a watcher that polls without limit while another writer
+// changes a row all the time: all processes share the store's rate of reads. The first changes
+// after a quiet time are still applied at once.
+func TestRowWrittenAgain(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	polls := 0
+	started := time.Now()
+	var firstChanges time.Duration
+	w := storewatch.Watcher[int]{
+		Apply:  func(int) {},
+		Logger: zap.NewNop(),
+		Poll: func(ctx context.Context, known int, _ time.Duration) (int, error) {
+			time.Sleep(10 * time.Millisecond)
+			if polls++; polls == 5 {
+				firstChanges = time.Since(started)
+			}
+			return known + 1, ctx.Err()
+		},
+		Read: func(context.Context) (int, error) { return 0, nil },
+	}
+	_ = w.Run(ctx)
+	c.Assert(polls >= 5 && polls <= 10+8+1, qt.IsTrue, qt.Commentf("%d polls in 2 s", polls))
+	c.Assert(firstChanges < time.Second, qt.IsTrue, qt.Commentf("5 changes took %v", firstChanges))
+}
+
+// TestPollsThatAlwaysFail guards against a watcher that repeats a poll for ever of which the
+// response never arrives in time, since it holds too many changes.
+func TestPollsThatAlwaysFail(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	reads := 0
+	w := storewatch.Watcher[int]{
+		Apply:  func(int) {},
+		Logger: zap.NewNop(),
+		Poll: func(_ context.Context, known int, _ time.Duration) (int, error) {
+			return known, errors.New("timed out")
+		},
+		Read: func(context.Context) (int, error) {
+			if reads++; reads == 3 {
+				cancel()
+			}
+			return 0, nil
+		},
+	}
+	_ = w.Run(ctx)
+	qt.Assert(t, reads, qt.Equals, 3)
+}
