--- a/executor/server.go
+++ b/executor/server.go
@@ -20,12 +20,15 @@
 	// clockOffset is the server's clock minus the agent's.
 	clockOffset      time.Duration
 	clockOffsetKnown bool
-	// contradictedBy is the incarnation of the last Contradiction about the server.
-	contradictedBy uint64
+	// clockReadAt is when the server's clock was read.
+	clockReadAt time.Duration
 	// crashed is whether the process of this incarnation is known to have ended.
 	crashed bool
 	// crashedAt is when crashed was set.
 	crashedAt time.Duration
+	// disconnectedAt is when a renewal was cut off before its answer, and zero if a request
+	// was answered since.
+	disconnectedAt time.Duration
 	// draining is whether the server announced that it takes no new tasks.
 	draining bool
 	// failingSince is when a request failed without a response for the first time
@@ -42,6 +45,8 @@
 	lastSeqNum uint64
 	// lastUnanswered is when a request last failed without a response.
 	lastUnanswered time.Duration
+	// refusing is whether the newest request was refused because nothing listens.
+	refusing bool
 	// leaseExpiry is the time on the agent's clock by which the server has killed
 	// all of its runs, unless the lease is extended before.
 	leaseExpiry time.Duration
@@ -52,43 +57,55 @@
 	zone         string
 }
 
-// HandleAnnouncement handles an announcement of the server. It reports whether the
-// announcement was accepted; one that is older than the newest known is ignored.
-func (x *Executor) HandleAnnouncement(now time.Duration, a pollenfront.Announcement) (effects Effects, accepted bool) {
-	s := &x.server
-	if a.Incarnation < s.incarnation || a.Incarnation == s.incarnation && a.SeqNum < s.announcementSeqNum {
-		return effects, false
-	}
-	if a.Incarnation > s.incarnation {
-		x.handleNewIncarnation(now, a.Incarnation, FromAnnouncement, &effects)
-	}
-	before := x.State()
-	s.capacity.announce(a.Capacity)
-	s.draining, s.announced, s.labels, s.announcementSeqNum, s.zone = a.Draining, true, a.Labels, a.SeqNum, a.Zone
-	x.recordClock(now, a.Clock)
-	x.startQueued(now, &effects)
-	if x.State() != before {
-		x.notifyAll(&effects)
+// HandleAnnouncement handles an announcement of the server. One of another incarnation than
+// the current one applies when the server itself states that incarnation in its answer to a
+// renewal: it may be delayed, or somebody else's.
+func (x *Executor) HandleAnnouncement(now time.Duration, a pollenfront.Announcement) Effects {
+	var effects Effects
+	switch {
+	case a.Incarnation != x.server.incarnation:
+		x.pendingAnnouncement = a
+		effects.RenewNow = true
+	case a.SeqNum >= x.server.announcementSeqNum:
+		x.applyAnnouncement(now, a, &effects)
 	}
-	return effects, true
+	return effects
 }
 
 // RestoreAnnouncement records what the server announced to an earlier incarnation of
 // the agent. It applies until the next announcement, if a renewal shows that the
 // server has not been restarted since.
 func (x *Executor) RestoreAnnouncement(now time.Duration, a pollenfront.Announcement) Effects {
-	x.restoredAnnouncement = a
-	return x.applyRestoredAnnouncement(now)
+	var effects Effects
+	if x.pendingAnnouncement.Incarnation == 0 {
+		x.pendingAnnouncement = a
+		x.applyPendingAnnouncement(now, &effects)
+	}
+	return effects
 }
 
-// applyRestoredAnnouncement handles the restored announcement if it is one of the
-// server's current incarnation, which has not announced itself yet.
-func (x *Executor) applyRestoredAnnouncement(now time.Duration) Effects {
-	if x.server.announced || x.restoredAnnouncement.Incarnation == 0 || x.restoredAnnouncement.Incarnation != x.server.incarnation {
-		return Effects{}
+// applyPendingAnnouncement applies the pending announcement if it is one of the server's
+// current incarnation, which has not announced itself yet.
+func (x *Executor) applyPendingAnnouncement(now time.Duration, effects *Effects) {
+	a := x.pendingAnnouncement
+	if x.server.announced || a.Incarnation == 0 || a.Incarnation != x.server.incarnation {
+		return
+	}
+	x.pendingAnnouncement = pollenfront.Announcement{}
+	x.applyAnnouncement(now, a, effects)
+}
+
+// applyAnnouncement applies an announcement of the server's current incarnation.
+func (x *Executor) applyAnnouncement(now time.Duration, a pollenfront.Announcement, effects *Effects) {
+	s := &x.server
+	before := x.State()
+	s.capacity.announce(a.Capacity)
+	s.draining, s.announced, s.labels, s.announcementSeqNum, s.zone = a.Draining, true, a.Labels, a.SeqNum, a.Zone
+	effects.Announced = append(effects.Announced, a)
+	x.startQueued(now, effects)
+	if x.State() != before {
+		x.notifyAll(effects)
 	}
-	effects, _ := x.HandleAnnouncement(now, x.restoredAnnouncement)
-	return effects
 }
 
 // HandleDeregistration handles the server's notice that it shuts down. It may still run what
@@ -107,11 +124,12 @@
 // returns the queued runs, and ends those that were certainly on the earlier incarnation.
 // Any other run may be on either, so it is stopped in the new one before its end is
 // reported.
-func (x *Executor) handleNewIncarnation(now time.Duration, incarnation uint64, source IncarnationSource, effects *Effects) {
+func (x *Executor) handleNewIncarnation(now time.Duration, incarnation uint64, effects *Effects) {
 	former := x.server
 	effects.IncarnationChanges = append(effects.IncarnationChanges, IncarnationChange{
-		Former: former.incarnation, FormerAge: now - former.lastRenewal, Incarnation: incarnation, Source: source,
+		Former: former.incarnation, FormerAge: now - former.lastRenewal, Incarnation: incarnation,
 	})
+	x.recordFormerIncarnation(former.incarnation)
 	if former.announced {
 		x.recordCrash(now, effects)
 	}
@@ -136,16 +154,31 @@
 	}
 }
 
+// recordFormerIncarnation records that an incarnation of the server has been replaced.
+func (x *Executor) recordFormerIncarnation(incarnation uint64) {
+	x.formerIncarnations = append(x.formerIncarnations, incarnation)
+	if len(x.formerIncarnations) > maxFormerIncarnations {
+		x.formerIncarnations = x.formerIncarnations[1:]
+	}
+}
+
 // recordClock records a reading of the server's clock, where zero means that there is
 // none.
 func (x *Executor) recordClock(now, clock time.Duration) {
 	if clock > 0 {
-		x.server.clockOffset, x.server.clockOffsetKnown = clock-now, true
+		x.server.clockOffset, x.server.clockOffsetKnown, x.server.clockReadAt = clock-now, true, now
 	}
 }
 
+// slowestClock returns the reading of the server's clock if it is as slow as maxClockDrift
+// allows since it was read. A lease that is granted from then on is not too long.
+func (x *Executor) slowestClock(now time.Duration) time.Duration {
+	return x.server.clockReadAt + x.server.clockOffset + time.Duration(float64(now-x.server.clockReadAt)/maxClockDrift)
+}
+
 // NextRenewal returns the next request to renew the lease. It counts as sent now. Until
-// the server's clock is known, and while a run must not go on, it does not extend the lease.
+// the server's clock is known, while nothing listens at the server's address and while a run
+// must not go on, it does not extend the lease.
 func (x *Executor) NextRenewal(now time.Duration) pollenfront.RenewalRequest {
 	request := pollenfront.RenewalRequest{
 		AcknowledgedSeqNum: x.server.lastSeqNum, Interval: RenewalWait + renewalTimeoutMargin, Timeout: RenewalWait + renewalTimeoutMargin, Token: x.token, Wait: RenewalWait,
@@ -156,7 +189,7 @@
 	if x.serverSuspect(now) {
 		request.Interval, request.Timeout, request.Wait = suspectRenewalWait, suspectRenewalWait+renewalTimeoutMargin, suspectRenewalWait
 	}
-	if x.server.clockOffsetKnown && x.leaseLimit() > now {
+	if x.server.clockOffsetKnown && !x.server.refusing && x.leaseLimit() > now {
 		request.LeaseExpiry = x.extendLease(now)
 	}
 	return request
@@ -171,16 +204,16 @@
 // HandleRenewal handles the response to a renewal that was sent at the given time.
 func (x *Executor) HandleRenewal(now, sent time.Duration, response *pollenfront.RenewalResponse) Effects {
 	var effects Effects
-	x.recordIncarnation(now, response.Incarnation, &effects)
-	if response.Incarnation < x.server.incarnation || sent < x.server.lastRenewal {
-		return effects // A newer response or announcement came first.
+	if sent < x.server.lastRenewal || slices.Contains(x.formerIncarnations, response.Incarnation) {
+		return effects // A newer response came first.
 	}
-	if response.Incarnation > x.server.incarnation {
-		x.handleNewIncarnation(now, response.Incarnation, FromRenewal, &effects)
+	x.checkCrashConclusion(now, response.Incarnation, &effects)
+	if response.Incarnation != x.server.incarnation {
+		x.handleNewIncarnation(now, response.Incarnation, &effects)
 	}
 	x.recordClock(now, response.Clock)
 	before := x.State()
-	x.server.lastRenewal = sent
+	x.server.lastRenewal, x.server.crashed = sent, false
 	x.recordResponse(now, nil)
 	for _, ended := range response.Ended {
 		if ended.SeqNum <= x.server.lastSeqNum {
@@ -192,7 +225,7 @@
 		}
 	}
 	x.reconcile(now, sent, response.Running, &effects)
-	effects.merge(x.applyRestoredAnnouncement(now))
+	x.applyPendingAnnouncement(now, &effects)
 	x.startQueued(now, &effects)
 	if x.State() != before {
 		x.notifyAll(&effects)
