Add lost stops and slow agents to the replay

In the model each stop reaches its server within 12 s, and an agent's timers run in time, so the replay could not show a run that outlives its right to run. Change: the faults LoseStops and SlowAgent, and TestLostStopsOutliveEntry: an entry is killed while all stops get lost and another entry keeps the servers busy; the agent is in time, slow or restarted.

--- a/replay/agent.go
+++ b/replay/agent.go
@@ -30,6 +30,7 @@
 	linkEpochs         map[int]uint64        // linkEpochs are the epochs of the open links, by index of the entry. Epochs are never zero.
 	name               string
 	server             *serverNode
+	slowTicks          int // slowTicks counts the faults that make the timers of the executor run late.
 	startedAt          time.Duration
 	wanted             map[int]bool // wanted holds the entries to which there should be links, by index.
 	zone               string
@@ -85,7 +86,7 @@
 // tick runs the timers of the executor at regular intervals.
 func (a *agentNode) tick() {
 	a.applyEffects(a.executor.Tick(a.fleet.now))
-	a.schedule(executor.TickInterval, a.tick)
+	a.schedule(executor.TickInterval+a.drawTickDelay(), a.tick)
 }
 
 // rack returns the label of the server's rack.
@@ -101,7 +102,7 @@
 		})
 	}
 	for _, request := range effects.Stops {
-		a.callServer(executor.StopTimeout, func() error { return a.server.stop(request.Run, request.Token) }, func(err error) {
+		a.callServer(executor.StopTimeout, func() error { return a.server.receiveStop(request.Run, request.Token) }, func(err error) {
 			a.executor.HandleStopResponse(a.fleet.now, request, a.fleet.now, err)
 		})
 	}
--- /dev/null
+++ b/replay/one_run_test.go
@@ -0,0 +1,67 @@
+package replay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pollenfront/pollenfront/replay"
+)
+
+// longKind is a kind of job whose tasks run for longer than callers and entries wait before
+// they start a lost task again.
+var longKind = replay.Kind{
+	LatencyTarget: 60 * time.Millisecond, MeanTasks: 4, MeanWork: 3 * time.Second, Name: "long", Priority: 1, Rate: 10, TimeLimit: 20 * time.Second, Value: 0.03,
+}
+
+// faultAt is when the tests of this file inject faults. All jobs have started by then.
+const faultAt = 2 * time.Second
+
+// oneRunSeedCount is the number of seeds with which each case is simulated.
+const oneRunSeedCount = 8
+
+// checkOneRun simulates long jobs on a small fleet with several seeds, and checks that
+// no task runs twice at the same time under the given faults.
+func checkOneRun(t *testing.T, settings replay.Settings, faults func(f *replay.Fleet)) {
+	t.Helper()
+	for seed := uint64(1); seed <= oneRunSeedCount; seed++ {
+		settings.Seed = seed
+		f := replay.NewFleet(settings)
+		f.Load([]replay.Kind{longKind}, 300*time.Millisecond, faultAt-100*time.Millisecond, 1)
+		faults(f)
+		result := f.Run(14 * time.Second)
+		qt.Check(t, result.Starts > 0, qt.IsTrue)
+		qt.Check(t, result.Violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+	}
+}
+
+// TestLostStopsOutliveEntry guards against runs of a killed entry that go on beside the runs
+// of the same job which its caller submits again 1.3 s later: all requests to stop them get
+// lost, and the agent extends the lease of their server for another entry.
+func TestLostStopsOutliveEntry(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(f *replay.Fleet, agent int)
+	}{
+		{name: "agent is in time", fault: func(*replay.Fleet, int) {}},
+		{name: "agent is slow", fault: func(f *replay.Fleet, agent int) { f.SlowAgent(faultAt-500*time.Millisecond, agent, 6*time.Second) }},
+		{name: "agent is restarted", fault: func(f *replay.Fleet, agent int) { f.KillAgent(faultAt, agent, 100*time.Millisecond) }},
+		{name: "agent is restarted later", fault: func(f *replay.Fleet, agent int) {
+			f.KillAgent(faultAt+700*time.Millisecond, agent, 100*time.Millisecond)
+		}},
+	}
+	for _, test := range tests {
+		for _, down := range []time.Duration{50 * time.Millisecond, 5 * time.Second} {
+			t.Run(test.name+", entry down for "+down.String(), func(t *testing.T) {
+				checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+					f.KillEntry(faultAt, 0, down)
+					for agent := range 3 {
+						f.LoseStops(faultAt-100*time.Millisecond, agent, 8*time.Second)
+						test.fault(f, agent)
+					}
+				})
+			})
+		}
+	}
+}
