Add servers that go on after their notice to the replay

In the model a server ends in the instant in which its agent gets the notice that it leaves, so the replay could not show runs that go on after it. Change: a server may go on after its notice, whose answer is lost, and a notice may arrive after the successor has started. One test each.

--- a/replay/agent_server.go
+++ b/replay/agent_server.go
@@ -18,9 +18,9 @@
 }
 
 // announceServer passes an announcement of the server to the executor, unless the server
-// is down.
+// is down or has given notice.
 func (a *agentNode) announceServer() {
-	if a.server.unavailable || a.server.refusing {
+	if a.server.unavailable || a.server.refusing || a.server.leaving {
 		return
 	}
 	a.announcementSeqNum++
--- a/replay/faults.go
+++ b/replay/faults.go
@@ -179,25 +179,3 @@
 		}
 	})
 }
-
-// drainTime is how long a server that is replaced goes on after its announcement.
-const drainTime = 2 * time.Second
-
-// ReplaceServer replaces a server as planned: it announces that it drains, tells its agent
-// after drainTime that it shuts down, and its successor starts after a delay.
-func (f *Fleet) ReplaceServer(at time.Duration, agent int, down time.Duration) {
-	f.scheduleAt(at, func() {
-		s := f.agents[agent].server
-		s.draining = true
-		s.announce()
-		incarnation := s.incarnation
-		f.schedule(drainTime, func() {
-			s.draining = false
-			if s.incarnation != incarnation {
-				return // It has crashed meanwhile.
-			}
-			s.deregister()
-			s.endProcess(down)
-		})
-	})
-}
--- a/replay/one_run_test.go
+++ b/replay/one_run_test.go
@@ -65,3 +65,28 @@
 		}
 	}
 }
+
+// TestRunsOutliveNotice guards against runs that are started elsewhere when their server
+// gives notice that it shuts down, while it goes on for some seconds.
+func TestRunsOutliveNotice(t *testing.T) {
+	for _, linger := range []time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 4 * time.Second} {
+		t.Run(linger.String(), func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2, RunTimeFactors: []float64{1.5}}, func(f *replay.Fleet) {
+				for agent := range 2 {
+					f.ReplaceLingeringServer(faultAt-time.Second, agent, linger, 300*time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// TestNoticeOfFormerIncarnation guards against a delayed notice of a server that has been
+// replaced, after which the runs of its successor are started elsewhere.
+func TestNoticeOfFormerIncarnation(t *testing.T) {
+	checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+		f.Load([]replay.Kind{longKind}, 3500*time.Millisecond, 4500*time.Millisecond, 1)
+		for agent := range 2 {
+			f.ReplaceServerDelayNotice(faultAt-time.Second, agent, 2*time.Second, 300*time.Millisecond)
+		}
+	})
+}
--- a/replay/server.go
+++ b/replay/server.go
@@ -30,6 +30,7 @@
 	lastEnd             time.Duration  // lastEnd is the time when a run last ended.
 	lastSeqNum          uint64         // lastSeqNum is the sequence number of the last ended run.
 	leaseExpiry         time.Duration  // leaseExpiry is the time when all runs end, unless the lease is extended.
+	leaving             bool           // leaving is set while the server goes on after its notice that it shuts down.
 	losingStops         int            // losingStops counts the faults that make requests to stop runs get lost.
 	lostAnswerShare     float64        // lostAnswerShare is the share of requests that are carried out at once and get no response.
 	rack                string
--- a/replay/server_faults.go
+++ b/replay/server_faults.go
@@ -47,3 +47,58 @@
 		f.schedule(d, func() { a.slowTicks-- })
 	})
 }
+
+// drainTime is how long a server that is replaced goes on after its announcement.
+const drainTime = 2 * time.Second
+
+// ReplaceServer replaces a server as planned: it announces that it drains, tells its agent
+// after drainTime that it shuts down, and its successor starts after a delay.
+func (f *Fleet) ReplaceServer(at time.Duration, agent int, down time.Duration) {
+	f.replaceServer(at, agent, 0, 0, down)
+}
+
+// ReplaceLingeringServer replaces a server like ReplaceServer, but the answer to its notice is
+// lost, so that it goes on for some time after the notice.
+func (f *Fleet) ReplaceLingeringServer(at time.Duration, agent int, linger, down time.Duration) {
+	f.replaceServer(at, agent, 0, linger, down)
+}
+
+// ReplaceServerDelayNotice replaces a server like ReplaceServer, but its notice arrives late,
+// possibly after the start of its successor.
+func (f *Fleet) ReplaceServerDelayNotice(at time.Duration, agent int, noticeDelay, down time.Duration) {
+	f.replaceServer(at, agent, noticeDelay, 0, down)
+}
+
+// replaceServer replaces a server as planned. Its notice that it shuts down arrives
+// noticeDelay after it was sent, and its process ends linger after that time.
+func (f *Fleet) replaceServer(at time.Duration, agent int, noticeDelay, linger, down time.Duration) {
+	f.scheduleAt(at, func() {
+		s := f.agents[agent].server
+		s.draining = true
+		s.announce()
+		incarnation := s.incarnation
+		f.schedule(drainTime, func() {
+			if s.incarnation != incarnation {
+				s.draining = false
+				return // It has crashed meanwhile.
+			}
+			s.leaving = linger > 0
+			f.afterDelay(noticeDelay, s.deregister)
+			f.afterDelay(linger, func() {
+				s.draining, s.leaving = false, false
+				if s.incarnation == incarnation {
+					s.endProcess(down)
+				}
+			})
+		})
+	})
+}
+
+// afterDelay calls do after a delay, and at once if there is none.
+func (f *Fleet) afterDelay(d time.Duration, do func()) {
+	if d == 0 {
+		do()
+		return
+	}
+	f.schedule(d, do)
+}
