Add servers that refuse connections while their runs go on to the replay

In the model a connection is refused only while the server's process does not run. Change: the fault CloseListener, and TestRunsOutliveListener for listeners that are closed for 5, 100 and 400 ms.

--- a/replay/agent_server.go
+++ b/replay/agent_server.go
@@ -82,7 +82,7 @@
 	if s.unavailable {
 		return
 	}
-	if s.refusing {
+	if s.refusesConnections() {
 		a.schedule(2*agentServerDelay, func() { respond(nil, pollenfront.ErrUnreachable) })
 		return
 	}
@@ -103,7 +103,7 @@
 // errNoResponse. A delayed request is carried out seconds later and gets no response.
 func (a *agentNode) callServer(timeout time.Duration, handle func() error, respond func(err error)) {
 	incarnation := a.server.incarnation
-	refused := a.server.refusing
+	refused := a.server.refusesConnections()
 	deliver := func() error {
 		if refused {
 			return pollenfront.ErrUnreachable
--- a/replay/one_run_test.go
+++ b/replay/one_run_test.go
@@ -90,3 +90,17 @@
 		}
 	})
 }
+
+// TestRunsOutliveListener guards against runs that are started elsewhere when a connection to
+// their server is refused, while its process goes on.
+func TestRunsOutliveListener(t *testing.T) {
+	for _, closed := range []time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(closed.String(), func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+				for i := range 60 { // The renewals of a server are up to 150 ms apart, so that many miss a short fault.
+					f.CloseListener(faultAt+time.Duration(i)*(closed+46*time.Millisecond), i%3, closed)
+				}
+			})
+		})
+	}
+}
--- a/replay/server.go
+++ b/replay/server.go
@@ -32,6 +32,7 @@
 	leaseExpiry         time.Duration  // leaseExpiry is the time when all runs end, unless the lease is extended.
 	leaving             bool           // leaving is set while the server goes on after its notice that it shuts down.
 	losingStops         int            // losingStops counts the faults that make requests to stop runs get lost.
+	listenerClosed      int            // listenerClosed counts the faults that make the server refuse connections while its runs go on.
 	lostAnswerShare     float64        // lostAnswerShare is the share of requests that are carried out at once and get no response.
 	rack                string
 	rejectedStarts      int    // rejectedStarts is the number of starts that were rejected because they did not fit.
--- a/replay/server_faults.go
+++ b/replay/server_faults.go
@@ -102,3 +102,18 @@
 	}
 	f.schedule(d, do)
 }
+
+// refusesConnections reports whether nothing listens at the server's address.
+func (s *serverNode) refusesConnections() bool {
+	return s.refusing || s.listenerClosed > 0
+}
+
+// CloseListener makes a server refuse connections for some time, while its runs and the
+// requests that it has received go on.
+func (f *Fleet) CloseListener(at time.Duration, agent int, d time.Duration) {
+	f.scheduleAt(at, func() {
+		s := f.agents[agent].server
+		s.listenerClosed++
+		f.schedule(d, func() { s.listenerClosed-- })
+	})
+}
