Carry out delayed requests on the next incarnation of a server in the replay

The model drops a delayed request if its server has restarted meanwhile, and all servers share the fleet's clock, so the replay could not show a request that reaches the next incarnation. Change: each incarnation has its own clock, which starts anew and may run at another rate, and states its time of day. A lease is at most 1 s, on that clock, and a start that is superseded or finds no room extends it too. Requests and responses are no longer dropped because the server has restarted. A start of another run of a task that is on the same server is a violation. HoldRequests chooses when delayed requests are carried out.

--- a/replay/agent.go
+++ b/replay/agent.go
@@ -18,28 +18,27 @@
 type agentNode struct {
 	node
 
-	agentCounts        map[int]int // agentCounts holds the newest AgentCount of each entry, by its index.
-	announcementSeqNum uint64
-	cell               *cell.Cell
-	dialing            map[int]bool                 // dialing holds the entries to which there is a link or that are being dialed, by index.
-	entryRefs          map[int]pollenfront.EntryRef // entryRefs identify the incarnations of the linked entries, by index of the entry.
-	executor           *executor.Executor
-	incarnation        uint64
-	index              int
-	lastReceived       map[int]time.Duration // lastReceived is the time of the last message from an entry, by index of the entry.
-	linkEpochs         map[int]uint64        // linkEpochs are the epochs of the open links, by index of the entry. Epochs are never zero.
-	name               string
-	server             *serverNode
-	slowTicks          int // slowTicks counts the faults that make the timers of the executor run late.
-	startedAt          time.Duration
-	wanted             map[int]bool // wanted holds the entries to which there should be links, by index.
-	zone               string
+	agentCounts  map[int]int // agentCounts holds the newest AgentCount of each entry, by its index.
+	cell         *cell.Cell
+	dialing      map[int]bool                 // dialing holds the entries to which there is a link or that are being dialed, by index.
+	entryRefs    map[int]pollenfront.EntryRef // entryRefs identify the incarnations of the linked entries, by index of the entry.
+	executor     *executor.Executor
+	incarnation  uint64
+	index        int
+	lastReceived map[int]time.Duration // lastReceived is the time of the last message from an entry, by index of the entry.
+	linkEpochs   map[int]uint64        // linkEpochs are the epochs of the open links, by index of the entry. Epochs are never zero.
+	name         string
+	server       *serverNode
+	slowTicks    int // slowTicks counts the faults that make the timers of the executor run late.
+	startedAt    time.Duration
+	wanted       map[int]bool // wanted holds the entries to which there should be links, by index.
+	zone         string
 }
 
 // newAgentNode returns an agent with its server. The agent starts at once, except in a
 // clairvoyant fleet, which uses only the servers.
-func newAgentNode(f *Fleet, i int, runTimeFactor float64) *agentNode {
-	a := &agentNode{node: node{fleet: f}, index: i, name: fmt.Sprintf("agent-%d", i), server: newServerNode(f, runTimeFactor), zone: f.zoneName(i)}
+func newAgentNode(f *Fleet, i int, runTimeFactor, clockRate float64) *agentNode {
+	a := &agentNode{node: node{fleet: f}, index: i, name: fmt.Sprintf("agent-%d", i), server: newServerNode(f, runTimeFactor, clockRate), zone: f.zoneName(i)}
 	a.server.rack = a.rack()
 	a.server.announce = func() { a.handleEvent(a.generation, a.announceServer) }
 	a.server.deregister = func() {
@@ -97,13 +96,13 @@
 // applyEffects carries out the effects that the executor returned.
 func (a *agentNode) applyEffects(effects executor.Effects) {
 	for _, request := range effects.Starts {
-		a.callServer(request.Timeout, func() error { return a.server.start(request) }, func(err error) {
-			a.applyEffects(a.executor.HandleStartResponse(a.fleet.now, request, a.fleet.now, err))
+		a.callServer(Starts, request.Timeout, func() error { return a.server.start(request) }, func(clock time.Duration, err error) {
+			a.applyEffects(a.executor.HandleStartResponse(a.fleet.now, request, clock, err))
 		})
 	}
 	for _, request := range effects.Stops {
-		a.callServer(executor.StopTimeout, func() error { return a.server.receiveStop(request.Run, request.Token) }, func(err error) {
-			a.executor.HandleStopResponse(a.fleet.now, request, a.fleet.now, err)
+		a.callServer(Stops, executor.StopTimeout, func() error { return a.server.receiveStop(request.Run, request.Token) }, func(clock time.Duration, err error) {
+			a.executor.HandleStopResponse(a.fleet.now, request, clock, err)
 		})
 	}
 	for _, name := range effects.Notify {
--- a/replay/agent_server.go
+++ b/replay/agent_server.go
@@ -20,14 +20,24 @@
 // announceServer passes an announcement of the server to the executor, unless the server
 // is down or has given notice.
 func (a *agentNode) announceServer() {
-	if a.server.unavailable || a.server.refusing || a.server.leaving {
+	if a.server.isDown() || a.server.leaving {
 		return
 	}
-	a.announcementSeqNum++
-	effects, _ := a.executor.HandleAnnouncement(a.fleet.now, pollenfront.Announcement{
-		Capacity: a.server.capacity, Clock: a.fleet.now, Draining: a.server.draining, Incarnation: a.server.incarnation, Labels: []string{a.rack()},
-		SeqNum: a.announcementSeqNum, Zone: a.zone,
-	})
+	a.receiveAnnouncement(a.newAnnouncement())
+}
+
+// newAnnouncement returns the next announcement of the server.
+func (a *agentNode) newAnnouncement() pollenfront.Announcement {
+	s := a.server
+	s.announcementSeqNum++
+	return pollenfront.Announcement{
+		Capacity: s.capacity, Clock: s.clock(), Draining: s.draining, Incarnation: s.incarnation, Labels: []string{a.rack()}, SeqNum: s.announcementSeqNum, Zone: a.zone,
+	}
+}
+
+// receiveAnnouncement passes an announcement to the executor.
+func (a *agentNode) receiveAnnouncement(announcement pollenfront.Announcement) {
+	effects, _ := a.executor.HandleAnnouncement(a.fleet.now, announcement)
 	a.applyEffects(effects)
 }
 
@@ -52,9 +62,8 @@
 			scheduleNext(executor.RenewalRetryDelay)
 		}
 	})
-	incarnation := a.server.incarnation
 	a.sendRenewal(request, func(response *pollenfront.RenewalResponse, err error) {
-		if responded || err == nil && (a.server.unavailable || a.server.incarnation != incarnation) {
+		if responded {
 			return
 		}
 		responded = true
@@ -72,12 +81,14 @@
 }
 
 // sendRenewal sends a renewal to the server and calls respond with the response. A
-// delayed renewal is carried out seconds later and gets no response.
+// delayed renewal is carried out seconds later, possibly by the next incarnation, and gets no
+// response.
 func (a *agentNode) sendRenewal(request pollenfront.RenewalRequest, respond func(*pollenfront.RenewalResponse, error)) {
-	s, incarnation, generation, delay := a.server, a.server.incarnation, a.generation, agentServerDelay
-	delayed, lost := s.drawDelayed(), s.drawLost()
-	if delayed {
-		delay = s.drawDelay()
+	s, generation := a.server, a.generation
+	delay, delayed := s.requestDelay(Renewals)
+	lost := s.drawLost()
+	if !delayed {
+		delay = agentServerDelay
 	}
 	if s.unavailable {
 		return
@@ -87,7 +98,7 @@
 		return
 	}
 	a.fleet.schedule(delay, func() {
-		if s.incarnation != incarnation || s.unavailable {
+		if s.isDown() {
 			return
 		}
 		s.renew(request, func(response *pollenfront.RenewalResponse, err error) {
@@ -99,23 +110,27 @@
 }
 
 // callServer sends a request to the server, where handle carries it out, and calls
-// respond with the error. If there is no response within the timeout, the error is
-// errNoResponse. A delayed request is carried out seconds later and gets no response.
-func (a *agentNode) callServer(timeout time.Duration, handle func() error, respond func(err error)) {
-	incarnation := a.server.incarnation
+// respond with the reading of the server's clock and the error. If there is no response
+// within the timeout, the error is errNoResponse. A delayed request is carried out seconds
+// later, possibly by the next incarnation, and gets no response.
+func (a *agentNode) callServer(kind RequestKind, timeout time.Duration, handle func() error, respond func(clock time.Duration, err error)) {
 	refused := a.server.refusesConnections()
 	deliver := func() error {
 		if refused {
 			return pollenfront.ErrUnreachable
 		}
-		if a.server.incarnation != incarnation || a.server.unavailable {
+		if a.server.isDown() {
 			return errNoResponse
 		}
 		return handle()
 	}
-	if !refused && a.server.drawDelayed() {
-		a.fleet.schedule(a.server.drawDelay(), func() { _ = deliver() })
-		a.schedule(timeout, func() { respond(errNoResponse) })
+	delay, delayed := time.Duration(0), false
+	if !refused {
+		delay, delayed = a.server.requestDelay(kind)
+	}
+	if delayed {
+		a.fleet.schedule(delay, func() { _ = deliver() })
+		a.schedule(timeout, func() { respond(0, errNoResponse) })
 		return
 	}
 	generation, lost := a.generation, a.server.drawLost()
@@ -124,10 +139,13 @@
 		if lost {
 			err = errNoResponse
 		}
-		delay := agentServerDelay
-		if errors.Is(err, errNoResponse) {
-			delay = timeout
+		delay, clock := agentServerDelay, a.server.clock()
+		switch {
+		case errors.Is(err, errNoResponse):
+			delay, clock = timeout, 0
+		case errors.Is(err, pollenfront.ErrUnreachable):
+			clock = 0
 		}
-		a.fleet.schedule(delay, func() { a.handleEvent(generation, func() { respond(err) }) })
+		a.fleet.schedule(delay, func() { a.handleEvent(generation, func() { respond(clock, err) }) })
 	})
 }
--- a/replay/crash.go
+++ b/replay/crash.go
@@ -60,13 +60,12 @@
 	abortRenewal := s.abortRenewal
 	s.crash()
 	s.refusing = true
-	incarnation := s.incarnation
+	lifetime := s.lifetime
 	if abortRenewal != nil {
 		abortRenewal()
 	}
 	s.fleet.schedule(down, func() {
-		if s.incarnation == incarnation {
-			s.refusing = false
+		if s.restart(lifetime) {
 			s.announce()
 		}
 	})
--- a/replay/faults.go
+++ b/replay/faults.go
@@ -95,7 +95,8 @@
 		s := f.agents[agent].server
 		s.crash()
 		s.unavailable = true
-		f.schedule(down, func() { s.unavailable = false })
+		lifetime := s.lifetime
+		f.schedule(down, func() { s.restart(lifetime) })
 	})
 }
 
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -49,8 +49,9 @@
 	RetryRefused        bool          // RetryRefused makes callers retry a refused job once, after the Retry-After time.
 	RunTimeFactors      []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
 	Seed                uint64
-	SlowTaskShare       float64 // SlowTaskShare is the share of tasks that take slowTaskFactor times as long as the work of their job.
-	Zones               int     // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
+	ServerClockRates    []float64 // ServerClockRates are assigned to the servers in turn: how fast their clocks run. The default is 1.
+	SlowTaskShare       float64   // SlowTaskShare is the share of tasks that take slowTaskFactor times as long as the work of their job.
+	Zones               int       // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
 }
 
 // Parameters of the model. The network delays are one way.
@@ -222,6 +223,9 @@
 	if len(s.RunTimeFactors) == 0 {
 		s.RunTimeFactors = []float64{1}
 	}
+	if len(s.ServerClockRates) == 0 {
+		s.ServerClockRates = []float64{1}
+	}
 	f := &Fleet{
 		activeRuns: make(map[pollenfront.TaskID]*serverRun), crashCounts: make(map[pollenfront.TaskID]*crashCount),
 		heldMessages: make(map[[2]int][]func()), jobs: make(map[string]*callerJob),
@@ -238,7 +242,7 @@
 		f.entries = append(f.entries, newEntryNode(f, i))
 	}
 	for i := range s.Agents {
-		f.agents = append(f.agents, newAgentNode(f, i, s.RunTimeFactors[i%len(s.RunTimeFactors)]))
+		f.agents = append(f.agents, newAgentNode(f, i, s.RunTimeFactors[i%len(s.RunTimeFactors)], s.ServerClockRates[i%len(s.ServerClockRates)]))
 	}
 	return f
 }
--- a/replay/one_run_test.go
+++ b/replay/one_run_test.go
@@ -104,3 +104,51 @@
 		})
 	}
 }
+
+// restartDelays are the times between the restart of a server and the arrival of a request
+// that was sent to its former incarnation.
+var restartDelays = []time.Duration{
+	time.Microsecond, 2500 * time.Microsecond, 10 * time.Millisecond, 40 * time.Millisecond, 80 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond,
+}
+
+// TestDelayedStartReachesNextIncarnation guards against a start that gets no response, is
+// fenced by a stop and reported as not started, and is then carried out by the next
+// incarnation of the server, which knows neither the stop nor the fencing token, while the
+// task runs elsewhere.
+func TestDelayedStartReachesNextIncarnation(t *testing.T) {
+	const crash, down = time.Second, 500 * time.Millisecond
+	for _, delay := range restartDelays {
+		t.Run(delay.String(), func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+				f.HoldRequests(faultAt-600*time.Millisecond, 0, replay.Starts, 500*time.Millisecond, faultAt+crash+down+delay)
+				f.CrashServer(faultAt+crash, 0, down)
+			})
+		})
+	}
+}
+
+// TestDelayedRenewalReachesNextIncarnation guards against a renewal that is carried out by the
+// next incarnation of the server, where the end of its lease is far in the future. Runs then
+// outlive their agent for up to a second, while their entry counts them as lost.
+func TestDelayedRenewalReachesNextIncarnation(t *testing.T) {
+	const restart = 2500 * time.Millisecond
+	tests := []struct{ renewal, kill time.Duration }{ // Times after the restart.
+		{renewal: time.Microsecond, kill: 300 * time.Millisecond},
+		{renewal: 10 * time.Millisecond, kill: 300 * time.Millisecond},
+		{renewal: 40 * time.Millisecond, kill: 300 * time.Millisecond},
+		{renewal: 450 * time.Millisecond, kill: 300 * time.Millisecond},
+		{renewal: 2100 * time.Millisecond, kill: 2 * time.Second},
+		{renewal: 2300 * time.Millisecond, kill: 2 * time.Second},
+		{renewal: 2550 * time.Millisecond, kill: 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.renewal.String(), func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+				f.Load([]replay.Kind{longKind}, restart, restart+test.kill, 2)
+				f.HoldRequests(faultAt, 0, replay.Renewals, 200*time.Millisecond, restart+test.renewal)
+				f.CrashServerProcess(faultAt+200*time.Millisecond, 0, restart-faultAt-200*time.Millisecond)
+				f.KillAgent(restart+test.kill, 0, 5*time.Second)
+			})
+		})
+	}
+}
--- a/replay/server.go
+++ b/replay/server.go
@@ -13,9 +13,12 @@
 type serverNode struct {
 	abortRenewal        func()                // abortRenewal breaks the connection of the pending renewal. Further calls do nothing.
 	acknowledged        uint64                // acknowledged is the sequence number up to which the agent has acknowledged ended runs.
+	announcementSeqNum  uint64                // announcementSeqNum numbers the announcements of the incarnation.
 	announce            func()                // announce announces the server to its agent.
+	bootedAt            time.Duration         // bootedAt is when the clock of the incarnation was zero.
 	capacity            pollenfront.Resources // capacity is what the server announces.
 	capacityFactor      float64               // capacityFactor is the share of the capacity that the server really provides.
+	clockRate           float64               // clockRate is how fast the server's clock runs.
 	deregister          func()                // deregister tells the agent that the server shuts down.
 	delayedRequestShare float64               // delayedRequestShare is the share of requests that are carried out seconds later and get no response.
 	draining            bool                  // draining is whether the server announces that it takes no new tasks.
@@ -24,16 +27,18 @@
 	failing             bool                        // failing makes new runs fail.
 	failShare           float64                     // failShare is the share of new runs that fail shortly after their start.
 	fleet               *Fleet
-	hanging             bool // hanging makes new runs hang: they make no progress and do not end by themselves.
-	incarnation         uint64
-	kindCounts          map[string]int // kindCounts holds the number of runs by kind, if interference is injected.
-	lastEnd             time.Duration  // lastEnd is the time when a run last ended.
-	lastSeqNum          uint64         // lastSeqNum is the sequence number of the last ended run.
-	leaseExpiry         time.Duration  // leaseExpiry is the time when all runs end, unless the lease is extended.
-	leaving             bool           // leaving is set while the server goes on after its notice that it shuts down.
-	losingStops         int            // losingStops counts the faults that make requests to stop runs get lost.
-	listenerClosed      int            // listenerClosed counts the faults that make the server refuse connections while its runs go on.
-	lostAnswerShare     float64        // lostAnswerShare is the share of requests that are carried out at once and get no response.
+	hanging             bool                          // hanging makes new runs hang: they make no progress and do not end by themselves.
+	heldUntil           map[RequestKind]time.Duration // heldUntil holds when requests that are sent now are carried out, by kind.
+	incarnation         uint64                        // incarnation is what the server states: the time of day at its start, in milliseconds.
+	kindCounts          map[string]int                // kindCounts holds the number of runs by kind, if interference is injected.
+	lastEnd             time.Duration                 // lastEnd is the time when a run last ended.
+	lastSeqNum          uint64                        // lastSeqNum is the sequence number of the last ended run.
+	leaseExpiry         time.Duration                 // leaseExpiry is the time on the server's clock when all runs end, unless the lease is extended.
+	leaving             bool                          // leaving is set while the server goes on after its notice that it shuts down.
+	losingStops         int                           // losingStops counts the faults that make requests to stop runs get lost.
+	lifetime            int                           // lifetime numbers the incarnations in the order of their starts.
+	listenerClosed      int                           // listenerClosed counts the faults that make the server refuse connections while its runs go on.
+	lostAnswerShare     float64                       // lostAnswerShare is the share of requests that are carried out at once and get no response.
 	rack                string
 	rejectedStarts      int    // rejectedStarts is the number of starts that were rejected because they did not fit.
 	refusing            bool   // refusing is set while the server's process does not run, so that connections are refused.
@@ -41,6 +46,7 @@
 	runs                map[pollenfront.TaskID]*serverRun
 	runTimeFactor       float64                    // runTimeFactor multiplies the work of tasks.
 	supersededRuns      map[pollenfront.TaskID]int // supersededRuns holds the highest run number that has ended or was stopped.
+	timeOfDayStep       time.Duration              // timeOfDayStep is by how much the server's time of day has been set ahead.
 	token               uint64                     // token is the highest fencing token received.
 	unenforced          bool                       // unenforced is set if the server carries out starts that exceed its capacity.
 	unavailable         bool                       // unavailable is set while the server runs nothing and does not respond.
@@ -62,12 +68,15 @@
 }
 
 // newServerNode returns a server without runs.
-func newServerNode(f *Fleet, runTimeFactor float64) *serverNode {
-	return &serverNode{
-		capacity: pollenfront.Resources{CPU: serverCPU, Memory: serverMemory}, capacityFactor: 1, delayedRequestShare: f.settings.DelayedRequestShare,
-		failedTasks: make(map[pollenfront.TaskID]bool), fleet: f, incarnation: 1, kindCounts: make(map[string]int),
+func newServerNode(f *Fleet, runTimeFactor, clockRate float64) *serverNode {
+	s := &serverNode{
+		capacity: pollenfront.Resources{CPU: serverCPU, Memory: serverMemory}, capacityFactor: 1, clockRate: clockRate, delayedRequestShare: f.settings.DelayedRequestShare,
+		failedTasks: make(map[pollenfront.TaskID]bool), fleet: f, heldUntil: make(map[RequestKind]time.Duration), kindCounts: make(map[string]int),
 		runs: make(map[pollenfront.TaskID]*serverRun), runTimeFactor: runTimeFactor, supersededRuns: make(map[pollenfront.TaskID]int),
 	}
+	s.boot()
+	s.bootedAt -= initialUptime
+	return s
 }
 
 // start carries out a request to start a run, with the checks of a backend server.
@@ -78,17 +87,22 @@
 	switch {
 	case request.Token < s.token:
 		return pollenfront.ErrFenced
-	case request.LeaseExpiry <= f.now:
+	case request.LeaseExpiry <= s.clock():
 		return pollenfront.ErrLate
+	}
+	s.token = request.Token
+	s.extendLease(request.LeaseExpiry) // A server also does so if it rejects the start for one of the reasons below.
+	switch {
 	case request.Run.Number <= s.supersededRuns[id]:
 		return pollenfront.ErrRunSuperseded
 	case s.runs[id] != nil:
+		if s.runs[id].id != request.Run {
+			f.recordViolation("task %v is started while another run of it is on the same server", id)
+		}
 		return nil
 	case !s.admits(job.need):
 		return pollenfront.ErrNoCapacity
 	}
-	s.token = request.Token
-	s.extendLease(request.LeaseExpiry)
 	r := &serverRun{id: request.Run, server: s, startedAt: f.now}
 	s.runs[id] = r
 	f.result.Starts++
@@ -139,6 +153,18 @@
 	return s.lostAnswerShare > 0 && s.fleet.random.Float64() < s.lostAnswerShare
 }
 
+// requestDelay returns after which time a request that is sent now is carried out, if it is
+// delayed.
+func (s *serverNode) requestDelay(kind RequestKind) (delay time.Duration, delayed bool) {
+	if until, ok := s.heldUntil[kind]; ok {
+		return until - s.fleet.now, true
+	}
+	if s.drawDelayed() {
+		return s.drawDelay(), true
+	}
+	return 0, false
+}
+
 // drawDelay draws the time after which a delayed request is carried out.
 func (s *serverNode) drawDelay() time.Duration {
 	return minRequestDelay + time.Duration(s.fleet.random.Int64N(int64(requestDelayRange)))
@@ -153,17 +179,18 @@
 	return free
 }
 
-// extendLease extends the lease and ends all runs if it expires.
+// extendLease extends the lease, by at most maxLease, and ends all runs if it expires.
 func (s *serverNode) extendLease(expiry time.Duration) {
+	expiry = min(expiry, s.clock()+maxLease)
 	if expiry <= s.leaseExpiry {
 		return
 	}
 	s.leaseExpiry = expiry
-	s.fleet.schedule(expiry-s.fleet.now, func() {
-		if s.fleet.now < s.leaseExpiry {
-			return
+	lifetime, left := s.lifetime, time.Duration(float64(expiry-s.clock())/s.clockRate)
+	s.fleet.schedule(left, func() {
+		if s.lifetime == lifetime && s.leaseExpiry == expiry {
+			s.endAllRuns()
 		}
-		s.endAllRuns()
 	})
 }
 
@@ -216,7 +243,7 @@
 // renewalResponse returns the response to a renewal: the ended runs that the agent has
 // not acknowledged and the runs in progress.
 func (s *serverNode) renewalResponse() *pollenfront.RenewalResponse {
-	response := &pollenfront.RenewalResponse{Clock: s.fleet.now, Incarnation: s.incarnation}
+	response := &pollenfront.RenewalResponse{Clock: s.clock(), Incarnation: s.incarnation}
 	for _, e := range s.endedRuns {
 		if e.SeqNum > s.acknowledged {
 			response.Ended = append(response.Ended, e)
@@ -243,9 +270,9 @@
 		respond(response, nil)
 		return
 	}
-	responded := false
+	responded, lifetime := false, s.lifetime
 	respondOnce := func() {
-		if !responded {
+		if !responded && s.lifetime == lifetime {
 			responded = true
 			respond(s.renewalResponse(), nil)
 		}
@@ -284,11 +311,12 @@
 	}
 }
 
-// crash ends all runs as lost and starts a new incarnation without the state of the
-// previous one.
+// crash ends all runs as lost without telling the agent. The next incarnation starts without
+// the state of this one.
 func (s *serverNode) crash() {
+	s.respondToRenewal, s.abortRenewal = nil, nil
 	s.endAllRuns()
-	s.incarnation++
-	s.token, s.lastSeqNum, s.acknowledged, s.endedRuns, s.leaseExpiry, s.respondToRenewal, s.abortRenewal = 0, 0, 0, nil, 0, nil, nil
+	s.lifetime++
+	s.token, s.lastSeqNum, s.acknowledged, s.endedRuns, s.leaseExpiry, s.announcementSeqNum = 0, 0, 0, nil, 0, 0
 	clear(s.supersededRuns)
 }
--- a/replay/server_faults.go
+++ b/replay/server_faults.go
@@ -76,9 +76,9 @@
 		s := f.agents[agent].server
 		s.draining = true
 		s.announce()
-		incarnation := s.incarnation
+		lifetime := s.lifetime
 		f.schedule(drainTime, func() {
-			if s.incarnation != incarnation {
+			if s.lifetime != lifetime {
 				s.draining = false
 				return // It has crashed meanwhile.
 			}
@@ -86,7 +86,7 @@
 			f.afterDelay(noticeDelay, s.deregister)
 			f.afterDelay(linger, func() {
 				s.draining, s.leaving = false, false
-				if s.incarnation == incarnation {
+				if s.lifetime == lifetime {
 					s.endProcess(down)
 				}
 			})
@@ -117,3 +117,24 @@
 		f.schedule(d, func() { s.listenerClosed-- })
 	})
 }
+
+// A RequestKind is a kind of request to a server.
+type RequestKind int
+
+// Kinds of requests.
+const (
+	Starts RequestKind = iota
+	Stops
+	Renewals
+)
+
+// HoldRequests delays all requests of a kind that are sent to a server from at on, for some
+// time. They are carried out at the time until, possibly by the next incarnation of the
+// server, and get no response.
+func (f *Fleet) HoldRequests(at time.Duration, agent int, kind RequestKind, d, until time.Duration) {
+	f.scheduleAt(at, func() {
+		s := f.agents[agent].server
+		s.heldUntil[kind] = until + startTime
+		f.schedule(d, func() { delete(s.heldUntil, kind) })
+	})
+}
--- /dev/null
+++ b/replay/server_lifetime.go
@@ -0,0 +1,43 @@
+package replay
+
+import "time"
+
+// Parameters of the servers' clocks.
+const (
+	bootTime       = time.Millisecond // bootTime is the reading of the clock when the server announces itself for the first time.
+	firstTimeOfDay = time.Hour        // firstTimeOfDay is the time of day at the start of a simulation.
+	initialUptime  = time.Minute      // initialUptime is how long servers have been up at the start of a simulation.
+	maxLease       = time.Second      // maxLease is the longest lease that a server grants.
+)
+
+// isDown reports whether the server carries out no requests.
+func (s *serverNode) isDown() bool {
+	return s.unavailable || s.refusing
+}
+
+// clock returns the reading of the server's clock, which starts anew with each incarnation.
+func (s *serverNode) clock() time.Duration {
+	return time.Duration(float64(s.fleet.now-s.bootedAt) * s.clockRate)
+}
+
+// boot starts the current incarnation. It states its time of day, and so differs from the
+// former one.
+func (s *serverNode) boot() {
+	former := s.incarnation
+	s.bootedAt = s.fleet.now - bootTime
+	s.incarnation = uint64((firstTimeOfDay + s.fleet.now + s.timeOfDayStep) / time.Millisecond) //nolint:gosec // Not negative.
+	if s.incarnation == former {
+		s.incarnation++
+	}
+}
+
+// restart starts the server after a crash, unless it has crashed again. It reports whether the
+// server is up.
+func (s *serverNode) restart(lifetime int) bool {
+	if s.lifetime != lifetime {
+		return false
+	}
+	s.unavailable, s.refusing = false, false
+	s.boot()
+	return true
+}
