--- a/replay/server.go
+++ b/replay/server.go
@@ -281,7 +281,7 @@
 	s.abortRenewal = func() {
 		if !responded {
 			responded = true
-			respond(nil, errNoResponse)
+			respond(nil, pollenfront.ErrDisconnected)
 		}
 	}
 	s.fleet.schedule(request.Wait, respondOnce)
