Add servers whose connections are reset and refused to the replay

Since runs end at once if a renewal was cut off and the next one is refused. A partition that rejects packets does both, and the server's process goes on. Change: the fault ResetConnections, and TestRunsOutliveConnections.

--- a/replay/one_run_test.go
+++ b/replay/one_run_test.go
@@ -94,7 +94,7 @@
 // TestRunsOutliveListener guards against runs that are started elsewhere when a connection to
 // their server is refused, while its process goes on.
 func TestRunsOutliveListener(t *testing.T) {
-	for _, closed := range []time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond} {
+	for _, closed := range closedDurations {
 		t.Run(closed.String(), func(t *testing.T) {
 			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
 				for i := range 60 { // The renewals of a server are up to 150 ms apart, so that many miss a short fault.
@@ -105,6 +105,27 @@
 	}
 }
 
+// TestRunsOutliveConnections guards against runs that are started elsewhere when a server's
+// connections are reset and new ones refused, as by a partition that rejects packets, while
+// its process goes on.
+func TestRunsOutliveConnections(t *testing.T) {
+	for _, closed := range closedDurations {
+		t.Run(closed.String(), func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+				for i := range 60 {
+					at := faultAt + time.Duration(i)*(closed+46*time.Millisecond)
+					f.CloseListener(at, i%3, closed)
+					f.ResetConnections(at, i%3)
+				}
+			})
+		})
+	}
+}
+
+// closedDurations are the times for which servers refuse connections. The last one is shorter
+// than the lease.
+var closedDurations = []time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
+
 // restartDelays are the times between the restart of a server and the arrival of a request
 // that was sent to its former incarnation.
 var restartDelays = []time.Duration{
--- a/replay/server_faults.go
+++ b/replay/server_faults.go
@@ -138,3 +138,12 @@
 		f.schedule(d, func() { delete(s.heldUntil, kind) })
 	})
 }
+
+// ResetConnections resets the connection on which a server holds a renewal. The server goes on.
+func (f *Fleet) ResetConnections(at time.Duration, agent int) {
+	f.scheduleAt(at, func() {
+		if abortRenewal := f.agents[agent].server.abortRenewal; abortRenewal != nil {
+			abortRenewal()
+		}
+	})
+}
