--- a/replay/one_run_test.go
+++ b/replay/one_run_test.go
@@ -173,3 +173,61 @@
 		})
 	}
 }
+
+// TestRunsOutliveForgedAnnouncement guards against runs that are started elsewhere when another
+// writer announces another incarnation of their server.
+func TestRunsOutliveForgedAnnouncement(t *testing.T) {
+	for _, later := range []time.Duration{-time.Second, time.Millisecond, time.Hour} {
+		t.Run(later.String(), func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+				for i := range 10 {
+					f.ForgeAnnouncement(faultAt+time.Duration(i)*207*time.Millisecond, 0, later)
+				}
+			})
+		})
+	}
+}
+
+// TestDelayedAnnouncementOfFormerIncarnation guards against a delayed announcement of a former
+// incarnation that is taken for a new one, after which the runs on the current one are started
+// elsewhere. The time of day was set back before the restart, or not at all.
+func TestDelayedAnnouncementOfFormerIncarnation(t *testing.T) {
+	for _, step := range []time.Duration{0, -10 * time.Second} {
+		t.Run(step.String(), func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+				f.Load([]replay.Kind{longKind}, faultAt+time.Second, faultAt+2*time.Second, 1)
+				for agent := range 2 {
+					f.DelayAnnouncement(faultAt, agent, 2500*time.Millisecond)
+					f.StepTimeOfDay(faultAt, agent, step)
+					f.CrashServerProcess(faultAt+50*time.Millisecond, agent, 300*time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// TestRestartWithEarlierTimeOfDay guards against a server that is ignored after a restart since
+// its time of day was set back: its tasks run twice, or it gets none any more.
+func TestRestartWithEarlierTimeOfDay(t *testing.T) {
+	tests := []struct {
+		name    string
+		restart func(f *replay.Fleet)
+	}{
+		{name: "process crashes", restart: func(f *replay.Fleet) { f.CrashServerProcess(faultAt, 0, 300*time.Millisecond) }},
+		{name: "machine crashes", restart: func(f *replay.Fleet) { f.CrashServer(faultAt, 0, 300*time.Millisecond) }},
+		{name: "planned", restart: func(f *replay.Fleet) { f.ReplaceServer(faultAt, 0, 300*time.Millisecond) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := replay.NewFleet(replay.Settings{Agents: 1, Entries: 2, Seed: 1})
+			f.Load([]replay.Kind{longKind}, 300*time.Millisecond, faultAt-100*time.Millisecond, 0.3)
+			f.Load([]replay.Kind{replay.Mix[0]}, faultAt+5*time.Second, faultAt+8*time.Second, 0.2)
+			f.StepTimeOfDay(faultAt, 0, -10*time.Second)
+			test.restart(f)
+			result := f.Run(14 * time.Second)
+			qt.Check(t, result.Violations, qt.HasLen, 0)
+			share := result.KindOnTimeShare(replay.Mix[0].Name)
+			qt.Check(t, share > 0.9, qt.IsTrue, qt.Commentf("share of jobs on time after the restart: %.3f", share))
+		})
+	}
+}
--- a/replay/server_faults.go
+++ b/replay/server_faults.go
@@ -147,3 +147,36 @@
 		}
 	})
 }
+
+// ForgeAnnouncement makes another writer announce an incarnation of a server that started
+// later than the current one by a time, or earlier if that is negative. The server knows
+// nothing of it.
+func (f *Fleet) ForgeAnnouncement(at time.Duration, agent int, later time.Duration) {
+	f.scheduleAt(at, func() {
+		a := f.agents[agent]
+		announcement := a.newAnnouncement()
+		announcement.Clock += time.Hour
+		announcement.Incarnation = uint64(int64(announcement.Incarnation) + later.Milliseconds()) //nolint:gosec // Not negative.
+		announcement.SeqNum = 1
+		a.handleEvent(a.generation, func() { a.receiveAnnouncement(announcement) })
+	})
+}
+
+// DelayAnnouncement makes an announcement of a server arrive late, possibly after the start of
+// the next incarnation. It does nothing if the server is down.
+func (f *Fleet) DelayAnnouncement(at time.Duration, agent int, delay time.Duration) {
+	f.scheduleAt(at, func() {
+		a := f.agents[agent]
+		if a.server.isDown() {
+			return
+		}
+		announcement := a.newAnnouncement()
+		f.schedule(delay, func() { a.handleEvent(a.generation, func() { a.receiveAnnouncement(announcement) }) })
+	})
+}
+
+// StepTimeOfDay sets the time of day of a server ahead, or back if step is negative. It shows
+// at the next start.
+func (f *Fleet) StepTimeOfDay(at time.Duration, agent int, step time.Duration) {
+	f.scheduleAt(at, func() { f.agents[agent].server.timeOfDayStep += step })
+}
