Add callers whose connections break to the replay

In the model a caller's connection breaks only when its entry is killed, so that the former entry never holds the job beside the next one. Change: BreakCallers, after which the entry notices with a delay, and BreakCallersUnnoticed, with a test each.

--- a/replay/load.go
+++ b/replay/load.go
@@ -49,23 +49,24 @@
 
 // A callerJob is a job as seen by its caller.
 type callerJob struct {
-	arrived   time.Duration
-	attempt   int  // attempt is the number of the last submission.
-	counted   bool // counted is false for jobs that do not count in the result: the caller leaves early, or the tasks always fail.
-	done      bool // done is set when the job has its final answer or is canceled.
-	entry     int  // entry is the index of the entry of the last submission.
-	estimate  time.Duration
-	id        string
-	kind      Kind
-	need      pollenfront.Resources // need is the need of each task.
-	origin    int                   // origin is the index of the entry of the first submission.
-	outcome   outcome
-	retried   bool // retried is set when the job was refused and its caller retries it.
-	started   bool // started is set when a task has started since the last submission.
-	submitted int  // submitted is the position of the last submission in the history.
-	taskCount int
-	timeLimit time.Duration
-	work      time.Duration // work is the run time of each task on a server with the run time factor 1.
+	arrived       time.Duration
+	attempt       int  // attempt is the number of the last submission.
+	brokenAttempt int  // brokenAttempt is the last attempt whose connection broke. Its answer does not reach the caller.
+	counted       bool // counted is false for jobs that do not count in the result: the caller leaves early, or the tasks always fail.
+	done          bool // done is set when the job has its final answer or is canceled.
+	entry         int  // entry is the index of the entry of the last submission.
+	estimate      time.Duration
+	id            string
+	kind          Kind
+	need          pollenfront.Resources // need is the need of each task.
+	origin        int                   // origin is the index of the entry of the first submission.
+	outcome       outcome
+	retried       bool // retried is set when the job was refused and its caller retries it.
+	started       bool // started is set when a task has started since the last submission.
+	submitted     int  // submitted is the position of the last submission in the history.
+	taskCount     int
+	timeLimit     time.Duration
+	work          time.Duration // work is the run time of each task on a server with the run time factor 1.
 }
 
 // Load submits jobs of some kinds at random times between from and until, at a multiple
@@ -185,7 +186,9 @@
 		j.done = true
 		f.countJob(f.result.Unknown, j)
 		f.entryCounts(j).Unknown++
-		f.entries[j.entry].cancel(j.id)
+		if j.brokenAttempt != j.attempt {
+			f.entries[j.entry].cancel(j.id)
+		}
 	}
 }
 
@@ -238,9 +241,15 @@
 	if j.attempt != attempt {
 		return
 	}
+	f.resubmitTo(id, attempt, func() int { return f.random.IntN(len(f.entries)) })
+}
+
+// resubmitTo submits a job again like resubmit, to the entry that drawEntry returns.
+func (f *Fleet) resubmitTo(id string, attempt int, drawEntry func() int) {
+	j := f.jobs[id]
 	f.schedule(resubmitDelay, func() {
 		if j.attempt == attempt {
-			f.submit(j, f.random.IntN(len(f.entries)))
+			f.submit(j, drawEntry())
 		}
 	})
 }
@@ -249,7 +258,7 @@
 // ignored.
 func (f *Fleet) handleResult(result pollenfront.Result, attempt int) {
 	j := f.jobs[result.ID]
-	if j.done || j.attempt != attempt {
+	if j.done || j.attempt != attempt || j.brokenAttempt == attempt {
 		return
 	}
 	f.recordEvent(HistoryEvent{Call: j.submitted + 1, Job: j.id, Kind: JobAnswered, Verdict: result.Verdict})
--- a/replay/one_run_test.go
+++ b/replay/one_run_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -231,3 +232,60 @@
 		})
 	}
 }
+
+// TestRunsOutliveCallers guards against runs of an entry that go on beside those of another one,
+// to which a caller submits its job again 1.3 s after its connection broke. The first entry
+// notices late, and the requests to stop the runs get lost or not.
+func TestRunsOutliveCallers(t *testing.T) {
+	tests := []struct {
+		notice    time.Duration
+		loseStops bool
+		partition bool // partition separates the first entry from the agents right before it notices.
+	}{
+		{notice: 0},
+		{notice: 0, loseStops: true},
+		{notice: 300 * time.Millisecond, loseStops: true},
+		{notice: 600 * time.Millisecond},
+		{notice: 600 * time.Millisecond, loseStops: true},
+		{notice: 1200 * time.Millisecond},
+		{notice: 500 * time.Millisecond, partition: true},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("noticed after %v, stops lost %v, partition %v", test.notice, test.loseStops, test.partition), func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+				f.BreakCallers(faultAt, 0, test.notice)
+				for agent := range 3 {
+					if test.loseStops {
+						f.LoseStops(faultAt, agent, 8*time.Second)
+					}
+					if test.partition {
+						f.Partition(faultAt+test.notice-10*time.Millisecond, 0, agent, 3*time.Second)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestRunsOutliveCallersUnnoticed is TestRunsOutliveCallers for entries that notice too late or
+// never. Nothing tells them that the caller submits its job elsewhere.
+func TestRunsOutliveCallersUnnoticed(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(f *replay.Fleet)
+	}{
+		{name: "never", fault: func(f *replay.Fleet) { f.BreakCallersUnnoticed(faultAt, 0) }},
+		{name: "after 2 s", fault: func(f *replay.Fleet) { f.BreakCallers(faultAt, 0, 2*time.Second) }},
+		{name: "after 1 s, stops get lost", fault: func(f *replay.Fleet) {
+			f.BreakCallers(faultAt, 0, time.Second)
+			for agent := range 3 {
+				f.LoseStops(faultAt, agent, 8*time.Second)
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, test.fault)
+		})
+	}
+}
