Add responses that overtake each other to the replay

In the model all responses of a server arrive in order. Change: the fault DelayAnswers and TestOvertakingAnswers. A response to a renewal that arrives after its time limit is dropped, as the connection is closed by then.

--- a/replay/agent_server.go
+++ b/replay/agent_server.go
@@ -58,6 +58,7 @@
 	a.schedule(request.Interval, func() { scheduleNext(0) })
 	a.schedule(request.Timeout, func() {
 		if !responded {
+			responded = true // A later response is dropped.
 			a.applyEffects(a.executor.HandleRenewalError(a.fleet.now, sent, errNoResponse))
 			scheduleNext(executor.RenewalRetryDelay)
 		}
@@ -103,7 +104,7 @@
 		}
 		s.renew(request, func(response *pollenfront.RenewalResponse, err error) {
 			if !delayed && !lost {
-				a.fleet.schedule(agentServerDelay, func() { a.handleEvent(generation, func() { respond(response, err) }) })
+				a.fleet.schedule(agentServerDelay+s.drawAnswerDelay(), func() { a.handleEvent(generation, func() { respond(response, err) }) })
 			}
 		})
 	})
@@ -139,7 +140,10 @@
 		if lost {
 			err = errNoResponse
 		}
-		delay, clock := agentServerDelay, a.server.clock()
+		delay, clock := agentServerDelay+a.server.drawAnswerDelay(), a.server.clock()
+		if delay >= timeout {
+			err = errNoResponse
+		}
 		switch {
 		case errors.Is(err, errNoResponse):
 			delay, clock = timeout, 0
--- a/replay/one_run_test.go
+++ b/replay/one_run_test.go
@@ -289,3 +289,19 @@
 		})
 	}
 }
+
+// TestOvertakingAnswers guards against runs that are taken for ended since a late response to a
+// renewal does not list them. Lost responses make the agent send several renewals at a time.
+func TestOvertakingAnswers(t *testing.T) {
+	for _, kinds := range [][]replay.Kind{{longKind}, replay.Mix} {
+		t.Run(kinds[0].Name, func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+				f.Load(kinds, faultAt, faultAt+4*time.Second, 0.2)
+				f.LoseAnswers(faultAt, 0.1, 5*time.Second)
+				for agent := range 3 {
+					f.DelayAnswers(faultAt, agent, 5*time.Second)
+				}
+			})
+		})
+	}
+}
--- a/replay/server.go
+++ b/replay/server.go
@@ -18,6 +18,7 @@
 	bootedAt            time.Duration         // bootedAt is when the clock of the incarnation was zero.
 	capacity            pollenfront.Resources // capacity is what the server announces.
 	capacityFactor      float64               // capacityFactor is the share of the capacity that the server really provides.
+	delayingAnswers     int                   // delayingAnswers counts the faults that make responses arrive late.
 	clockRate           float64               // clockRate is how fast the server's clock runs.
 	deregister          func()                // deregister tells the agent that the server shuts down.
 	delayedRequestShare float64               // delayedRequestShare is the share of requests that are carried out seconds later and get no response.
--- a/replay/server_faults.go
+++ b/replay/server_faults.go
@@ -180,3 +180,24 @@
 func (f *Fleet) StepTimeOfDay(at time.Duration, agent int, step time.Duration) {
 	f.scheduleAt(at, func() { f.agents[agent].server.timeOfDayStep += step })
 }
+
+// maxAnswerDelay is the longest delay of a late response.
+const maxAnswerDelay = 200 * time.Millisecond
+
+// drawAnswerDelay draws how late a response arrives.
+func (s *serverNode) drawAnswerDelay() time.Duration {
+	if s.delayingAnswers == 0 {
+		return 0
+	}
+	return time.Duration(s.fleet.random.Int64N(int64(maxAnswerDelay)))
+}
+
+// DelayAnswers makes each response of a server arrive up to maxAnswerDelay late for some time,
+// so that responses overtake each other.
+func (f *Fleet) DelayAnswers(at time.Duration, agent int, d time.Duration) {
+	f.scheduleAt(at, func() {
+		s := f.agents[agent].server
+		s.delayingAnswers++
+		f.schedule(d, func() { s.delayingAnswers-- })
+	})
+}
