--- a/replay/agent_server.go
+++ b/replay/agent_server.go
@@ -37,7 +37,7 @@
 
 // receiveAnnouncement passes an announcement to the executor.
 func (a *agentNode) receiveAnnouncement(announcement pollenfront.Announcement) {
-	effects, _ := a.executor.HandleAnnouncement(a.fleet.now, announcement)
+	effects := a.executor.HandleAnnouncement(a.fleet.now, announcement)
 	a.applyEffects(effects)
 }
 
@@ -47,11 +47,17 @@
 func (a *agentNode) renew() {
 	sent := a.fleet.now
 	request := a.executor.NextRenewal(sent)
+	a.renewals++
+	number := a.renewals
 	scheduled := false
 	scheduleNext := func(delay time.Duration) {
 		if !scheduled {
 			scheduled = true
-			a.schedule(delay, a.renew)
+			a.schedule(delay, func() {
+				if a.renewals == number {
+					a.renew()
+				}
+			})
 		}
 	}
 	responded := false
