--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -240,7 +240,9 @@
 // meanwhile, and the server may have been restarted.
 func (d *Driver) startRun(decided time.Duration, request pollenfront.StartRequest) {
 	if now := bootclock.Now(); now-decided > maxStartDelay {
-		d.handleEvent(now, func() executor.Effects { return d.executor.HandleStartResponse(now, request, 0, pollenfront.ErrNotSent) })
+		d.handleEvent(now, func() executor.Effects {
+			return d.executor.HandleStartResponse(now, request, 0, pollenfront.ErrNotSent)
+		})
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), request.Timeout)
