Fence the next incarnation of a server within milliseconds

Cause: the first renewal that reaches a restarted server waits for an end of a run, up to 150 ms, before its answer shows the new incarnation. Until the next one a delayed start may be carried out there. Evidence: TestDelayedStartReachesNextIncarnation/10ms failed. Change: a renewal does not wait while the one before got no answer. Result: that case passes.

--- a/executor/server.go
+++ b/executor/server.go
@@ -186,6 +186,9 @@
 	if x.serverSuspect(now) {
 		request.Interval, request.Timeout, request.Wait = suspectRenewalWait, suspectRenewalWait+renewalTimeoutMargin, suspectRenewalWait
 	}
+	if x.server.failingSince > 0 {
+		request.Wait = 0 // The server may have been restarted. Its next incarnation must be fenced soon.
+	}
 	if x.server.clockOffsetKnown && !x.server.refusing && x.leaseLimit() > now {
 		request.LeaseExpiry = x.extendLease(now)
 	}
