Add a failing test for leases by the clock of a former incarnation

A renewal that is sent while a server restarts carries the end of its lease on the former clock, which the next incarnation shortens only to its longest lease of 1 s. The agent expects the lease to end 0.6 s after the renewal. Change: TestLeaseByClockOfFormerIncarnation. Result: it fails for restarts within 10 and 50 ms and passes for 300 ms.

--- a/replay/one_run_test.go
+++ b/replay/one_run_test.go
@@ -306,3 +306,23 @@
 		})
 	}
 }
+
+// TestLeaseByClockOfFormerIncarnation guards against a renewal that is sent while a server
+// restarts. The end of its lease is a time on the former clock, so that the next incarnation
+// grants its longest lease. Runs there then outlive the end that their agent expects while it
+// can't extend the lease.
+func TestLeaseByClockOfFormerIncarnation(t *testing.T) {
+	for _, down := range []time.Duration{10 * time.Millisecond, 50 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(down.String(), func(t *testing.T) {
+			checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+				f.Load([]replay.Kind{longKind, replay.Mix[2]}, faultAt-200*time.Millisecond, faultAt+4*time.Second, 0.2)
+				for i := range 12 {
+					f.CrashServerProcess(faultAt+time.Duration(i)*300*time.Millisecond, i%3, down)
+				}
+				for agent := range 3 {
+					f.LoseStops(faultAt-100*time.Millisecond, agent, 8*time.Second)
+				}
+			})
+		})
+	}
+}
