Number the runs of a job that is submitted again on from the former ones

Callers saw: a task could run on two servers at once when a caller submitted a job again to the same entry within 3 s and a link was reset then. The entry numbered the runs of each submission from 1. The agent lists the ends of the last 3 s beside the active runs when it links again, so the entry took the end of the former run 1 for that of the new one, and placed the task elsewhere while the run went on to its end. Cause: the ID of a run was not unique, so a statement about one run counted for another. Change: an entry keeps the highest run number of a job for 15 s after its end, and a new submission goes on from there.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -190,7 +190,7 @@
 	j.answer(pollenfront.VerdictRefused, reason, detail, s.retryAfter(now, j), effects)
 	s.accountRefused(now, j, reason)
 	s.dequeue(j)
-	delete(s.jobs, j.ID)
+	s.remove(now, j)
 }
 
 // cancelJob cancels a job and stops its runs. The job is answered at once if a task
@@ -210,7 +210,7 @@
 			j.answer(pollenfront.VerdictUnknown, reason, "", 0, effects)
 		}
 	}
-	s.finishCanceled(j, effects)
+	s.finishCanceled(now, j, effects)
 }
 
 // stop sends a stop command for a task's run. If the agent is not linked, the
@@ -225,7 +225,7 @@
 
 // finishCanceled answers a canceled job as soon as its verdict is certain, and
 // removes it once all its runs have ended. It does nothing for other jobs.
-func (s *Scheduler) finishCanceled(j *job, effects *Effects) {
+func (s *Scheduler) finishCanceled(now time.Duration, j *job, effects *Effects) {
 	if !j.canceled {
 		return
 	}
@@ -241,7 +241,7 @@
 		}
 	}
 	j.answer(pollenfront.VerdictRefused, j.cancelReason, "", refusedRetryAfter, effects)
-	delete(s.jobs, j.ID)
+	s.remove(now, j)
 }
 
 // tickJob cancels a job that is past its deadline, and stops slow runs of its
@@ -298,7 +298,7 @@
 		if j.doneCount == len(j.tasks) && !j.canceled {
 			j.answer(pollenfront.VerdictCompleted, "", "", 0, effects)
 			s.accountCompleted(now, j)
-			delete(s.jobs, j.ID)
+			s.remove(now, j)
 			return
 		}
 	case pollenfront.EndingFailed:
@@ -320,7 +320,7 @@
 		s.cancelJob(now, j, pollenfront.ReasonSuspect, effects)
 	}
 	if j.canceled {
-		s.finishCanceled(j, effects)
+		s.finishCanceled(now, j, effects)
 		return
 	}
 	if t.state == taskWaiting {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -157,6 +157,8 @@
 	remoteFactor float64
 	// retrySpreaders are the spreaders by service.
 	retrySpreaders map[string]*retrySpreader
+	// runNumbers holds the run numbers of jobs that have ended.
+	runNumbers runNumbers
 	// sortedAgents are all agents, sorted by name.
 	sortedAgents []*agent
 	// submitCount is the number of submissions, which numbers the jobs.
@@ -193,7 +195,7 @@
 		agentCounts: make(map[string]int), agents: make(map[string]*agent), chooser: placement.EarliestFinish{},
 		confinements: make(map[string]confinement), corrector: make(estimateCorrector),
 		crashes: crashlog.New(), evidence: make(map[string]*attempts.Evidence), jobs: make(map[string]*job), name: name, remoteFactor: 1,
-		retrySpreaders: make(map[string]*retrySpreader), warmUpStart: now, zone: zone,
+		retrySpreaders: make(map[string]*retrySpreader), runNumbers: make(runNumbers), warmUpStart: now, zone: zone,
 	}
 	for _, option := range options {
 		option(s)
@@ -234,6 +236,7 @@
 		return effects
 	}
 	j := newJob(now, sub, s.corrector.correct(sub.Route.Name, sub.Estimate))
+	s.runNumbers.apply(j)
 	if s.answerForCrashes(now, j, effects) {
 		return effects
 	}
@@ -299,6 +302,7 @@
 	effects := &Effects{}
 	s.detectSuspension(now, effects)
 	s.crashes.Expire(now)
+	s.runNumbers.expire(now)
 	s.expireConfinements(now)
 	s.interference.tick(s, now, effects)
 	for _, a := range slices.Clone(s.sortedAgents) {
