Stop the runs that an entry gave up when their agent links again

Cause: an entry that counted a run as lost, and placed its task elsewhere, ignored the run when the agent listed it in its next hello. The run went on to its own end, as the entry's echoes kept its right to run alive. Evidence: TestHelloListsRunThatEntryGaveUp failed. Change: such runs are stopped. Result: the test passes.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -65,7 +65,7 @@
 // LinkAgent handles a new link from an agent. It compares the runs that the agent
 // knows with those that were sent to it: a run that the agent does not know never
 // reached it, or was lost with an earlier incarnation of the agent. Stop commands
-// for runs that have not ended are sent again.
+// for runs that have not ended are sent again, and runs that were given up are stopped.
 func (s *Scheduler) LinkAgent(now time.Duration, hello *tasklink.Hello) *Effects {
 	effects := &Effects{}
 	s.detectSuspension(now, effects)
@@ -100,10 +100,22 @@
 			s.stop(t, effects)
 		}
 	}
+	s.stopOrphans(a, hello, effects)
 	s.place(now, effects)
 	return effects
 }
 
+// stopOrphans stops the runs in an agent's hello that the entry does not wait for any more,
+// since it counted them as lost. They would go on as long as the entry keeps the link alive.
+func (s *Scheduler) stopOrphans(a *agent, hello *tasklink.Hello, effects *Effects) {
+	for _, r := range hello.Runs {
+		if _, ok := a.tasks[r.Run]; !ok && r.Ending == "" {
+			commands := effects.commandsFor(s, a)
+			commands.Stops = append(commands.Stops, r.Run)
+		}
+	}
+}
+
 // mayHaveStarted reports whether a sent task that the agent does not know may have
 // started. This is the case if it was sent to an earlier incarnation of the agent.
 // All runs of that incarnation have ended.
