Take a run for lost only by a list that was asked for after it was seen

Cause: a run that a list does not contain counted as lost if the list was asked for 300 ms after the agent decided on the start. A slow agent may send the start later than that, and read the answer before that of the list. Evidence: TestListFromBeforeAnsweredStart failed. Change: the list must have been asked for after the server answered the start, or listed the run. The server of TestInterferenceMessages now lists what it runs. Result: both tests pass, and TestFaults, TestOvertakingAnswers and TestOnTimeShares but for the case that is listed.

--- a/executor/interference_test.go
+++ b/executor/interference_test.go
@@ -42,6 +42,10 @@
 				id := pollenfront.RunID{Number: 1, TaskID: pollenfront.TaskID{Job: fmt.Sprint(i - 3)}}
 				response.Ended = []pollenfront.EndedRun{{Ending: pollenfront.EndingDone, Run: id, SeqNum: uint64(i)}}
 			}
+			for running := max(0, i-2); running <= i; running++ {
+				id := pollenfront.RunID{Number: 1, TaskID: pollenfront.TaskID{Job: fmt.Sprint(running)}}
+				response.Running = append(response.Running, pollenfront.RunningRun{Percent: 40 * (i - running), Run: id})
+			}
 			x.HandleRenewal(now, now, response)
 			update, ok := x.NextUpdate(now, "entry")
 			qt.Assert(t, ok, qt.IsTrue)
--- a/executor/server.go
+++ b/executor/server.go
@@ -293,9 +293,9 @@
 }
 
 // mustBeListed reports whether the response to a renewal sent at the given time lists
-// the run if it goes on.
+// the run if it goes on: the server had answered its start or listed it before.
 func (r *run) mustBeListed(sent time.Duration) bool {
-	return sent-r.lastStartSent > 2*RenewalWait
+	return r.startAnswered > 0 && r.startAnswered < sent || r.reportedAt > 0 && r.reportedAt < sent
 }
 
 // stoppedEnding returns the ending of a stopped run that the server does not list.
