Keep open starts for the next incarnation after a planned end too

Cause: a refused connection counted as the end of the process only while the server was announced, which it is not after its notice. A run whose start the next incarnation may still carry out then ended with the lease. Evidence: TestCrashAfterNotice failed. Change: the end of the process is recorded with or without a notice; only without one is it a crash. Result: the test passes.

--- a/executor/crash.go
+++ b/executor/crash.go
@@ -34,18 +34,15 @@
 // and its connections, or something between may reject them. So its runs end with the lease,
 // which is no longer extended.
 func (x *Executor) detectCrash(now, sent time.Duration, err error, effects *Effects) {
-	if errors.Is(err, pollenfront.ErrUnreachable) && x.server.announced && sent > x.server.seenAt {
-		x.fenceCrashed()
-		x.recordCrash(now, effects)
+	s := &x.server
+	if !errors.Is(err, pollenfront.ErrUnreachable) || s.incarnation == 0 || sent <= s.seenAt || s.crashed {
+		return
 	}
-}
-
-// fenceCrashed raises the fencing token when the server crashes, so that the first request to
-// its next incarnation fences the delayed ones to this one.
-func (x *Executor) fenceCrashed() {
-	if !x.server.crashed {
-		x.token++
+	x.token++ // The first request to the next incarnation must fence the delayed ones to this one.
+	if s.announced {
+		x.recordCrash(now, effects)
 	}
+	s.crashed, s.crashedAt = true, now // Without a crash if the server gave notice.
 }
 
 // endCrashedRuns ends the runs that were on the former incarnation of the server. These are
--- a/executor/server.go
+++ b/executor/server.go
@@ -22,7 +22,7 @@
 	clockOffsetKnown bool
 	// clockReadAt is when the server's clock was read.
 	clockReadAt time.Duration
-	// crashed is whether the process of this incarnation is known to have ended.
+	// crashed is whether the process of this incarnation has most likely ended.
 	crashed bool
 	// crashedAt is when crashed was set.
 	crashedAt time.Duration
