Expect the longest lease on a new incarnation of a server

Cause: requests that were meant for the former incarnation carry times on its higher clock, so that the new one grants its longest lease of 1 s. The agent expected the former lease to hold, and took runs for ended up to 0.4 s too early. An answer without an incarnation could also pass for a restart. Evidence: TestLeaseByClockOfFormerIncarnation, TestFormerLeaseOnNextIncarnation and TestAnswerWithoutIncarnation failed. Change: the lease of a new incarnation counts as the longest one from its detection. Answers that state none are ignored. Result: the three tests pass, and TestFaults.

--- a/executor/lease.go
+++ b/executor/lease.go
@@ -9,6 +9,10 @@
 // unless its answer is late.
 const minStartLease = 400 * time.Millisecond
 
+// longestLease is the time after which a lease that was granted for maxServerLease has expired
+// even on the slowest clock.
+const longestLease = maxServerLease + maxServerLease*3/100 + leaseExpiryMargin
+
 // revoke records that the run lost its right to run at the given time.
 func (r *run) revoke(at time.Duration) {
 	if r.revokedAt == 0 || at < r.revokedAt {
--- a/executor/server.go
+++ b/executor/server.go
@@ -133,10 +133,11 @@
 	if former.incarnation != 0 {
 		x.endCrashedRuns(now, proof{asOf: former.lastRenewal, kind: NewIncarnation}, effects)
 	}
-	x.server = server{incarnation: incarnation, leaseExpiry: former.leaseExpiry, seenAt: now}
+	x.server = server{incarnation: incarnation, seenAt: now}
 	if former.incarnation == 0 {
 		return
 	}
+	x.server.leaseExpiry = max(former.leaseExpiry, now+longestLease) // Requests to the former one have times on a higher clock.
 	x.token++
 	x.stats = newRunStats()
 	x.returnQueued(now, "the server was restarted", effects)
@@ -204,8 +205,8 @@
 // HandleRenewal handles the response to a renewal that was sent at the given time.
 func (x *Executor) HandleRenewal(now, sent time.Duration, response *pollenfront.RenewalResponse) Effects {
 	var effects Effects
-	if sent < x.server.lastRenewal || slices.Contains(x.formerIncarnations, response.Incarnation) {
-		return effects // A newer response came first.
+	if response.Incarnation == 0 || sent < x.server.lastRenewal || slices.Contains(x.formerIncarnations, response.Incarnation) {
+		return effects // A newer response came first, or the response is invalid.
 	}
 	x.checkCrashConclusion(now, response.Incarnation, &effects)
 	if response.Incarnation != x.server.incarnation {
@@ -311,7 +312,6 @@
 // lease that the server grants has expired since the agent started and an unknown run was
 // listed last.
 func (x *Executor) EarlierRunsEnded(now, started time.Duration) bool {
-	longestLease := time.Duration(float64(maxServerLease)*maxClockDrift) + leaseExpiryMargin
 	return x.noUnknownRuns || now-max(started, x.unknownListedAt) > longestLease
 }
 
