Refuse run numbers that an agent has seen for the task before

Cause: entries number the runs of a task each for itself, so that two of them send the same ID to an agent. Answers are matched by that ID: a late refusal of the first run ended the second one as not started while its own start was open. Evidence: TestAnswerToEarlierRunOfSameNumber failed. The test now expects that refusal, and then checks the same on the next number.

--- a/executor/attribution_test.go
+++ b/executor/attribution_test.go
@@ -19,9 +19,13 @@
 	c.Assert(reportedEndings(x, at(700)), qt.HasLen, 1)
 	x.HandleRenewal(at(1351), at(1350), &pollenfront.RenewalResponse{Clock: serverClock(at(1351)), Incarnation: 1})
 	x.LinkEntry(at(1351), busyEntry)
-	second := x.HandleCommands(at(1352), busyEntry, startCommands(at(1352), 0)).Starts
-	c.Assert(second, qt.HasLen, 1)
-	c.Assert(second[0].Run, qt.Equals, first.Run)
+	c.Assert(x.HandleCommands(at(1352), busyEntry, startCommands(at(1352), 0)).Starts, qt.HasLen, 0)
+	refused, _ := x.NextUpdate(at(1352), busyEntry.Name)
+	c.Assert(refused.RunEnds, qt.HasLen, 1)
+	c.Assert(refused.RunEnds[0].Superseded, qt.IsTrue, qt.Commentf("the entry must use another number"))
+	commands := startCommands(at(1352), 0)
+	commands.Starts[0].Tasks[0].Run = 9
+	c.Assert(x.HandleCommands(at(1352), busyEntry, commands).Starts, qt.HasLen, 1)
 	x.HandleStartResponse(at(1353), first, serverClock(at(1353)), pollenfront.ErrLate)
 	update, _ := x.NextUpdate(at(1353), busyEntry.Name)
 	c.Assert(update.RunEnds, qt.HasLen, 0, qt.Commentf("the second start may still be carried out"))
--- a/executor/commands.go
+++ b/executor/commands.go
@@ -57,10 +57,10 @@
 		e.lastSeqNum = max(e.lastSeqNum, task.SeqNum)
 		reason := refusal
 		if reason == "" {
-			reason = x.taskRefusalReason(now, start, id.TaskID)
+			reason = x.taskRefusalReason(now, start, id)
 		}
 		if reason != "" {
-			end := tasklink.RunEnd{Run: id, Ending: pollenfront.EndingNotStarted, Reason: reason}
+			end := tasklink.RunEnd{Run: id, Ending: pollenfront.EndingNotStarted, Superseded: isSuperseded(reason), Reason: reason}
 			x.reportEnd(now, e, EndedRun{RunEnd: end, Entry: e.Name, Evidence: NoStartSent}, effects)
 			continue
 		}
@@ -78,12 +78,14 @@
 
 // taskRefusalReason returns why a task of a start command that is not refused as a whole
 // may not start, or "" if it may.
-func (x *Executor) taskRefusalReason(now time.Duration, start *tasklink.StartCommand, id pollenfront.TaskID) string {
-	_, active := x.runsByTask[id]
+func (x *Executor) taskRefusalReason(now time.Duration, start *tasklink.StartCommand, id pollenfront.RunID) string {
+	_, active := x.runsByTask[id.TaskID]
 	switch {
 	case active:
 		return "an earlier run of the task has not ended"
-	case x.crashes.Exceeded(id):
+	case x.endings.supersedes(id):
+		return pollenfront.ErrRunSuperseded.Error()
+	case x.crashes.Exceeded(id.TaskID):
 		return "too many processes have crashed under the task"
 	case x.exceedsMaxWait(now, start):
 		return "the server is full"
@@ -91,6 +93,12 @@
 	return ""
 }
 
+// isSuperseded reports whether a reason means that the number of a run was used before, so that
+// its entry must use a higher one.
+func isSuperseded(reason string) bool {
+	return reason == pollenfront.ErrRunSuperseded.Error()
+}
+
 // exceedsMaxWait reports whether a task of a start command would wait for longer
 // than maxQueueWait.
 func (x *Executor) exceedsMaxWait(now time.Duration, start *tasklink.StartCommand) bool {
--- a/executor/endings.go
+++ b/executor/endings.go
@@ -68,6 +68,13 @@
 	e[r.id.TaskID] = pastRun{at: now, ending: ended.Ending, entry: r.entry.EntryRef, evidence: ended.Evidence, run: r.id}
 }
 
+// supersedes reports whether a run of the task with the same or a higher number has ended.
+// Answers to it may still arrive, and would count for the new one.
+func (e endings) supersedes(id pollenfront.RunID) bool {
+	past, ok := e[id.TaskID]
+	return ok && id.Number <= past.run.Number
+}
+
 // recordRestart adds a Restart to the effects if another incarnation of an entry had sent
 // the task before.
 func (e endings) recordRestart(now time.Duration, entry *entry, id pollenfront.RunID, effects *Effects) {
--- a/executor/endings_test.go
+++ b/executor/endings_test.go
@@ -85,8 +85,11 @@
 	x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, nil)
 	x.Tick(at(650))
 	x.HandleRenewal(at(670), at(660), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1})
-	effects := x.HandleCommands(at(680), other, startCommands(at(680), 0))
+	commands := startCommands(at(680), 0)
+	commands.Starts[0].Tasks[0].Run = 9
+	effects := x.HandleCommands(at(680), other, commands)
 	c.Assert(effects.Restarts, qt.DeepEquals, []executor.Restart{{
-		Age: 30 * time.Millisecond, EarlierEntry: "entry-1", EarlierRun: 1, Ending: pollenfront.EndingLost, Entry: "entry-2", Evidence: executor.LeaseExpired, Run: runID(0),
+		Age: 30 * time.Millisecond, EarlierEntry: "entry-1", EarlierRun: 1, Ending: pollenfront.EndingLost, Entry: "entry-2", Evidence: executor.LeaseExpired,
+		Run: pollenfront.RunID{Number: 9, TaskID: runID(0).TaskID},
 	}})
 }
--- a/executor/run.go
+++ b/executor/run.go
@@ -207,7 +207,7 @@
 	if r.stopReason != "" {
 		reason = r.stopReason
 	}
-	end := tasklink.RunEnd{Run: r.id, Ending: ending, Superseded: reason == pollenfront.ErrRunSuperseded.Error(), Reason: reason}
+	end := tasklink.RunEnd{Run: r.id, Ending: ending, Superseded: isSuperseded(reason), Reason: reason}
 	x.interference.recordEnd(now, r, ending, x.stats.slowness())
 	if r.state != queued {
 		runTime := now - r.lastStartSent
