Log jobs that are submitted again, and runs of silent agents

Cause: for a task that ran twice, the logs did not tell whether an entry had the job before and how that ended, nor on what age of evidence an entry took a run for ended when its agent was silent.

A run that is taken for ended after AgentLossTimeout is logged once with the age of the newest update. No decision changes.

--- a/entry/internal/jobs/effects.go
+++ b/entry/internal/jobs/effects.go
@@ -19,6 +19,7 @@
 	for i := range effects.Placements {
 		j.logPlacement(&effects.Placements[i])
 	}
+	j.recordSilentRuns(effects.SilentRuns)
 	for i := range effects.Withholdings {
 		j.recordWithholding(&effects.Withholdings[i])
 	}
@@ -75,3 +76,13 @@
 	j.logger.Info("attempt withheld", zap.String("request", w.Job), zap.Int("task", w.Task), zap.String("agent", w.Agent),
 		zap.Float64("fail-share", w.FailShare), zap.Bool("last-attempt", w.LastAttempt))
 }
+
+// recordSilentRuns counts and logs the runs that were taken for ended because their agent was
+// silent.
+func (j *Jobs) recordSilentRuns(runs []scheduler.SilentRun) {
+	for _, r := range runs {
+		j.metrics.silentRuns.Inc()
+		j.logger.Warn("run of a silent agent taken for ended", zap.String("request", r.Run.Job), zap.Int("task", r.Run.Index), zap.Int("run", r.Run.Number),
+			zap.String("agent", r.Agent.Name), zap.Uint64("incarnation", r.Agent.Incarnation), zap.Duration("update-age", r.UpdateAge), zap.Duration("sent-age", r.SentAge))
+	}
+}
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -66,6 +66,8 @@
 	offered *pollenfront.Config
 	// offeredAt is the time at which the first copy arrived.
 	offeredAt time.Duration
+	// recent are the jobs that have ended shortly before.
+	recent recentJobs
 	// reportedFairShares is when the fair shares were reported last.
 	reportedFairShares time.Duration
 	scheduler          *scheduler.Scheduler
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -18,8 +18,10 @@
 	invalidShares   prometheus.Counter
 	limits          *prometheus.GaugeVec
 	refusedRequests *prometheus.CounterVec
+	resubmissions   *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
 	sharedCPU       prometheus.Gauge
+	silentRuns      prometheus.Counter
 	withheld        *prometheus.CounterVec
 }
 
@@ -48,6 +50,9 @@
 		refusedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_requests_refused_total", Help: "Requests refused by their form, route or kind, by reason.",
 		}, []string{"reason"}),
+		resubmissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollenfront_jobs_submitted_again_total", Help: "Submissions of jobs that this entry had before, by how the earlier submission ended.",
+		}, []string{"earlier"}),
 		responseTimes: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pollenfront_job_duration_seconds", Help: "Time from a job's arrival to its answer, by route.",
 			Buckets: prometheus.ExponentialBuckets(0.02, 1.6, 12),
@@ -55,12 +60,16 @@
 		sharedCPU: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pollenfront_shared_cpu", Help: "Sum of the entry's shares of the usable servers, in thousandths of a core; zero unless shares follow demand.",
 		}),
+		silentRuns: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollenfront_silent_agent_runs_total", Help: "Runs that were taken for ended because their agent was silent.",
+		}),
 		withheld: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_attempts_withheld_total", Help: "Attempts that waited although a failing server was free, by its agent.",
 		}, []string{"agent"}),
 	}
 	registry.MustRegister(
-		m.answered, m.callersLeft, m.fairShares, m.invalidReports, m.invalidShares, m.limits, m.refusedRequests, m.responseTimes, m.sharedCPU, m.withheld,
+		m.answered, m.callersLeft, m.fairShares, m.invalidReports, m.invalidShares, m.limits, m.refusedRequests,
+		m.responseTimes, m.resubmissions, m.sharedCPU, m.silentRuns, m.withheld,
 	)
 	return m
 }
--- a/entry/internal/jobs/submissions.go
+++ b/entry/internal/jobs/submissions.go
@@ -65,6 +65,8 @@
 func (j *Jobs) submitOrJoin(sub pollenfront.Submission, caller chan pollenfront.Result) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	now := bootclock.Now()
+	j.recordResubmission(now, sub.ID)
 	if job, ok := j.submissions[sub.ID]; ok {
 		if job.submission.Payload != sub.Payload || job.submission.TaskCount != sub.TaskCount || job.submission.Route.Name != sub.Route.Name {
 			return false
@@ -72,7 +74,6 @@
 		job.callers = append(job.callers, caller)
 		return true
 	}
-	now := bootclock.Now()
 	j.submissions[sub.ID] = &activeSubmission{arrivedAt: now, callers: []chan pollenfront.Result{caller}, submission: sub}
 	if observe.Sampled(sub.ID) {
 		j.logger.Info("job taken", zap.String("request", sub.ID), zap.String("route", sub.Route.Name), zap.Uint64("config-version", j.configVersion()),
@@ -94,6 +95,9 @@
 	case err == nil:
 		return ""
 	case errors.Is(err, pollenfront.ErrClaimed):
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		j.recordResubmission(bootclock.Now(), id)
 		return pollenfront.ReasonAlreadyClaimed
 	}
 	j.logger.Warn("claim failed", zap.String("request", id), zap.Error(err))
@@ -120,6 +124,7 @@
 	}
 	delete(j.submissions, id)
 	now := bootclock.Now()
+	j.recent.add(recentJob{endedAt: now, id: id, outcome: callerLeft, reason: pollenfront.ReasonCallerLeft})
 	j.metrics.callersLeft.Inc()
 	j.logger.Info("caller left", zap.String("request", id), zap.Duration("after", now-job.arrivedAt))
 	j.applyEffects(now, j.scheduler.Cancel(now, id))
@@ -142,6 +147,7 @@
 	for _, caller := range job.callers {
 		caller <- result
 	}
+	j.recent.add(recentJob{endedAt: now, id: result.ID, outcome: result.Verdict.String(), reason: result.Reason})
 	took := now - job.arrivedAt
 	j.metrics.recordResult(job.submission.Route.Name, result, took)
 	if result.Verdict != pollenfront.VerdictCompleted || took > result.Trace.Due || observe.Sampled(result.ID) {
--- a/pollenctl/internal/timeline/timeline_test.go
+++ b/pollenctl/internal/timeline/timeline_test.go
@@ -16,6 +16,11 @@
 {"level":"info","ts":"2026-12-04T04:31:05.1Z","msg":"job taken","program":"entry","name":"entry-1","request":"0a","tasks":4}
 {"level":"info","ts":"2026-12-04T04:31:05.3Z","msg":"job answered","program":"entry","name":"entry-1","request":"0a","verdict":"unknown","reason":"time-limit","after":1.5}
 {"level":"info","ts":"2026-12-04T04:31:05.4Z","msg":"job answered","program":"entry","name":"entry-1","request":"0b","verdict":"refused","reason":"overloaded","after":0}
+{"level":"info","ts":"2026-12-04T04:32:00.1Z","msg":"caller left","program":"entry","name":"entry-1","request":"0d","after":0.3}
+{"level":"warn","ts":"2026-12-04T04:32:01.4Z","msg":"run of a silent agent taken for ended","program":"entry","name":"entry-2","request":"0d","task":2,"run":1,"agent":"agent-7","update-age":1.31}
+{"level":"info","ts":"2026-12-04T04:32:01.5Z","msg":"job submitted again","program":"entry","name":"entry-1","request":"0d","earlier":"caller-left","reason":"left","ended-before":1.4}
+{"level":"info","ts":"2026-12-04T04:32:01.6Z","msg":"task accepted again","program":"agent","name":"agent-1","request":"0d","task":2,"run":1,"entry":"entry-1","earlier-entry":"entry-2","evidence":"lease-expired"}
+{"level":"error","ts":"2026-12-04T04:32:01.7Z","msg":"conclusion contradicted by the backend server","program":"agent","name":"agent-7","evidence":"lease-expired","age":0.2,"incarnation":7,"request":"0d","task":2,"run":1,"entry":"entry-2"}
 `
 	tests := []struct {
 		name    string
@@ -31,6 +36,14 @@
 			name: "a request that was not sampled", request: "0b",
 			want: []string{"refused after 0 s: overloaded", "missing: the request was not sampled"},
 		},
+		{
+			name: "a request of two entries", request: "0d",
+			want: []string{
+				"its caller left entry-1", "caller left", "entry-2", "run of a silent agent taken for ended", "agent=agent-7", "update-age=1.31",
+				"job submitted again", "earlier=caller-left ended-before=1.4", "task accepted again", "earlier-entry=entry-2",
+				"conclusion contradicted by the backend server", "evidence=lease-expired",
+			},
+		},
 		{name: "a request that is not in the logs", request: "0c", want: []string{"missing: no line names the request"}},
 	}
 	for _, test := range tests {
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -192,6 +192,9 @@
 	lost := a.sortedTasks()
 	s.recordAgentLoss(now, a.Name, a.Incarnation, lost, effects)
 	for _, t := range lost {
+		effects.SilentRuns = append(effects.SilentRuns, SilentRun{
+			Agent: pollenfront.AgentRef{Incarnation: t.agentIncarnation, Name: a.Name}, Run: t.run, SentAge: now - t.sentAt, UpdateAge: now - a.lastUpdate,
+		})
 		s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingLost}, effects)
 	}
 	if !a.linked {
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -27,6 +27,8 @@
 	// Results are the answers to give to callers. Each submission gets one, unless
 	// its caller leaves before.
 	Results []pollenfront.Result
+	// SilentRuns are the runs that were taken for ended because their agent was silent, to log.
+	SilentRuns []SilentRun
 	// Withholdings are the attempts that were withheld from failing servers, to log.
 	Withholdings []Withholding
 }
@@ -50,6 +52,17 @@
 	Waited time.Duration
 }
 
+// A SilentRun is a run that is taken for ended because its agent was silent for longer than
+// AgentLossTimeout, by which time its lease has expired.
+type SilentRun struct {
+	Agent pollenfront.AgentRef
+	Run   pollenfront.RunID
+	// SentAge is the time since the start command was sent.
+	SentAge time.Duration
+	// UpdateAge is the time since the newest update of the agent.
+	UpdateAge time.Duration
+}
+
 // addResult appends a result.
 func (e *Effects) addResult(result pollenfront.Result) {
 	e.Results = append(e.Results, result)
