--- a/storewatch/watcher.go
+++ b/storewatch/watcher.go
@@ -81,10 +81,7 @@
 			known, loaded, failedPolls = next, true, 0
 			w.Apply(known)
 			if delayBound > 0 {
-				w.Logger.Info("store regained", zap.String("followed", w.Name))
-				if w.OnRecovery != nil {
-					w.OnRecovery()
-				}
+				w.handleRecovery()
 			}
 			delayBound = 0
 		case errors.Is(err, pollenfront.ErrHistoryGone):
@@ -94,10 +91,7 @@
 		case ctx.Err() == nil:
 			if delayBound == 0 {
 				delayBound = initialRetryDelay
-				w.Logger.Warn("store lost", zap.String("followed", w.Name), zap.Error(err))
-				if w.OnFailure != nil {
-					w.OnFailure()
-				}
+				w.handleFailure(err)
 			}
 			if failedPolls++; failedPolls >= failedPollLimit {
 				loaded, failedPolls = false, 0
@@ -109,6 +103,22 @@
 	return ctx.Err()
 }
 
+// handleFailure handles the first failure of a call after a success or at the start.
+func (w *Watcher[T]) handleFailure(err error) {
+	w.Logger.Warn("store lost", zap.String("followed", w.Name), zap.Error(err))
+	if w.OnFailure != nil {
+		w.OnFailure()
+	}
+}
+
+// handleRecovery handles the first success of a call after a failure.
+func (w *Watcher[T]) handleRecovery() {
+	w.Logger.Info("store regained", zap.String("followed", w.Name))
+	if w.OnRecovery != nil {
+		w.OnRecovery()
+	}
+}
+
 // A pollLimiter limits polls to pollBurst and then one in each pollInterval. The zero value
 // has the whole burst left.
 type pollLimiter struct {
