--- a/executor/server.go
+++ b/executor/server.go
@@ -22,13 +22,10 @@
 	clockOffsetKnown bool
 	// clockReadAt is when the server's clock was read.
 	clockReadAt time.Duration
-	// crashed is whether the process of this incarnation is known to have ended.
+	// crashed is whether the process of this incarnation has most likely ended.
 	crashed bool
 	// crashedAt is when crashed was set.
 	crashedAt time.Duration
-	// disconnectedAt is when a renewal was cut off before its answer, and zero if a request
-	// was answered since.
-	disconnectedAt time.Duration
 	// draining is whether the server announced that it takes no new tasks.
 	draining bool
 	// failingSince is when a request failed without a response for the first time
@@ -189,6 +186,9 @@
 	if x.serverSuspect(now) {
 		request.Interval, request.Timeout, request.Wait = suspectRenewalWait, suspectRenewalWait+renewalTimeoutMargin, suspectRenewalWait
 	}
+	if x.server.failingSince > 0 {
+		request.Wait = 0 // The server may have been restarted. Its next incarnation must be fenced soon.
+	}
 	if x.server.clockOffsetKnown && !x.server.refusing && x.leaseLimit() > now {
 		request.LeaseExpiry = x.extendLease(now)
 	}
@@ -268,6 +268,7 @@
 			x.noUnknownRuns, x.unknownListedAt = false, now
 			x.endings.recordListed(now, sent, x.server.incarnation, reported.Run, effects)
 			effects.Stops = append(effects.Stops, x.stopRequest(reported.Run))
+			effects.UnknownRuns = append(effects.UnknownRuns, reported.Run)
 			continue
 		}
 		if !r.started || r.percent != reported.Percent {
@@ -292,9 +293,9 @@
 }
 
 // mustBeListed reports whether the response to a renewal sent at the given time lists
-// the run if it goes on.
+// the run if it goes on: the server had answered its start or listed it before.
 func (r *run) mustBeListed(sent time.Duration) bool {
-	return sent-r.lastStartSent > 2*RenewalWait
+	return r.startAnswered > 0 && r.startAnswered < sent || r.reportedAt > 0 && r.reportedAt < sent
 }
 
 // stoppedEnding returns the ending of a stopped run that the server does not list.
--- a/executor/start.go
+++ b/executor/start.go
@@ -149,11 +149,12 @@
 // recordResponse records whether the server responded to a request that returned err.
 func (x *Executor) recordResponse(now time.Duration, err error) {
 	switch {
+	case errors.Is(err, pollenfront.ErrNotSent):
+		return
 	case errors.Is(err, pollenfront.ErrUnreachable):
 		x.server.lastUnanswered, x.server.unresponsive, x.server.refusing = now, true, true
 	case isDefinite(err):
-		x.server.lastResponse, x.server.unresponsive, x.server.refusing = now, false, false
-		x.server.disconnectedAt, x.server.failingSince = 0, 0
+		x.server.lastResponse, x.server.unresponsive, x.server.refusing, x.server.failingSince = now, false, false, 0
 		return
 	default:
 		x.server.lastUnanswered = now
@@ -170,7 +171,7 @@
 		return true
 	}
 	for _, definite := range []error{
-		pollenfront.ErrFenced, pollenfront.ErrLate, pollenfront.ErrNoCapacity, pollenfront.ErrRejected, pollenfront.ErrReplaced,
+		pollenfront.ErrFenced, pollenfront.ErrLate, pollenfront.ErrNoCapacity, pollenfront.ErrNotSent, pollenfront.ErrRejected, pollenfront.ErrReplaced,
 		pollenfront.ErrRunSuperseded, pollenfront.ErrUnhealthy, pollenfront.ErrUnreachable,
 	} {
 		if errors.Is(err, definite) {
