Reject reports with a capacity that overflows sums

Cause: the check of a report rejected negative capacities only, so that one of MaxInt64, which an agent had from an announcement of another writer, made the sum over a service's servers negative.

Measured: the case "capacity is huge" of TestInvalidReport failed before and passes now.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -36,7 +36,7 @@
 	if !(r.RunSeconds >= 0 && r.RunSeconds <= maxRunSeconds) {
 		r.RunSeconds, replaced = 0, append(replaced, "RunSeconds")
 	}
-	if !r.Capacity.Covers(pollenfront.Resources{}) {
+	if !r.Capacity.Covers(pollenfront.Resources{}) || !pollenfront.MaxCapacity.Covers(r.Capacity) {
 		r.Capacity, replaced = pollenfront.Resources{}, append(replaced, "Capacity")
 	}
 	if !r.Capacity.Covers(r.EffectiveCapacity) || !r.EffectiveCapacity.Covers(pollenfront.Resources{}) {
--- a/scheduler/report_test.go
+++ b/scheduler/report_test.go
@@ -27,6 +27,7 @@
 		{"run time is not a number", func(r *tasklink.Report) { r.RunSeconds = math.NaN() }},
 		{"run time is huge", func(r *tasklink.Report) { r.RunSeconds = 1e300 }},
 		{"capacity is negative", func(r *tasklink.Report) { r.Capacity.CPU = -1 << 40 }},
+		{"capacity is huge", func(r *tasklink.Report) { r.Capacity.CPU = math.MaxInt64 }},
 		{"effective capacity is negative", func(r *tasklink.Report) { r.EffectiveCapacity.CPU = -1 << 40 }},
 		{"effective capacity is above the announced one", func(r *tasklink.Report) { r.EffectiveCapacity.CPU = 1 << 40 }},
 	}
