Let the stand-in for backend servers restart, leave and answer late as real ones do

It dropped late requests at a restart, though real servers carry them out in the next incarnation; all its requests were late or none, so that stops could not be hindered while renewals got through; it ended together with its notice, its time of day never went back, and a second run of one task on it was taken for a repeated start. A restart kept the former lease. Faults of one server replaced each other. The checker forgot a task when any of its runs ended, so that a third run beside the first passed unnoticed. Change: late requests, renewals too, reach the incarnation that is up then, where token and stops are forgotten and the lease is capped. Stops are lost or late at shares of their own. New: leave with the answer ignored, a closed listener, a step of the time of day, announcements of another writer, late messages of the former incarnation. Faults overlap. Starts that are refused as old or for lack of room extend the lease, and another ID in X-Expect-Instance is answered with 421. The checker keeps all runs of a task, by server. A late start in a disabled zone counts as of its arrival, since the users' rules except starts that a server carries out late from the bounds on time.

--- a/soak/internal/invariants/invariants.go
+++ b/soak/internal/invariants/invariants.go
@@ -36,8 +36,8 @@
 	jobs     map[string]*job
 	mu       sync.Mutex
 
-	// serverOf has the servers of the running tasks, by task.
-	serverOf   map[string]string
+	// serversOf has the servers of the runs in progress, by task.
+	serversOf  map[string][]string
 	starts     int
 	violations []string
 
@@ -78,8 +78,8 @@
 // servers, by the name of the server.
 func New(zoneOf map[string]string) *Checker {
 	return &Checker{
-		crashes: make(map[string]*crashCount), disabledSince: make(map[string]time.Time), doneRuns: make(map[string]int), jobs: make(map[string]*job), serverOf: make(map[string]string),
-		zoneOf: zoneOf,
+		crashes: make(map[string]*crashCount), disabledSince: make(map[string]time.Time), doneRuns: make(map[string]int), jobs: make(map[string]*job),
+		serversOf: make(map[string][]string), zoneOf: zoneOf,
 	}
 }
 
@@ -114,17 +114,17 @@
 	}
 }
 
-// RunStarted implements backendserver.Observer. It checks that the task runs on
-// no other server, that its job was submitted, and that the zone of the server
-// is in service.
-func (c *Checker) RunStarted(task, server string) {
+// RunStarted implements backendserver.Observer. It checks that no other run of the task
+// is in progress, that its job was submitted, and that the zone of the server was
+// in service when the server received the request. A server may carry it out later.
+func (c *Checker) RunStarted(task, server string, received time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
-	if other, ok := c.serverOf[task]; ok {
+	for _, other := range c.serversOf[task] {
 		c.violate("task %s runs on %s and on %s at the same time", task, other, server)
 	}
-	c.serverOf[task] = server
+	c.serversOf[task] = append(c.serversOf[task], server)
 	if count := c.crashes[task]; count != nil && count.crashes >= crashLimit {
 		count.starts++
 		if count.starts > maxStartsAfterCrashes {
@@ -137,16 +137,22 @@
 		return
 	}
 	c.jobs[id].started = true
-	if since, ok := c.disabledSince[c.zoneOf[server]]; ok && time.Since(since) > zoneDisableTimeout {
-		c.violate("task %s started in zone %s, which was taken out of service %v earlier", task, c.zoneOf[server], time.Since(since))
+	if since, ok := c.disabledSince[c.zoneOf[server]]; ok && received.Sub(since) > zoneDisableTimeout {
+		c.violate("task %s started in zone %s, which was taken out of service %v earlier", task, c.zoneOf[server], received.Sub(since))
 	}
 }
 
 // RunEnded implements backendserver.Observer.
-func (c *Checker) RunEnded(task, ending string) {
+func (c *Checker) RunEnded(task, server, ending string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.serverOf, task)
+	servers := c.serversOf[task]
+	if i := slices.Index(servers, server); i >= 0 {
+		servers = slices.Delete(servers, i, i+1)
+	}
+	if c.serversOf[task] = servers; len(servers) == 0 {
+		delete(c.serversOf, task)
+	}
 	if ending == "done" {
 		c.doneRuns[jobOf(task)]++
 	}
@@ -204,8 +210,8 @@
 			c.violate("job %s was refused as not run at each submission, but one of its tasks started", id)
 		}
 	}
-	for task, server := range c.serverOf {
-		c.violate("task %s still runs on %s at the end of the soak", task, server)
+	for task, servers := range c.serversOf {
+		c.violate("task %s still runs on %s at the end of the soak", task, strings.Join(servers, ", "))
 	}
 	return slices.Clone(c.violations)
 }
--- a/standin/backendserver/server.go
+++ b/standin/backendserver/server.go
@@ -1,6 +1,7 @@
 // Package backendserver is a stand-in for a backend server: it announces itself
 // to the agent beside it, runs tasks under a lease, and can inject the faults of
-// real servers. The payload of a task states its run time as a duration.
+// real servers. The payload of a task states its run time as a duration. Each start of
+// the server is an incarnation, which knows nothing of the former ones.
 //
 // # Usage
 //
@@ -10,10 +11,8 @@
 package backendserver
 
 import (
-	"bytes"
-	"context"
-	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -45,11 +44,12 @@
 // An Observer is notified when runs start and end on servers. Its methods are
 // called with the lock of a server held.
 type Observer interface {
-	// RunEnded is called when a run ends, with its ending.
-	RunEnded(task string, ending string)
+	// RunEnded is called when a run ends, with the name of the server and its ending.
+	RunEnded(task, server, ending string)
 
-	// RunStarted is called when a run starts, with the name of the server.
-	RunStarted(task string, server string)
+	// RunStarted is called when a run starts, with the name of the server and the time
+	// at which the server received the request.
+	RunStarted(task, server string, received time.Time)
 
 	// ServerCrashed is called when a task crashes a server, before its run ends.
 	ServerCrashed(task string)
@@ -74,60 +74,70 @@
 	Zone          string
 }
 
-// A Fault describes how a server misbehaves. The soak prints faults with %+v, so
-// the names of the fields are part of its output.
-type Fault struct {
-	// Dark means that the server neither answers requests nor announces itself.
-	Dark bool
-	// Fails means that every run ends as failed.
-	Fails bool
-	// Hangs means that runs start but make no progress.
-	Hangs bool
-	// LateRate is the share of start and stop requests, from 0 to 1, that get no
-	// response and are carried out some seconds later.
-	LateRate float64
-	// Slow is the factor by which runs take longer; below 1 it has no effect.
-	Slow float64
-}
-
 // A Server is the stand-in. It serves the requests of an agent over HTTP.
 type Server struct {
 	// acknowledged is the highest sequence number of an ending that the agent has
 	// acknowledged.
 	acknowledged uint64
 
-	// address is the address at which the server listens.
+	// address is the address at which the server listens, or empty if requests reach it
+	// otherwise.
 	address string
 
+	// announcedAddress is the address that the server announces.
+	announcedAddress string
+
 	// announcementSeqNum is the sequence number of the newest announcement.
 	announcementSeqNum uint64
-	client             *http.Client
-	draining           bool
+
+	// born is the time of day at which this incarnation started, by the server's own
+	// clock, in milliseconds. It identifies the incarnation.
+	born     int64
+	client   *http.Client
+	draining bool
+
+	// down is whether the process of the server has ended and is not yet started again.
+	down bool
 
 	// endedRuns are the endings that the agent has not acknowledged, in the form in
 	// which the response to a renewal has them.
 	endedRuns []any
-	fault     Fault
 
-	// httpServer serves requests; it is nil while the server is down after a crash.
+	// fault is the union of faults.
+	fault Fault
+
+	// faults are the faults that are in effect.
+	faults map[*Fault]bool
+
+	// former has the newest announcement and the notice of leaving of the former
+	// incarnation.
+	former messages
+
+	// httpServer serves requests; it is nil while there are no connections.
 	httpServer *http.Server
 
 	// lastSeqNum is the sequence number of the newest ending.
 	lastSeqNum uint64
 
 	// lease is the time at which the lease expires.
-	lease   time.Time
-	mu      sync.Mutex
-	options Options
-	router  *mux.Router
+	lease time.Time
+
+	// leaving is whether the server has sent the notice that it leaves.
+	leaving bool
+
+	// listener is nil while nothing listens at the address of the server.
+	listener net.Listener
+	mu       sync.Mutex
+	options  Options
+	router   *mux.Router
 
 	// runEnded is closed and replaced whenever a run ends.
 	runEnded chan struct{}
 
-	// runs has the runs in progress, by task.
-	runs map[string]*run
+	// runs has the runs in progress.
+	runs map[runKey]*run
 
-	// startTime is the start of this incarnation, and identifies it.
+	// startTime is the start of this incarnation.
 	startTime time.Time
 
 	// superseded has the highest run numbers that ended or were stopped, by task.
@@ -135,12 +145,21 @@
 
 	// token is the highest fencing token received.
 	token uint64
+
+	// wallClockOffset is the server's time of day minus that of this process.
+	wallClockOffset time.Duration
+}
+
+// A runKey identifies a run in one incarnation.
+type runKey struct {
+	task   string
+	number int
 }
 
 // A run is a run of a task that has not ended.
 type run struct {
 	cpu     int
-	number  int
+	key     runKey
 	started time.Time
 
 	// timer ends the run; it is nil for a run that makes no progress.
@@ -155,11 +174,12 @@
 // New returns a server that runs nothing.
 func New(options Options) *Server {
 	s := &Server{
-		startTime: time.Now(), client: &http.Client{Timeout: announceTimeout}, runEnded: make(chan struct{}), options: options,
-		superseded: make(map[string]int), router: mux.NewRouter(), runs: make(map[string]*run),
+		client: &http.Client{Timeout: announceTimeout}, faults: make(map[*Fault]bool), runEnded: make(chan struct{}), options: options,
+		superseded: make(map[string]int), router: mux.NewRouter(), runs: make(map[runKey]*run),
 	}
-	s.router.HandleFunc("/pollenfront/run-start", s.handle(s.start)).Methods(http.MethodPost)
-	s.router.HandleFunc("/pollenfront/run-stop", s.handle(s.stop)).Methods(http.MethodPost)
+	s.resetState()
+	s.router.HandleFunc("/pollenfront/run-start", s.handle(s.start, Fault.lateStarts, Fault.lostStarts)).Methods(http.MethodPost)
+	s.router.HandleFunc("/pollenfront/run-stop", s.handle(s.stop, Fault.lateStops, Fault.lostStops)).Methods(http.MethodPost)
 	s.router.HandleFunc("/pollenfront/hold", s.renew).Methods(http.MethodPost)
 	return s
 }
@@ -174,16 +194,13 @@
 		<-r.Context().Done()
 		return
 	}
+	if id := r.Header.Get("X-Expect-Instance"); id != "" && id != s.options.Name {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	s.router.ServeHTTP(w, r)
 }
 
-// SetFault sets how the server misbehaves from now on.
-func (s *Server) SetFault(f Fault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-}
-
 // SetDraining sets whether the server announces that it is draining.
 func (s *Server) SetDraining(draining bool) {
 	s.mu.Lock()
@@ -191,61 +208,6 @@
 	s.draining = draining
 }
 
-// Restart ends all runs and starts a new incarnation of the server, which knows
-// nothing of earlier runs.
-func (s *Server) Restart() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for task := range s.runs {
-		s.endRun(task, s.runs[task], "lapsed")
-	}
-	s.startTime, s.endedRuns, s.lastSeqNum, s.acknowledged, s.token, s.announcementSeqNum = time.Now(), nil, 0, 0, 0, 0
-	clear(s.superseded)
-}
-
-// Run announces the server at an address until ctx is done.
-func (s *Server) Run(ctx context.Context, address string) error {
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	for {
-		s.announce(ctx, address)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-}
-
-// announce announces the server once. Errors are ignored, as the next
-// announcement follows after announceInterval.
-func (s *Server) announce(ctx context.Context, address string) {
-	s.mu.Lock()
-	s.announcementSeqNum++
-	state := "ready"
-	if s.draining {
-		state = "draining"
-	}
-	silent := s.fault.Dark || s.address != "" && s.httpServer == nil
-	body, err := json.Marshal(map[string]any{
-		"address": address, "born": s.startTime.UnixMilli(), "capacity": map[string]int{"cpu": s.options.CPU, "mem-mb": 65536, "gpu": 0},
-		"clock-ms": s.clockMS(), "labels": []string{"a", "r1-1"}, "seq": s.announcementSeqNum, "service": s.options.Service, "slots": 8,
-		"state": state, "version": "v1", "zone": s.options.Zone,
-	})
-	s.mu.Unlock()
-	if silent || err != nil {
-		return
-	}
-	url := "http://" + s.options.Announce + "/pollenfront/instances/" + s.options.Name + "/heartbeat"
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return
-	}
-	if response, err := s.client.Do(request); err == nil {
-		_ = response.Body.Close()
-	}
-}
-
 // clockMS returns the clock of the server: the milliseconds since its start, plus
 // one, since agents treat zero as a missing clock. The caller holds mu.
 func (s *Server) clockMS() int64 {
--- a/standin/backendserver/server_test.go
+++ b/standin/backendserver/server_test.go
@@ -21,13 +21,13 @@
 	count int
 }
 
-func (c *startCounter) RunStarted(string, string) {
+func (c *startCounter) RunStarted(string, string, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
 }
 
-func (c *startCounter) RunEnded(string, string) {}
+func (c *startCounter) RunEnded(string, string, string) {}
 
 func (c *startCounter) ServerCrashed(string) {}
 
