--- a/soak/internal/callers/callers.go
+++ b/soak/internal/callers/callers.go
@@ -58,11 +58,13 @@
 	work time.Duration
 }
 
-// Kinds are the kinds of jobs that callers submit.
+// Kinds are the kinds of jobs that callers submit. Tasks of the last one go on for longer
+// than resendDelay, so that a run that is wrongly taken for ended meets the next one.
 var Kinds = []Kind{
 	{Prefix: "/lookup/", Priority: 0, share: 0.25, tasks: 8, work: 60 * time.Millisecond},
-	{Prefix: "/check/", Priority: 1, share: 0.6, tasks: 2, work: 200 * time.Millisecond},
+	{Prefix: "/check/", Priority: 1, share: 0.54, tasks: 2, work: 200 * time.Millisecond},
 	{Prefix: "/trade/", Priority: 2, share: 0.15, tasks: 4, work: 900 * time.Millisecond},
+	{Prefix: "/batch/", Priority: 3, share: 0.06, tasks: 2, work: 3 * time.Second},
 }
 
 // Jobs of crashing crash every server that starts one of their tasks. Their callers are
@@ -156,9 +158,10 @@
 	job := caller.Job{
 		CPU: taskCPU, CrashAfter: k.crashAfter, Deadline: time.Now().Add(patience), Host: Host, Path: k.Prefix + id, Tasks: k.tasks, Work: k.work,
 	}
-	for time.Now().Before(job.Deadline) {
+	entry := c.randomEntry()
+	for ; time.Now().Before(job.Deadline); entry = c.otherEntry(entry) {
 		c.checker.RecordSubmission(id, k.tasks)
-		switch c.attempt(job) {
+		switch c.attempt(job, entry) {
 		case caller.Completed:
 			c.checker.RecordCompletion(id)
 			c.updateCounts(func(counts *Counts) { counts.Completed++ })
@@ -186,12 +189,33 @@
 	update(&c.counts)
 }
 
-// attempt submits a job once, to a random entry.
-func (c *Callers) attempt(job caller.Job) caller.Outcome {
+// randomEntry returns the number of a random entry.
+func (c *Callers) randomEntry() int {
 	c.mu.Lock()
-	entry := c.entries[c.random.IntN(len(c.entries))]
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	return c.random.IntN(len(c.entries))
+}
+
+// otherEntry returns the number of a random entry other than the given one, unless there
+// is only one.
+func (c *Callers) otherEntry(than int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.entries) == 1 {
+		return than
+	}
+	return (than + 1 + c.random.IntN(len(c.entries)-1)) % len(c.entries)
+}
+
+// ResetConnections resets the connections to an entry. The callers whose submissions
+// wait for it submit again after resendDelay.
+func (c *Callers) ResetConnections(entry int) {
+	c.caller.Reset(c.entries[entry])
+}
+
+// attempt submits a job once, to an entry.
+func (c *Callers) attempt(job caller.Job, entry int) caller.Outcome {
 	ctx, cancel := context.WithDeadline(context.Background(), job.Deadline.Add(attemptMargin))
 	defer cancel()
-	return c.caller.Submit(ctx, entry, job)
+	return c.caller.Submit(ctx, c.entries[entry], job)
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), o.For)
 	defer cancel()
 	if !o.Calm {
-		go injectFaults(ctx, f, o.Seed)
+		go injectFaults(ctx, f, c, o.Seed)
 	}
 	c.Run(ctx, o.Rate, o.Crash)
 	during := c.TakeCounts()
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -13,8 +13,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -61,11 +63,58 @@
 // A Caller submits jobs. It is safe for concurrent use.
 type Caller struct {
 	client *http.Client
+
+	// conns has the open connections, with the addresses of their entries.
+	conns map[*conn]string
+	mu    sync.Mutex
+}
+
+// A conn is a connection to an entry.
+type conn struct {
+	*net.TCPConn
+
+	caller *Caller
 }
 
 // New returns a caller with its own pool of connections.
 func New() *Caller {
-	return &Caller{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}}
+	c := &Caller{conns: make(map[*conn]string)}
+	c.client = &http.Client{Transport: &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: maxIdleConns}}
+	return c
+}
+
+// dial connects to an entry.
+func (c *Caller) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	connection := &conn{TCPConn: raw.(*net.TCPConn), caller: c} //nolint:forcetypeassert // The transport dials TCP only.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns[connection] = address
+	return connection, nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.caller.mu.Lock()
+	delete(c.caller.conns, c)
+	c.caller.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// Reset closes all connections to an entry with a TCP reset. The outcomes of the
+// submissions that wait for it are Unknown.
+func (c *Caller) Reset(entry string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for connection, address := range c.conns {
+		if address == entry {
+			_ = connection.SetLinger(0)
+			_ = connection.TCPConn.Close()
+		}
+	}
 }
 
 // Submit submits a job once, to the entry at an address, and returns its outcome.
--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,56 @@
+package caller_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pollenfront/pollenfront/standin/caller"
+)
+
+// TestReset guards against a caller that goes on waiting after a reset, against an entry
+// that does not notice it, and against a reset that reaches connections to other entries.
+func TestReset(t *testing.T) {
+	c := qt.New(t)
+	received, canceled := make(chan string, 2), make(chan string, 2)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // The server notices a reset only after the body.
+		received <- r.Host
+		<-r.Context().Done()
+		canceled <- r.Host
+	})
+	var addresses []string
+	for range 2 {
+		entry := httptest.NewServer(handler)
+		defer entry.Close()
+		addresses = append(addresses, strings.TrimPrefix(entry.URL, "http://"))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers, outcomes := caller.New(), make(chan caller.Outcome)
+	submit := func(i int, host string) {
+		go func() {
+			outcomes <- callers.Submit(ctx, addresses[i], caller.Job{Deadline: time.Now().Add(time.Minute), Host: host, Path: "/lookup/0011223344556677"})
+		}()
+		c.Assert(<-received, qt.Equals, host)
+	}
+	submit(0, "reset.example")
+	submit(1, "other.example")
+	callers.Reset(addresses[0])
+	c.Assert(<-outcomes, qt.Equals, caller.Unknown)
+	c.Assert(<-canceled, qt.Equals, "reset.example")
+	select {
+	case <-canceled:
+		t.Fatal("the connection to the other entry was reset")
+	case <-time.After(100 * time.Millisecond):
+	}
+	cancel()
+	c.Assert(<-outcomes, qt.Equals, caller.Unknown)
+	c.Assert(<-canceled, qt.Equals, "other.example")
+}
