--- a/standin/backendserver/announce.go
+++ b/standin/backendserver/announce.go
@@ -91,7 +91,7 @@
 	}
 	return encode(map[string]any{
 		"address": s.announcedAddress, "born": s.born + difference.Milliseconds(), "capacity": map[string]int{"cpu": s.options.CPU, "mem-mb": 65536, "gpu": 0},
-		"clock-ms": clock, "labels": []string{"a", "r1-1"}, "seq": s.announcementSeqNum, "service": s.options.Service, "slots": 8,
+		"clock-ms": clock, "cold-remaining-ms": 0, "labels": []string{"a", "r1-1"}, "seq": s.announcementSeqNum, "service": s.options.Service, "slots": 8,
 		"state": state, "version": "v1", "zone": s.options.Zone,
 	})
 }
