--- a/replay/agent_server.go
+++ b/replay/agent_server.go
@@ -91,7 +91,7 @@
 // delayed renewal is carried out seconds later, possibly by the next incarnation, and gets no
 // response.
 func (a *agentNode) sendRenewal(request pollenfront.RenewalRequest, respond func(*pollenfront.RenewalResponse, error)) {
-	s, generation := a.server, a.generation
+	s, generation, lifetime := a.server, a.generation, a.server.lifetime
 	delay, delayed := s.requestDelay(Renewals)
 	lost := s.drawLost()
 	if !delayed {
@@ -105,7 +105,7 @@
 		return
 	}
 	a.fleet.schedule(delay, func() {
-		if s.isDown() {
+		if !s.receives(lifetime) {
 			return
 		}
 		s.renew(request, func(response *pollenfront.RenewalResponse, err error) {
@@ -121,12 +121,12 @@
 // within the timeout, the error is errNoResponse. A delayed request is carried out seconds
 // later, possibly by the next incarnation, and gets no response.
 func (a *agentNode) callServer(kind RequestKind, timeout time.Duration, handle func() error, respond func(clock time.Duration, err error)) {
-	refused := a.server.refusesConnections()
+	refused, lifetime := a.server.refusesConnections(), a.server.lifetime
 	deliver := func() error {
 		if refused {
 			return pollenfront.ErrUnreachable
 		}
-		if a.server.isDown() {
+		if !a.server.receives(lifetime) {
 			return errNoResponse
 		}
 		return handle()
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -36,6 +36,7 @@
 	// CorruptEstimates changes the updates of an agent on their way. It may be nil.
 	CorruptEstimates    func(agent int, update *tasklink.Update)
 	DelayedRequestShare float64 // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
+	DropDelayedRequests bool    // DropDelayedRequests drops the delayed requests to a server that has restarted meanwhile.
 	DemandShares        bool    // DemandShares makes shares of servers follow demand. They are equal by default.
 	Entries             int
 	FailShare           float64        // FailShare is the share of all runs that fail on their own, shortly after their start.
--- a/replay/server_lifetime.go
+++ b/replay/server_lifetime.go
@@ -41,3 +41,9 @@
 	s.boot()
 	return true
 }
+
+// receives reports whether a request that was sent during a lifetime of the server is carried
+// out now.
+func (s *serverNode) receives(sent int) bool {
+	return !s.isDown() && (s.lifetime == sent || !s.fleet.settings.DropDelayedRequests)
+}
