Add a failing replay of delayed starts on the next incarnation of a server

Cause: as in TestFormerLeaseOnNextIncarnation: runs that are to be stopped on the next incarnation first end with the lease of the former one.

--- /dev/null
+++ b/replay/next_incarnation_test.go
@@ -0,0 +1,28 @@
+package replay_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pollenfront/pollenfront/replay"
+)
+
+// TestDelayedStartsOnNextIncarnation guards against a run that ends with the lease of a former
+// incarnation of its server while the next one carries out its delayed start.
+func TestDelayedStartsOnNextIncarnation(t *testing.T) {
+	for _, seed := range []uint64{5, 8, 13, 30, 55, 59} {
+		random := rand.New(rand.NewPCG(seed, 1))
+		s := replay.Settings{Agents: 5, Entries: 1 + int(seed%3), Seed: seed, ServerClockRates: []float64{1, 0.98}}
+		f := replay.NewFleet(s)
+		f.Load(replay.Mix, 300*time.Millisecond, 8*time.Second, 0.9)
+		for ms := 1000; ms < 8000; ms += 400 {
+			at := time.Duration(ms+random.IntN(200)) * time.Millisecond
+			f.CrashServerProcess(at, random.IntN(s.Agents), time.Duration(20+random.IntN(1500))*time.Millisecond)
+		}
+		f.DelayRequests(800*time.Millisecond, 0.8, 7*time.Second)
+		if result := f.Run(13 * time.Second); len(result.Violations) > 0 {
+			t.Errorf("seed %d: %v", seed, result.Violations)
+		}
+	}
+}
