--- a/executor/server.go
+++ b/executor/server.go
@@ -22,7 +22,7 @@
 	clockOffsetKnown bool
 	// clockReadAt is when the server's clock was read.
 	clockReadAt time.Duration
-	// crashed is whether the process of this incarnation is known to have ended.
+	// crashed is whether the process of this incarnation has most likely ended.
 	crashed bool
 	// crashedAt is when crashed was set.
 	crashedAt time.Duration
@@ -133,10 +133,11 @@
 	if former.incarnation != 0 {
 		x.endCrashedRuns(now, proof{asOf: former.lastRenewal, kind: NewIncarnation}, effects)
 	}
-	x.server = server{incarnation: incarnation, leaseExpiry: former.leaseExpiry, seenAt: now}
+	x.server = server{incarnation: incarnation, seenAt: now}
 	if former.incarnation == 0 {
 		return
 	}
+	x.server.leaseExpiry = max(former.leaseExpiry, now+longestLease) // Requests to the former one have times on a higher clock.
 	x.token++
 	x.stats = newRunStats()
 	x.returnQueued(now, "the server was restarted", effects)
@@ -186,6 +187,9 @@
 	if x.serverSuspect(now) {
 		request.Interval, request.Timeout, request.Wait = suspectRenewalWait, suspectRenewalWait+renewalTimeoutMargin, suspectRenewalWait
 	}
+	if x.server.failingSince > 0 {
+		request.Wait = 0 // The server may have been restarted. Its next incarnation must be fenced soon.
+	}
 	if x.server.clockOffsetKnown && !x.server.refusing && x.leaseLimit() > now {
 		request.LeaseExpiry = x.extendLease(now)
 	}
@@ -201,8 +205,8 @@
 // HandleRenewal handles the response to a renewal that was sent at the given time.
 func (x *Executor) HandleRenewal(now, sent time.Duration, response *pollenfront.RenewalResponse) Effects {
 	var effects Effects
-	if sent < x.server.lastRenewal || slices.Contains(x.formerIncarnations, response.Incarnation) {
-		return effects // A newer response came first.
+	if response.Incarnation == 0 || sent < x.server.lastRenewal || slices.Contains(x.formerIncarnations, response.Incarnation) {
+		return effects // A newer response came first, or the response is invalid.
 	}
 	x.checkCrashConclusion(now, response.Incarnation, &effects)
 	if response.Incarnation != x.server.incarnation {
@@ -290,9 +294,9 @@
 }
 
 // mustBeListed reports whether the response to a renewal sent at the given time lists
-// the run if it goes on.
+// the run if it goes on: the server had answered its start or listed it before.
 func (r *run) mustBeListed(sent time.Duration) bool {
-	return sent-r.lastStartSent > 2*RenewalWait
+	return r.startAnswered > 0 && r.startAnswered < sent || r.reportedAt > 0 && r.reportedAt < sent
 }
 
 // stoppedEnding returns the ending of a stopped run that the server does not list.
@@ -308,7 +312,6 @@
 // lease that the server grants has expired since the agent started and an unknown run was
 // listed last.
 func (x *Executor) EarlierRunsEnded(now, started time.Duration) bool {
-	longestLease := time.Duration(float64(maxServerLease)*maxClockDrift) + leaseExpiryMargin
 	return x.noUnknownRuns || now-max(started, x.unknownListedAt) > longestLease
 }
 
