Repeat the stops of runs without a right at each tick, and free the lease once one is confirmed

A run without a right to run holds up the lease of all others on its server. The margin for the end of a lease, 30 ms, was shorter than the 50 ms that a server may take to end runs. Change: such stops are repeated at each tick (25 ms). A run whose stop is confirmed does not limit the lease any more.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -94,7 +94,7 @@
 	// and would then drop ends of its new incarnation.
 	acknowledgeWindow = 250 * time.Millisecond
 	// leaseExpiryMargin covers the time that the server takes to kill its runs.
-	leaseExpiryMargin = 30 * time.Millisecond
+	leaseExpiryMargin = 50 * time.Millisecond
 	// maxClockDrift is the highest ratio of the speed of the agent's clock to that
 	// of the server's clock.
 	maxClockDrift = 1.03
--- a/executor/lease.go
+++ b/executor/lease.go
@@ -30,14 +30,15 @@
 
 // leaseLimit returns the time beyond which the lease must not be extended. The server ends
 // its runs only together, so it is Lease after the first of them loses its right to run. A
-// run that the executor does not know has none.
+// run that the executor does not know has none. One that the server has confirmed to stop ends
+// by itself.
 func (x *Executor) leaseLimit() time.Duration {
 	if !x.noUnknownRuns {
 		return 0
 	}
 	limit := time.Duration(math.MaxInt64)
 	for _, r := range x.acceptedRuns {
-		if r.state != queued {
+		if r.state != queued && r.stopConfirmed == 0 {
 			limit = min(limit, r.rightEnds()+Lease)
 		}
 	}
--- a/executor/one_run_test.go
+++ b/executor/one_run_test.go
@@ -195,3 +195,20 @@
 	want := at(0) + executor.EntrySilenceTimeout + executor.Lease
 	c.Assert(latest <= want, qt.IsTrue, qt.Commentf("extended to %v, want at most %v", latest-at(0), want-at(0)))
 }
+
+// TestLostStopsOfRevokedRun guards against stops of a run without a right to run that are
+// repeated so rarely that its lease expires, and with it all other runs on the server.
+func TestLostStopsOfRevokedRun(t *testing.T) {
+	c := qt.New(t)
+	x := newBusyExecutor()
+	lastExtension(x, 25, 75, 0, 1)
+	stops := len(x.HandleCommands(at(100), testEntry, &tasklink.Commands{EchoedClock: int64(at(90)), Stops: []pollenfront.RunID{runID(0)}}).Stops)
+	for ms := 125; ms < 700; ms += 25 {
+		x.HandleCommands(at(ms), busyEntry, &tasklink.Commands{EchoedClock: int64(at(ms))})
+		stops += len(x.Tick(at(ms)).Stops)
+	}
+	c.Assert(stops >= 20, qt.IsTrue, qt.Commentf("%d stops", stops))
+	stop := executor.StopRequest{Incarnation: 1, Run: runID(0)}
+	x.HandleStopResponse(at(700), stop, serverClock(at(700)), nil)
+	c.Assert(x.NextRenewal(at(701)).LeaseExpiry > serverClock(at(701)), qt.IsTrue, qt.Commentf("a confirmed stop frees the lease"))
+}
--- a/executor/run.go
+++ b/executor/run.go
@@ -189,10 +189,14 @@
 }
 
 // retryStops repeats stop requests that the server has not confirmed, unless its process
-// has ended. Its next incarnation gets all of them again.
+// has ended. Its next incarnation gets all of them again. A run that has lost its right to run
+// holds up the lease of all others, so its stop is repeated at each tick.
 func (x *Executor) retryStops(now time.Duration, effects *Effects) {
 	for _, r := range x.acceptedRuns {
-		if r.state == stopping && r.stopConfirmed == 0 && !x.server.crashed && now-r.lastStopSent > stopRetryInterval {
+		if r.state != stopping || r.stopConfirmed != 0 || x.server.crashed {
+			continue
+		}
+		if now-r.lastStopSent > stopRetryInterval || r.revokedAt > 0 && now > r.lastStopSent {
 			x.sendStop(now, r, effects)
 		}
 	}
