Clean up what the linter rejects

Cause: merged parts had long lines, an unused function and an unused result. Change: shortened and removed.

--- a/agent/internal/driver/metrics.go
+++ b/agent/internal/driver/metrics.go
@@ -55,7 +55,8 @@
 		}),
 	}
 	registry.MustRegister(
-		m.contradictions, m.crashedRuns, m.effectiveCPURatio, m.runEvidence, m.runsEnded, m.invalidAnnouncements, m.invalidDemands, m.serverCrashes, m.startRequests, m.startsRejected, m.stopRequests,
+		m.contradictions, m.crashedRuns, m.effectiveCPURatio, m.runEvidence, m.runsEnded, m.invalidAnnouncements, m.invalidDemands,
+		m.serverCrashes, m.startRequests, m.startsRejected, m.stopRequests,
 	)
 	return m
 }
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -67,24 +67,6 @@
 	Token       uint64
 }
 
-// merge appends other effects.
-func (e *Effects) merge(other Effects) {
-	e.Announced = append(e.Announced, other.Announced...)
-	e.Contradictions = append(e.Contradictions, other.Contradictions...)
-	e.Crashes = append(e.Crashes, other.Crashes...)
-	e.Ended = append(e.Ended, other.Ended...)
-	e.IncarnationChanges = append(e.IncarnationChanges, other.IncarnationChanges...)
-	e.InvalidDemands = append(e.InvalidDemands, other.InvalidDemands...)
-	e.RenewNow = e.RenewNow || other.RenewNow
-	e.Restarts = append(e.Restarts, other.Restarts...)
-	e.Starts = append(e.Starts, other.Starts...)
-	e.Stops = append(e.Stops, other.Stops...)
-	e.UnknownRuns = append(e.UnknownRuns, other.UnknownRuns...)
-	for _, name := range other.Notify {
-		e.notify(name)
-	}
-}
-
 // notify adds an entry to those that need an update, if it is not among them.
 func (e *Effects) notify(name string) {
 	for _, n := range e.Notify {
--- a/executor/endings_test.go
+++ b/executor/endings_test.go
@@ -20,7 +20,8 @@
 		age  time.Duration
 	}{
 		{name: "the server lists the end", want: executor.EndListed, age: 10 * time.Millisecond, end: func(x *executor.Executor) executor.Effects {
-			return x.HandleRenewal(at(50), at(40), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{{Ending: pollenfront.EndingDone, Run: runID(0), SeqNum: 1}}})
+			ended := []pollenfront.EndedRun{{Ending: pollenfront.EndingDone, Run: runID(0), SeqNum: 1}}
+			return x.HandleRenewal(at(50), at(40), &pollenfront.RenewalResponse{Clock: time.Second, Ended: ended, Incarnation: 1})
 		}},
 		{name: "the server does not list the run", want: executor.Unlisted, age: 10 * time.Millisecond, end: func(x *executor.Executor) executor.Effects {
 			return x.HandleRenewal(at(410), at(400), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1})
@@ -53,10 +54,14 @@
 		response pollenfront.RenewalResponse
 		want     executor.Evidence
 	}{
-		{name: "a run is listed after the lease expired", want: executor.LeaseExpired, response: pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1, Running: running},
-			conclude: func(x *executor.Executor) { x.Tick(at(700)) }},
-		{name: "a crashed server answers", want: executor.ConnectionRefused, response: pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1},
-			conclude: func(x *executor.Executor) { x.HandleRenewalError(at(60), at(55), errRefused) }},
+		{
+			name: "a run is listed after the lease expired", want: executor.LeaseExpired, response: pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1, Running: running},
+			conclude: func(x *executor.Executor) { x.Tick(at(700)) },
+		},
+		{
+			name: "a crashed server answers", want: executor.ConnectionRefused, response: pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1},
+			conclude: func(x *executor.Executor) { x.HandleRenewalError(at(60), at(55), errRefused) },
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/executor/resubmission_test.go
+++ b/executor/resubmission_test.go
@@ -26,9 +26,9 @@
 	for _, name := range []string{"agent-1", "agent-2"} {
 		s.LinkAgent(at(0), &tasklink.Hello{Incarnation: 1, Name: name, Service: "service", Zone: "west"})
 	}
-	exchange := func(ms int) *scheduler.Effects {
+	exchange := func(ms int) {
 		update, _ := x.NextUpdate(at(ms), testEntry.Name)
-		return s.HandleUpdate(at(ms), "agent-1", &update)
+		s.HandleUpdate(at(ms), "agent-1", &update)
 	}
 	free := report
 	free.Free.CPU = 6000
