--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -24,6 +24,7 @@
 	play    testCase
 }{
 	"freeze": {options: fleetOptions{entries: 3, agents: 11}, play: playFreeze},
+	"try":    {options: fleetOptions{entries: 3, agents: 11}, play: playTry},
 	"cancel": {options: fleetOptions{entries: 1, agents: 3}, play: playCancel},
 }
 
--- a/review/_standin/record.go
+++ b/review/_standin/record.go
@@ -52,10 +52,16 @@
 	record *record
 	// started counts the starts, and twice the starts of a task that was running.
 	started, twice int
+	// doneTasks has the tasks with a run that was done, by job.
+	doneTasks map[string]map[string]bool
+	// refused are the jobs of which all attempts were rejected.
+	refused []string
+	// startedJobs are the jobs with a start.
+	startedJobs map[string]bool
 }
 
 func newRunLog(r *record) *runLog {
-	return &runLog{active: make(map[string][]activeRun), record: r}
+	return &runLog{active: make(map[string][]activeRun), doneTasks: make(map[string]map[string]bool), record: r, startedJobs: make(map[string]bool)}
 }
 
 // RunStarted implements backendserver.Observer.
@@ -63,6 +69,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.started++
+	job, _, _ := strings.Cut(task, ".")
+	l.startedJobs[job] = true
 	l.record.printf("run      %s starts on %s", task, server)
 	for _, other := range l.active[task] {
 		l.twice++
@@ -75,6 +83,12 @@
 func (l *runLog) RunEnded(task, server, ending string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if job, _, _ := strings.Cut(task, "."); ending == "done" {
+		if l.doneTasks[job] == nil {
+			l.doneTasks[job] = make(map[string]bool)
+		}
+		l.doneTasks[job][task] = true
+	}
 	runs := l.active[task]
 	for i, run := range runs {
 		if run.server == server {
@@ -110,3 +124,32 @@
 	}
 	return tasks
 }
+
+// done returns the number of tasks of a job that a run has done.
+func (l *runLog) done(job string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.doneTasks[job])
+}
+
+// refuse records that all attempts to hand a job in were rejected.
+func (l *runLog) refuse(job string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused = append(l.refused, job)
+}
+
+// startedThoughRefused returns the number of jobs that were started though all attempts to
+// hand them in were rejected.
+func (l *runLog) startedThoughRefused() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, job := range l.refused {
+		if l.startedJobs[job] {
+			l.record.printf("REFUSED  %s was rejected and has started", job)
+			n++
+		}
+	}
+	return n
+}
