--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -169,6 +169,9 @@
 	p := &process{name: name, record: f.record}
 	p.start = func() (*exec.Cmd, error) {
 		cmd := exec.Command(filepath.Join("target", program), "run") //nolint:gosec // A program of this repository.
+		if n := os.Getenv("PROCS"); n != "" {
+			env = append(env, "GOMAXPROCS="+n)
+		}
 		cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "POLLENFRONT_CONFIG=" + path + ".toml"}, env...)
 		cmd.Stdout, cmd.Stderr = log, log
 		return cmd, cmd.Start()
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -24,7 +24,8 @@
 	play    testCase
 }{
 	"freeze": {options: fleetOptions{entries: 3, agents: 11}, play: playFreeze},
-	"try":    {options: fleetOptions{entries: 3, agents: 11}, play: playTry},
+	"try":    {options: fleetOptions{entries: envInt("ENTRIES", 3), agents: envInt("AGENTS", 11)}, play: playTry},
+	"wide":   {options: fleetOptions{entries: 3, agents: 11}, play: playWide},
 	"cancel": {options: fleetOptions{entries: 1, agents: 3}, play: playCancel},
 }
 
