--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -37,6 +37,9 @@
 // fleetOptions are the numbers of processes.
 type fleetOptions struct {
 	entries, agents int
+	// ownRunners is set if the runners are those of runner.go in place of the project's
+	// stand-ins.
+	ownRunners bool
 }
 
 // A fleet is a set of processes of the project with their stand-ins.
@@ -45,7 +48,9 @@
 	cancel          context.CancelFunc
 	dir             string
 	octet           int
+	options         fleetOptions
 	record          *record
+	runners         []*runner
 	runs            *runLog
 	servers         []*backendserver.Server
 	store           *store.Store
@@ -76,7 +81,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{cancel: cancel, dir: dir, record: r, runs: newRunLog(r), store: store.New(store.Rates{Reads: 2000, Writes: 800})}
+	f := &fleet{cancel: cancel, dir: dir, options: o, record: r, runs: newRunLog(r), store: store.New(store.Rates{Reads: 2000, Writes: 800})}
 	listener, err := f.reserveRange()
 	if err != nil {
 		return f, err
@@ -130,14 +135,9 @@
 
 func (f *fleet) startAgent(ctx context.Context, i int) error {
 	announce, address := f.address(2, i, announcePort), f.address(3, i, serverPort)
-	server := backendserver.New(backendserver.Options{
-		Announce: announce, CPU: serverCPU, Name: fmt.Sprintf("i-%d", i), Observer: f.runs, RunTimeFactor: 1, Service: service, Zone: zone(i),
-	})
-	if err := server.Listen(address); err != nil {
+	if err := f.startServer(ctx, i, announce, address); err != nil {
 		return err
 	}
-	f.servers = append(f.servers, server)
-	go func() { _ = server.Run(ctx, address) }()
 	p, err := f.startProcess("agent", i, []string{"GOMEMLIMIT=80MiB", "GOGC=200"}, fmt.Sprintf(`name = "agent-%d"
 zone = %q
 announcements = %q
@@ -154,6 +154,27 @@
 	return err
 }
 
+// startServer starts the runner beside agent i.
+func (f *fleet) startServer(ctx context.Context, i int, announce, address string) error {
+	id := fmt.Sprintf("i-%d", i)
+	if f.options.ownRunners {
+		s := &runner{address: address, announce: announce, id: id, log: f.runs, record: f.record, restarted: make(chan struct{}, 1), zone: zone(i)}
+		f.runners = append(f.runners, s)
+		if err := s.start(); err != nil {
+			return err
+		}
+		go s.beat(ctx)
+		return nil
+	}
+	server := backendserver.New(backendserver.Options{Announce: announce, CPU: serverCPU, Name: id, Observer: f.runs, RunTimeFactor: 1, Service: service, Zone: zone(i)})
+	if err := server.Listen(address); err != nil {
+		return err
+	}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Run(ctx, address) }()
+	return nil
+}
+
 // startProcess starts a program as the deploy file does. Its settings and its output are in
 // the temporary folder of the fleet.
 func (f *fleet) startProcess(program string, i int, env []string, settings string) (*process, error) {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -26,6 +26,7 @@
 	"freeze": {options: fleetOptions{entries: 3, agents: 11}, play: playFreeze},
 	"try":    {options: fleetOptions{entries: envInt("ENTRIES", 3), agents: envInt("AGENTS", 11)}, play: playTry},
 	"wide":   {options: fleetOptions{entries: 3, agents: 11}, play: playWide},
+	"late":   {options: fleetOptions{entries: 3, agents: 11, ownRunners: true}, play: playLate},
 	"cancel": {options: fleetOptions{entries: 1, agents: 3}, play: playCancel},
 }
 
