--- a/review/_standin/runner.go
+++ b/review/_standin/runner.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -40,13 +41,16 @@
 	lateOrders []lateOrder
 	lease      time.Time
 	mu         sync.Mutex
-	runs       map[string]*runnerRun // runs has the runs by task.
-	seqNum     int
-	started    time.Time
-	superseded map[string]int
-	token      uint64
-	beats      int
-	wake       chan struct{}
+	// randomDelay is set if each late order is carried out 2 to 12 s later, if the runner is
+	// up then, and not only at the next start.
+	randomDelay bool
+	runs        map[string]*runnerRun // runs has the runs by task.
+	seqNum      int
+	started     time.Time
+	superseded  map[string]int
+	token       uint64
+	beats       int
+	wake        chan struct{}
 }
 
 type lateOrder struct {
@@ -151,8 +155,11 @@
 	}
 }
 
+// clockSpeed is the speed of the clocks of runners, which "may be 2% slow".
+var clockSpeed = float64(envInt("CLOCK_PERCENT", 100)) / 100
+
 func (s *runner) clock() int64 {
-	return time.Since(s.started).Milliseconds() + 1
+	return int64(float64(time.Since(s.started).Milliseconds())*clockSpeed) + 1
 }
 
 // serve returns the handler of the calls that execute carries out. It returns the reason of a
@@ -170,8 +177,18 @@
 		}
 		s.mu.Lock()
 		if r.URL.Path == "/pollenfront/run-start" && s.late != nil && s.late(o.Task) {
-			s.lateOrders = append(s.lateOrders, lateOrder{at: time.Now(), order: o})
+			if !s.randomDelay {
+				s.lateOrders = append(s.lateOrders, lateOrder{at: time.Now(), order: o})
+			}
 			s.record.printf("runner   %s leaves the start order of %s run %d unanswered", s.id, o.Task, o.Run)
+			if s.randomDelay {
+				time.AfterFunc(2*time.Second+rand.N(10*time.Second), s.carryOutLate(o))
+			}
+			s.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
+		if r.URL.Path == "/pollenfront/run-stop" && rand.IntN(1000) < envInt("LOST_STOPS", 0) { //nolint:gosec // Not for secrets.
 			s.mu.Unlock()
 			<-r.Context().Done()
 			return
@@ -238,15 +255,15 @@
 	s.token = o.Token
 	s.superseded[o.Task] = max(s.superseded[o.Task], o.Run)
 	if r := s.runs[o.Task]; r != nil && r.number == o.Run {
-		time.AfterFunc(stopTime, func() { s.end(r, "stopped") })
+		time.AfterFunc(time.Duration(envInt("STOP_MS", int(stopTime.Milliseconds())))*time.Millisecond, func() { s.end(r, "stopped") })
 	}
 	return ""
 }
 
 // extend extends the lease of all runs.
 func (s *runner) extend(deadlineMS int64) {
-	lease := s.started.Add(time.Duration(deadlineMS) * time.Millisecond)
-	if latest := time.Now().Add(maxHold); lease.After(latest) {
+	lease := s.started.Add(time.Duration(float64(deadlineMS) / clockSpeed * float64(time.Millisecond)))
+	if latest := time.Now().Add(time.Duration(float64(maxHold) / clockSpeed)); lease.After(latest) {
 		lease = latest
 	}
 	if !lease.After(s.lease) {
@@ -332,3 +349,17 @@
 func (s *runner) String() string {
 	return fmt.Sprintf("%s at %s", s.id, s.address)
 }
+
+// carryOutLate returns a function that carries out a late order whose time has come, or keeps
+// it for the next start if the runner is down.
+func (s *runner) carryOutLate(o order) func() {
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.down {
+			s.lateOrders = append(s.lateOrders, lateOrder{at: time.Now(), order: o})
+			return
+		}
+		s.startRun(&o)
+	}
+}
--- a/review/_standin/try.go
+++ b/review/_standin/try.go
@@ -112,7 +112,10 @@
 		}
 		time.Sleep(2 * time.Second)
 	}
-	server := f.servers[agent]
+	var server *backendserver.Server
+	if len(f.servers) > 0 {
+		server = f.servers[agent]
+	}
 	switch kind {
 	case "freeze-entry":
 		freeze(entry)
@@ -132,6 +135,21 @@
 		end(entry, syscall.SIGTERM)
 	case "term-agent":
 		end(f.agents[agent], syscall.SIGTERM)
+	case "power":
+		r.printf("DISRUPT  power loss of agent %d and its runner", agent)
+		f.runners[agent].crash()
+		f.agents[agent].signal(syscall.SIGKILL)
+		<-f.agents[agent].done
+		time.Sleep(length / 2)
+		_ = f.runners[agent].start()
+		_ = f.agents[agent].run()
+		time.Sleep(time.Second)
+	case "crash-runner":
+		r.printf("DISRUPT  crash of runner %d", agent)
+		f.runners[agent].crash()
+		time.Sleep(length / 2)
+		_ = f.runners[agent].start()
+		time.Sleep(time.Second)
 	case "crash-server":
 		r.printf("DISRUPT  crash of server %d", agent)
 		server.Crash(length / 2)
