--- a/review/_standin/caller.go
+++ b/review/_standin/caller.go
@@ -137,7 +137,11 @@
 	for attempt := 1; ; attempt++ {
 		entry = b.choose(entry)
 		r.printf("caller   %s sent to entry %d, attempt %d", id, entry, attempt)
-		a := send(http.MethodPost, b.fleet.callers(entry), prefix+id, body, timeBudget)
+		budget := timeBudget
+		if rand.IntN(100) < envInt("GIVE_UP", 0) { //nolint:gosec // Not for secrets.
+			budget = time.Duration(50+rand.IntN(850)) * time.Millisecond //nolint:gosec // Not for secrets.
+		}
+		a := send(http.MethodPost, b.fleet.callers(entry), prefix+id, body, budget)
 		r.printf("caller   %s answered by entry %d, attempt %d: %d %s", id, entry, attempt, a.status, a.body)
 		if a.status != 0 && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout || attempt == 3 {
 			return a, attempt
--- a/review/_standin/late.go
+++ b/review/_standin/late.go
@@ -50,30 +50,15 @@
 	}
 	held := 0
 	for range lateRounds {
-		sent := time.Now()
 		job := newID()
 		mu.Lock()
 		id, marked = job, false
 		mu.Unlock()
-		callers.Go(func() { submit(b, r, job, jobBody(1, 6200, lateWork)) })
-		time.Sleep(time.Until(sent.Add(lateCrash)))
-		for _, s := range f.runners {
-			s.mu.Lock()
-			has := len(s.lateOrders) > 0
-			s.mu.Unlock()
-			if !has {
-				continue
-			}
-			held++
-			r.printf("CRASH    %s", s)
-			s.crash()
-			time.Sleep(time.Until(sent.Add(lateRestart)))
-			r.printf("CRASH    %s starts again", s)
-			if err := s.start(); err != nil {
-				return false, err
-			}
+		crashed, err := playLateRound(f, r, func() { callers.Go(func() { submit(b, r, job, jobBody(1, 6200, lateWork)) }) })
+		if err != nil {
+			return false, err
 		}
-		time.Sleep(time.Until(sent.Add(lateEnd)))
+		held += crashed
 	}
 	close(stop)
 	callers.Wait()
@@ -84,3 +69,29 @@
 	}
 	return twice > 0, nil
 }
+
+// playLateRound submits a job, and crashes the runner that has left an order unanswered, if
+// there is one, and starts it again. It returns the number of such runners.
+func playLateRound(f *fleet, r *record, submit func()) (crashed int, err error) {
+	sent := time.Now()
+	submit()
+	time.Sleep(time.Until(sent.Add(lateCrash)))
+	for _, s := range f.runners {
+		s.mu.Lock()
+		has := len(s.lateOrders) > 0
+		s.mu.Unlock()
+		if !has {
+			continue
+		}
+		crashed++
+		r.printf("CRASH    %s", s)
+		s.crash()
+		time.Sleep(time.Until(sent.Add(lateRestart)))
+		r.printf("CRASH    %s starts again", s)
+		if err := s.start(); err != nil {
+			return crashed, err
+		}
+	}
+	time.Sleep(time.Until(sent.Add(lateEnd)))
+	return crashed, nil
+}
--- a/review/_standin/runner.go
+++ b/review/_standin/runner.go
@@ -85,20 +85,14 @@
 	s.wake = make(chan struct{})
 	late := s.lateOrders
 	s.lateOrders = nil
-	carryOut := func() {
-		for _, l := range late {
-			reason := s.startRun(&l.order)
-			s.record.printf("runner   %s carries out the start order of %s run %d, %v late, refused as %q", s.id, l.order.Task, l.order.Run, time.Since(l.at).Round(time.Millisecond), reason)
-		}
-	}
 	if after := envInt("LATE_AFTER_MS", 0); after > 0 {
 		time.AfterFunc(time.Duration(after)*time.Millisecond, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			carryOut()
+			s.carryOutAll(late)
 		})
 	} else {
-		carryOut()
+		s.carryOutAll(late)
 	}
 	s.mu.Unlock()
 	listener, err := net.Listen("tcp", s.address)
@@ -106,9 +100,10 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /pollenfront/run-start", s.serve(s.startRun))
-	mux.HandleFunc("POST /pollenfront/run-stop", s.serve(s.stopRun))
-	mux.HandleFunc("POST /pollenfront/hold", s.hold)
+	handle := func(pattern string, h http.HandlerFunc) { mux.HandleFunc(pattern, misbehave(h)) }
+	handle("POST /pollenfront/run-start", s.serve(s.startRun))
+	handle("POST /pollenfront/run-stop", s.serve(s.stopRun))
+	handle("POST /pollenfront/hold", s.hold)
 	s.http = &http.Server{Handler: mux} //nolint:gosec // A stand-in on loopback.
 	go func(server *http.Server) { _ = server.Serve(listener) }(s.http)
 	select {
@@ -118,6 +113,15 @@
 	return nil
 }
 
+// carryOutAll carries out late orders. The caller holds mu.
+func (s *runner) carryOutAll(late []lateOrder) {
+	for _, l := range late {
+		reason := s.startRun(&l.order)
+		s.record.printf("runner   %s carries out the start order of %s run %d, %v late, refused as %q",
+			s.id, l.order.Task, l.order.Run, time.Since(l.at).Round(time.Millisecond), reason)
+	}
+}
+
 // crash ends the process of the runner, with all that it runs.
 func (s *runner) crash() {
 	s.mu.Lock()
@@ -363,3 +367,39 @@
 		s.startRun(&o)
 	}
 }
+
+// misbehave returns a handler that answers some calls with 503, carries some out and leaves them
+// unanswered, and delays some before or after they are carried out. The variables UNHEALTHY,
+// LOST_ANSWERS and DELAYED have the shares in thousandths; they are 0 in the cases.
+func misbehave(h http.HandlerFunc) http.HandlerFunc {
+	chance := func(name string) bool { return rand.IntN(1000) < envInt(name, 0) }    //nolint:gosec // Not for secrets.
+	pause := func() { time.Sleep(time.Duration(rand.IntN(150)) * time.Millisecond) } //nolint:gosec // Not for secrets.
+	return func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case chance("UNHEALTHY"):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case chance("LOST_ANSWERS"):
+			h(discard{header: make(http.Header)}, r)
+			<-r.Context().Done()
+		case chance("DELAYED"):
+			pause()
+			h(w, r.WithContext(context.WithoutCancel(r.Context())))
+		default:
+			h(w, r)
+		}
+	}
+}
+
+// discard is an http.ResponseWriter that drops the response.
+type discard struct {
+	header http.Header
+}
+
+// Header implements http.ResponseWriter.
+func (d discard) Header() http.Header { return d.header }
+
+// Write implements http.ResponseWriter.
+func (d discard) Write(data []byte) (int, error) { return len(data), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (d discard) WriteHeader(int) {}
