Ask for closed connections of callers before anything is sent

What callers saw: a job that they submitted again after a break ran on two servers at the same time. Class: a caller was taken for one that still waits, since nothing had said otherwise yet. Change: package callerconn keeps all connections of callers in an epoll instance of its own. Before each event for the scheduler the entry asks it which were closed since, and cancels their jobs, all of them before anything is placed. A request whose connection is closed is not taken. With the call of Closed taken out, TestStartForClosedConnection and TestEchoOvertakesStop wait for the stop until their time limit. Why it works: an echo that is newer than the break is sent after a check that is newer than the break, and the stop goes before it on the same link.

--- /dev/null
+++ b/callerconn/watcher.go
@@ -0,0 +1,159 @@
+// Package callerconn watches the connections of callers, so that an entry knows which
+// callers have left before it sends anything on their behalf.
+//
+// The HTTP server reads the end of a connection in a goroutine, which has to wait for its
+// turn. On a busy machine, or after a suspension, the entry would meanwhile go on with the
+// jobs of callers that have left and submit them elsewhere. A Watcher asks the kernel instead,
+// which takes one system call for all connections.
+//
+// The kernel knows nothing of a connection that broke at the caller's side only. It probes each
+// connection after ProbeIdle without a packet. A caller's machine that has lost the connection
+// resets it.
+//
+// # Usage
+//
+//	w, err := callerconn.NewWatcher()
+//	server := &http.Server{ConnContext: w.Context, ConnState: w.HandleState, …}
+//
+//	conn := callerconn.FromContext(request.Context())
+//	for _, conn := range w.Closed() { … }
+package callerconn
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// eventsPerPoll is the number of closed connections that one system call returns.
+const eventsPerPoll = 128
+
+// ProbeIdle is the time without a packet after which the kernel probes a connection. It knows no
+// shorter one.
+const ProbeIdle = time.Second
+
+// probes are the keep-alive probes on connections of callers.
+var probes = net.KeepAliveConfig{Count: 9, Enable: true, Idle: ProbeIdle, Interval: ProbeIdle}
+
+// An ID identifies a connection. The zero ID stands for one that is not watched.
+type ID int32
+
+// A Watcher watches connections. It is safe for concurrent use. A nil Watcher watches none.
+type Watcher struct {
+	// epoll is the descriptor of the epoll instance to which all connections are added.
+	epoll  int
+	events [eventsPerPoll]unix.EpollEvent
+	// ids has the open connections.
+	ids    map[net.Conn]ID
+	lastID ID
+	mu     sync.Mutex
+	// open has the connections of ids without those that were found closed.
+	open map[ID]*net.TCPConn
+}
+
+// NewWatcher returns a Watcher that watches no connection yet.
+func NewWatcher() (*Watcher, error) {
+	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("create an epoll instance: %w", err)
+	}
+	return &Watcher{epoll: epoll, ids: make(map[net.Conn]ID), open: make(map[ID]*net.TCPConn)}, nil
+}
+
+// idKey is the key of the ID in the context of a request.
+type idKey struct{}
+
+// Context adds a connection to the watched ones. It is the ConnContext of an http.Server.
+func (w *Watcher) Context(ctx context.Context, conn net.Conn) context.Context {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return ctx
+	}
+	_ = tcp.SetKeepAliveConfig(probes) // It fails only if the connection is closed already.
+	id, err := w.add(tcp)
+	if err != nil {
+		return ctx // The connection is closed already, or the server closes it as it can't be read.
+	}
+	return context.WithValue(ctx, idKey{}, id)
+}
+
+// FromContext returns the ID of the connection on which a request with the given context
+// arrived, or zero if the connection is not watched.
+func FromContext(ctx context.Context) ID {
+	id, _ := ctx.Value(idKey{}).(ID)
+	return id
+}
+
+// add adds a connection and returns its ID.
+func (w *Watcher) add(conn *net.TCPConn) (ID, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastID = max(w.lastID+1, 1) // It starts again after the highest ID.
+	event := unix.EpollEvent{Events: unix.EPOLLRDHUP | unix.EPOLLONESHOT, Fd: int32(w.lastID)}
+	controlErr := raw.Control(func(fd uintptr) { err = unix.EpollCtl(w.epoll, unix.EPOLL_CTL_ADD, int(fd), &event) })
+	if err := errors.Join(controlErr, err); err != nil {
+		return 0, err
+	}
+	w.ids[conn], w.open[w.lastID] = w.lastID, conn
+	return w.lastID, nil
+}
+
+// HandleState forgets a connection that the server has closed. It is the ConnState of an
+// http.Server.
+func (w *Watcher) HandleState(conn net.Conn, state http.ConnState) {
+	if state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.open, w.ids[conn])
+	delete(w.ids, conn)
+}
+
+// Closed returns the connections that were closed by their callers, or have failed, since the
+// last call.
+func (w *Watcher) Closed() []ID {
+	if w == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var closed []ID
+	for {
+		n, err := unix.EpollWait(w.epoll, w.events[:], 0)
+		if errors.Is(err, unix.EINTR) {
+			continue
+		}
+		before := len(closed)
+		for _, event := range w.events[:max(n, 0)] {
+			if id := ID(event.Fd); w.open[id] != nil {
+				delete(w.open, id)
+				closed = append(closed, id)
+			}
+		}
+		if n < eventsPerPoll || len(closed) == before {
+			return closed
+		}
+	}
+}
+
+// IsClosed reports whether a connection is known to be closed: Closed has returned it, or the
+// server has closed it.
+func (w *Watcher) IsClosed(id ID) bool {
+	if w == nil || id == 0 {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open[id] == nil
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/callerconn"
 	"github.com/pollenfront/pollenfront/entry/internal/callers"
 	"github.com/pollenfront/pollenfront/entry/internal/jobs"
 	"github.com/pollenfront/pollenfront/observe"
@@ -104,6 +105,11 @@
 	if err != nil {
 		return merry.Prepend(err, "listen for agents")
 	}
+	conns, err := callerconn.NewWatcher()
+	if err != nil {
+		return merry.Prepend(err, "watch callers")
+	}
+	e.jobs.WatchCallers(conns)
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	var group run.Group
@@ -112,7 +118,8 @@
 		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
 	}
 	callerServer := &http.Server{
-		ConnContext: probeCaller, Handler: e.closeConnections(platform.NewCallerHandler(e.jobs)), IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: readHeaderTimeout,
+		ConnContext: conns.Context, ConnState: conns.HandleState, Handler: e.closeConnections(platform.NewCallerHandler(e.jobs)),
+		IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: readHeaderTimeout,
 	}
 	program.AddServer(&group, callerServer, e.settings.Callers, e.logger)
 	readiness := &http.Server{Handler: platform.NewReadinessHandler(e.ready), ReadHeaderTimeout: readHeaderTimeout}
@@ -120,7 +127,8 @@
 	router := mux.NewRouter()
 	e.process.Routes(router, e.jobs.Dump)
 	callers.NewAPI(e.jobs).Routes(router)
-	program.AddServer(&group, &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}, e.settings.API, e.logger)
+	apiServer := &http.Server{ConnContext: conns.Context, ConnState: conns.HandleState, Handler: router, ReadHeaderTimeout: readHeaderTimeout}
+	program.AddServer(&group, apiServer, e.settings.API, e.logger)
 	program.AddReloadHandler(&group, e.reload)
 	program.AddDrainHandler(ctx, partsCtx, &group, func() { e.drain(partsCtx, callerServer) })
 
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -20,6 +20,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/callerconn"
 	"github.com/pollenfront/pollenfront/observe"
 	"github.com/pollenfront/pollenfront/program"
 	"github.com/pollenfront/pollenfront/scheduler"
@@ -36,6 +37,8 @@
 // and carries out the effects that the scheduler returns.
 type Jobs struct {
 	config atomic.Pointer[pollenfront.Config]
+	// conns watches the connections of callers. It may be nil.
+	conns *callerconn.Watcher
 	// configured is closed once there is a configuration.
 	configured chan struct{}
 	// entries are the registered entries.
@@ -80,6 +83,8 @@
 	storeRead bool
 	// submissions maps the ID of each job without a result to its submission.
 	submissions map[string]*activeSubmission
+	// watched maps the watched connections to the callers that wait on them.
+	watched map[callerconn.ID]*waitingCaller
 }
 
 // New returns the Jobs of the entry that self describes. It registers its metrics
@@ -97,11 +102,20 @@
 		self:                   self,
 		store:                  store,
 		submissions:            make(map[string]*activeSubmission),
+		watched:                make(map[callerconn.ID]*waitingCaller),
 	}
 	j.mu.OnPanic = j.reportPanic
 	return j
 }
 
+// WatchCallers makes j cancel the jobs of callers whose connections are closed before it sends
+// anything to agents.
+func (j *Jobs) WatchCallers(conns *callerconn.Watcher) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.conns = conns
+}
+
 // Config implements pollenfront.Jobs.
 func (j *Jobs) Config(ctx context.Context) *pollenfront.Config {
 	if config := j.config.Load(); config != nil {
@@ -133,7 +147,7 @@
 		j.storeFailed = true // The copies that agents keep are the newest configuration that can be read.
 	}
 	disabled := tasklink.DisabledZones{Version: state.Version, Zones: state.DisabledZones}
-	j.applyEffects(bootclock.Now(), j.scheduler.SetDisabledZones(disabled))
+	j.applyEffects(j.beginEvent(), j.scheduler.SetDisabledZones(disabled))
 }
 
 // SetRemoteFactor sets the factor by which a task takes longer on a server that is
@@ -176,7 +190,7 @@
 func (j *Jobs) tick() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	now := bootclock.Now()
+	now := j.beginEvent()
 	j.adoptConfig(now)
 	j.sendCopies(now)
 	j.applyEffects(now, j.scheduler.Tick(now))
@@ -195,7 +209,7 @@
 func (j *Jobs) AbortAll() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	now := bootclock.Now()
+	now := j.beginEvent()
 	j.applyEffects(now, j.scheduler.AbortAll(now, pollenfront.ReasonStopping))
 }
 
--- a/entry/internal/jobs/jobs_test.go
+++ b/entry/internal/jobs/jobs_test.go
@@ -66,10 +66,16 @@
 
 // sendUpdate sends an update with a server that has free capacity and with runEnds.
 func (a *fakeAgent) sendUpdate(t *testing.T, runEnds ...tasklink.RunEnd) {
+	t.Helper()
+	a.sendClock(t, 1, runEnds...)
+}
+
+// sendClock is like sendUpdate, with a reading of the agent's clock.
+func (a *fakeAgent) sendClock(t *testing.T, clock int64, runEnds ...tasklink.RunEnd) {
 	t.Helper()
 	capacity := pollenfront.Resources{CPU: 64000}
 	qt.Assert(t, a.Send(&tasklink.Update{
-		Clock: 1, Report: tasklink.Report{Capacity: capacity, Free: capacity, Slowness: 1, State: tasklink.StateReady, Waits: []int{0, 0, 0}}, RunEnds: runEnds,
+		Clock: clock, Report: tasklink.Report{Capacity: capacity, Free: capacity, Slowness: 1, State: tasklink.StateReady, Waits: []int{0, 0, 0}}, RunEnds: runEnds,
 	}), qt.IsNil)
 }
 
--- a/entry/internal/jobs/link.go
+++ b/entry/internal/jobs/link.go
@@ -124,7 +124,7 @@
 		previous.Close()
 	}
 	j.links[link.hello.Name] = link
-	now := bootclock.Now()
+	now := j.beginEvent()
 	j.logger.Info("agent linked", zap.String("agent", link.hello.Name), zap.Uint64("incarnation", link.hello.Incarnation), zap.Int("runs", len(link.hello.Runs)))
 	j.applyEffects(now, j.scheduler.LinkAgent(now, &link.hello))
 	j.sendCopies(now)
@@ -151,7 +151,7 @@
 	if j.links[link.hello.Name] != link {
 		return
 	}
-	now := bootclock.Now()
+	now := j.beginEvent()
 	if update.Config != nil {
 		link.configVersion = update.Config.Version
 		if !j.storeRead {
--- a/entry/internal/jobs/submissions.go
+++ b/entry/internal/jobs/submissions.go
@@ -9,6 +9,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/callerconn"
 	"github.com/pollenfront/pollenfront/observe"
 )
 
@@ -19,10 +20,8 @@
 // An activeSubmission is a job that has no result yet, with the callers that wait
 // for it.
 type activeSubmission struct {
-	arrivedAt time.Duration
-	// callers holds a channel with a buffer of one result for each caller, so
-	// that sending the result never blocks.
-	callers    []chan pollenfront.Result
+	arrivedAt  time.Duration
+	callers    []*waitingCaller
 	submission pollenfront.Submission
 }
 
@@ -41,7 +40,7 @@
 
 // Submit implements pollenfront.Jobs.
 func (j *Jobs) Submit(ctx context.Context, sub pollenfront.Submission) pollenfront.Result {
-	caller := make(chan pollenfront.Result, 1)
+	caller := &waitingCaller{conn: callerconn.FromContext(ctx), job: sub.ID, result: make(chan pollenfront.Result, 1)}
 	if sub.AtMostOnce {
 		if reason := j.claim(ctx, sub.ID); reason != "" {
 			return pollenfront.Result{ID: sub.ID, Reason: reason, Verdict: pollenfront.VerdictUnknown}
@@ -51,30 +50,39 @@
 		return pollenfront.Result{ID: sub.ID, Reason: pollenfront.ReasonConflict, Verdict: pollenfront.VerdictConflict}
 	}
 	select {
-	case result := <-caller:
+	case result := <-caller.result:
 		return result
 	case <-ctx.Done():
-		j.removeCaller(sub.ID, caller)
-		return pollenfront.Result{ID: sub.ID, Reason: pollenfront.ReasonCallerLeft, Verdict: pollenfront.VerdictUnknown}
+		j.removeCaller(caller)
+		return callerLeftResult(sub.ID)
 	}
 }
 
 // submitOrJoin submits a job. If the same job was submitted before and has no result
 // yet, it adds the caller to that submission instead. It returns false if another job
-// with the same ID has no result yet.
-func (j *Jobs) submitOrJoin(sub pollenfront.Submission, caller chan pollenfront.Result) bool {
+// with the same ID has no result yet. A caller that has left meanwhile gets its result at once:
+// the request may have waited in a buffer while the process was suspended.
+func (j *Jobs) submitOrJoin(sub pollenfront.Submission, caller *waitingCaller) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	now := bootclock.Now()
+	now := j.beginEvent()
+	if j.conns.IsClosed(caller.conn) {
+		j.metrics.callersLeft.Inc()
+		j.logger.Info("caller left before its job was taken", zap.String("request", sub.ID))
+		caller.result <- callerLeftResult(sub.ID)
+		return true
+	}
 	j.recordResubmission(now, sub.ID)
 	if job, ok := j.submissions[sub.ID]; ok {
 		if job.submission.Payload != sub.Payload || job.submission.TaskCount != sub.TaskCount || job.submission.Route.Name != sub.Route.Name {
 			return false
 		}
 		job.callers = append(job.callers, caller)
+		j.watch(caller)
 		return true
 	}
-	j.submissions[sub.ID] = &activeSubmission{arrivedAt: now, callers: []chan pollenfront.Result{caller}, submission: sub}
+	j.submissions[sub.ID] = &activeSubmission{arrivedAt: now, callers: []*waitingCaller{caller}, submission: sub}
+	j.watch(caller)
 	if observe.Sampled(sub.ID) {
 		j.logger.Info("job taken", zap.String("request", sub.ID), zap.String("route", sub.Route.Name), zap.Uint64("config-version", j.configVersion()),
 			zap.Int("tasks", sub.TaskCount), zap.Duration("estimate", sub.Estimate), zap.Duration("time-limit", sub.TimeLimit), zap.Int("cpu", sub.Need.CPU))
@@ -104,32 +112,6 @@
 	return pollenfront.ReasonStoreUnavailable
 }
 
-// removeCaller updates a job after one of its callers has left. If no caller remains,
-// it cancels the job.
-func (j *Jobs) removeCaller(id string, caller chan pollenfront.Result) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	job, ok := j.submissions[id]
-	if !ok {
-		return
-	}
-	for i, c := range job.callers {
-		if c == caller {
-			job.callers = append(job.callers[:i], job.callers[i+1:]...)
-			break
-		}
-	}
-	if len(job.callers) > 0 {
-		return
-	}
-	delete(j.submissions, id)
-	now := bootclock.Now()
-	j.recent.add(recentJob{endedAt: now, id: id, outcome: callerLeft, reason: pollenfront.ReasonCallerLeft})
-	j.metrics.callersLeft.Inc()
-	j.logger.Info("caller left", zap.String("request", id), zap.Duration("after", now-job.arrivedAt))
-	j.applyEffects(now, j.scheduler.Cancel(now, id))
-}
-
 // SubmissionCount returns the number of jobs that callers wait for.
 func (j *Jobs) SubmissionCount() int {
 	j.mu.Lock()
@@ -145,7 +127,8 @@
 	}
 	delete(j.submissions, result.ID)
 	for _, caller := range job.callers {
-		caller <- result
+		delete(j.watched, caller.conn)
+		caller.result <- result
 	}
 	j.recent.add(recentJob{endedAt: now, id: result.ID, outcome: result.Verdict.String(), reason: result.Reason})
 	took := now - job.arrivedAt
--- /dev/null
+++ b/entry/internal/jobs/waiting.go
@@ -0,0 +1,87 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/callerconn"
+)
+
+// A waitingCaller is a caller that waits for the result of a job.
+type waitingCaller struct {
+	conn callerconn.ID
+	job  string
+	// result has a buffer of one, so that sending the result never blocks.
+	result chan pollenfront.Result
+}
+
+// callerLeftResult returns the result of a job whose caller has left.
+func callerLeftResult(id string) pollenfront.Result {
+	return pollenfront.Result{ID: id, Reason: pollenfront.ReasonCallerLeft, Verdict: pollenfront.VerdictUnknown}
+}
+
+// beginEvent returns the time of an event for the scheduler. Before, it cancels the jobs of all
+// callers whose connections are closed by now. Commands that the event causes are sent only
+// after that, so that no agent gets a start or an echo that is newer than a break and
+// overtakes the stop. The caller must hold mu.
+func (j *Jobs) beginEvent() time.Duration {
+	now := bootclock.Now()
+	j.cancelJobsOf(now, j.conns.Closed())
+	return now
+}
+
+// cancelJobsOf cancels the jobs for which nobody waits but on the given connections. The caller
+// must hold mu.
+func (j *Jobs) cancelJobsOf(now time.Duration, conns []callerconn.ID) {
+	var left []string
+	for _, conn := range conns {
+		if caller, ok := j.watched[conn]; ok && j.forgetCaller(now, caller) {
+			left = append(left, caller.job)
+		}
+	}
+	if len(left) > 0 {
+		j.applyEffects(now, j.scheduler.Cancel(now, left...))
+	}
+}
+
+// watch makes beginEvent cancel the job of a caller. The caller must hold mu.
+func (j *Jobs) watch(caller *waitingCaller) {
+	if caller.conn != 0 {
+		j.watched[caller.conn] = caller
+	}
+}
+
+// removeCaller updates a job after one of its callers has left. If no caller remains,
+// it cancels the job.
+func (j *Jobs) removeCaller(caller *waitingCaller) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.beginEvent()
+	if j.forgetCaller(now, caller) {
+		j.applyEffects(now, j.scheduler.Cancel(now, caller.job))
+	}
+}
+
+// forgetCaller removes a caller that has left. It reports whether its job, which had no result
+// yet, has no caller any more, and so is to be canceled. The caller must hold mu.
+func (j *Jobs) forgetCaller(now time.Duration, caller *waitingCaller) bool {
+	delete(j.watched, caller.conn)
+	job, ok := j.submissions[caller.job]
+	if !ok || !slices.Contains(job.callers, caller) {
+		return false
+	}
+	caller.result <- callerLeftResult(caller.job)
+	job.callers = slices.DeleteFunc(job.callers, func(other *waitingCaller) bool { return other == caller })
+	if len(job.callers) > 0 {
+		return false
+	}
+	delete(j.submissions, caller.job)
+	j.recent.add(recentJob{endedAt: now, id: caller.job, outcome: callerLeft, reason: pollenfront.ReasonCallerLeft})
+	j.metrics.callersLeft.Inc()
+	j.logger.Info("caller left", zap.String("request", caller.job), zap.Duration("after", now-job.arrivedAt))
+	return true
+}
--- /dev/null
+++ b/entry/internal/jobs/waiting_test.go
@@ -0,0 +1,134 @@
+package jobs
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/callerconn"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// newWatchedConn makes j watch a connection, and returns the context of a request on it, which
+// does not end by itself, and the caller's side.
+func newWatchedConn(t *testing.T, j *Jobs) (context.Context, net.Conn) {
+	t.Helper()
+	ctx, caller, _ := newWatchedPair(t, j)
+	return ctx, caller
+}
+
+// newWatchedPair is like newWatchedConn. It also returns the entry's side.
+func newWatchedPair(t *testing.T, j *Jobs) (ctx context.Context, caller net.Conn, conn *net.TCPConn) {
+	t.Helper()
+	c := qt.New(t)
+	w, err := callerconn.NewWatcher()
+	c.Assert(err, qt.IsNil)
+	j.WatchCallers(w)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	caller, err = net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = caller.Close() })
+	accepted, err := listener.Accept()
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = accepted.Close() })
+	conn, ok := accepted.(*net.TCPConn)
+	c.Assert(ok, qt.IsTrue)
+	return w.Context(context.Background(), conn), caller, conn
+}
+
+// closeAndWait closes the caller's side of a connection and waits until the kernel has told
+// the other side.
+func closeAndWait(t *testing.T, caller net.Conn) {
+	t.Helper()
+	qt.Assert(t, caller.Close(), qt.IsNil)
+	time.Sleep(20 * time.Millisecond)
+}
+
+// TestStartForClosedConnection guards against a start for a caller that left while its request
+// waited in a buffer, for example of an entry that stood still.
+func TestStartForClosedConnection(t *testing.T) {
+	c := qt.New(t)
+	j, a := newLinkedJobs(t, nil)
+	ctx, caller := newWatchedConn(t, j)
+	closeAndWait(t, caller)
+	c.Assert(j.Submit(ctx, newSubmission(false)).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+	c.Assert(j.SubmissionCount(), qt.Equals, 0)
+	j.tick() // Causes commands if nothing else does.
+	var commands tasklink.Commands
+	c.Assert(a.Receive(&commands), qt.IsNil)
+	c.Assert(commands.Starts, qt.HasLen, 0)
+}
+
+// TestEchoOvertakesStop guards against a run that an entry keeps alive by echoes although its
+// kernel knows that the caller's connection is closed: no message to the agent may echo an
+// update that was sent after the break and not stop the run.
+func TestEchoOvertakesStop(t *testing.T) {
+	events := []struct {
+		name  string
+		cause func(j *Jobs, a *fakeAgent, t *testing.T)
+	}{
+		{name: "update", cause: func(_ *Jobs, a *fakeAgent, t *testing.T) { t.Helper(); a.sendClock(t, 2) }},
+		{name: "tick", cause: func(j *Jobs, _ *fakeAgent, t *testing.T) { t.Helper(); j.tick() }},
+		{name: "another submission", cause: func(j *Jobs, _ *fakeAgent, t *testing.T) {
+			t.Helper()
+			other := newSubmission(false)
+			other.ID = "8899aabbccddeeff"
+			submitAsync(context.Background(), j, other)
+		}},
+	}
+	for _, event := range events {
+		t.Run(event.name, func(t *testing.T) {
+			c := qt.New(t)
+			j, a := newLinkedJobs(t, nil)
+			ctx, caller := newWatchedConn(t, j)
+			result := submitAsync(ctx, j, newSubmission(false))
+			run := a.receiveStart(t)
+			closeAndWait(t, caller)
+			event.cause(j, a, t)
+			var commands tasklink.Commands
+			c.Assert(a.Receive(&commands), qt.IsNil)
+			c.Assert(commands.Stops, qt.DeepEquals, []pollenfront.RunID{run})
+			c.Assert(commands.Starts, qt.HasLen, 0)
+			c.Assert((<-result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+		})
+	}
+}
+
+// TestFreedRoomForClosedConnection guards against a start for one of several callers that have
+// left, in the room that the others leave.
+func TestFreedRoomForClosedConnection(t *testing.T) {
+	c := qt.New(t)
+	j, a := newLinkedJobs(t, nil)
+	ctx, caller := newWatchedConn(t, j)
+	first := submitAsync(ctx, j, newSubmission(false))
+	run := a.receiveStart(t)
+	j.mu.Lock()
+	w := j.conns
+	j.mu.Unlock()
+	waiting := newSubmission(false)
+	waiting.ID, waiting.Need = "8899aabbccddeeff", pollenfront.Resources{CPU: 64000}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	other, err := net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	conn, err := listener.Accept()
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	second := submitAsync(w.Context(context.Background(), conn), j, waiting)
+	for j.SubmissionCount() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(caller.Close(), qt.IsNil)
+	closeAndWait(t, other)
+	a.sendUpdate(t, tasklink.RunEnd{Ending: pollenfront.EndingLost, Run: run})
+	c.Assert((<-first).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+	c.Assert((<-second).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+	c.Assert(j.SubmissionCount(), qt.Equals, 0)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -260,17 +260,19 @@
 	return now-s.warmUpStart < warmUpPeriod
 }
 
-// Cancel cancels a job whose caller has left. The job gets no result. Cancel does
-// nothing if the job has ended.
-func (s *Scheduler) Cancel(now time.Duration, id string) *Effects {
+// Cancel cancels jobs whose callers have left. They get no results. Cancel ignores jobs that
+// have ended.
+func (s *Scheduler) Cancel(now time.Duration, ids ...string) *Effects {
 	effects := &Effects{}
 	s.detectSuspension(now, effects)
-	if j, ok := s.jobs[id]; ok {
-		j.answered = true
-		s.accountLeft(now, j)
-		s.cancelJob(now, j, pollenfront.ReasonCallerLeft, effects)
-		s.place(now, effects)
+	for _, id := range ids {
+		if j, ok := s.jobs[id]; ok {
+			j.answered = true
+			s.accountLeft(now, j)
+			s.cancelJob(now, j, pollenfront.ReasonCallerLeft, effects)
+		}
 	}
+	s.place(now, effects)
 	return effects
 }
 
