--- a/entry/internal/jobs/waiting.go
+++ b/entry/internal/jobs/waiting.go
@@ -13,8 +13,8 @@
 
 // A waitingCaller is a caller that waits for the result of a job.
 type waitingCaller struct {
-	conn callerconn.ID
-	job  string
+	conn  callerconn.ID
+	job   string
 	since time.Duration // since is when the caller began to wait.
 	// result has a buffer of one, so that sending the result never blocks.
 	result chan pollenfront.Result
