Do not extend an expired lease in the stand-in of the backend server

A server kills its runs when its lease expires. Change: extending a lease ends the runs of one that has expired.

--- a/standin/backendserver/crash.go
+++ b/standin/backendserver/crash.go
@@ -92,7 +92,7 @@
 		return
 	}
 	s.down = true
-	s.endAllRuns("lapsed")
+	s.endAllRuns()
 	s.mu.Unlock()
 	s.breakConnections()
 	time.AfterFunc(down, func() { s.startAgain(step) })
@@ -116,7 +116,7 @@
 	if s.down {
 		return
 	}
-	s.endAllRuns("lapsed")
+	s.endAllRuns()
 	s.resetState()
 }
 
--- a/standin/backendserver/request.go
+++ b/standin/backendserver/request.go
@@ -174,8 +174,12 @@
 }
 
 // extendLease extends the lease to a deadline on the server's clock, but at most
-// by maxLease from now. All runs end when the lease expires. The caller holds mu.
+// by maxLease from now. All runs end when the lease expires, also if the timer is late, so that
+// an expired lease is not extended. The caller holds mu.
 func (s *Server) extendLease(deadlineMS int64) {
+	if time.Now().After(s.lease) {
+		s.endAllRuns()
+	}
 	lease := s.startTime.Add(time.Duration(deadlineMS) * time.Millisecond)
 	if latest := time.Now().Add(maxLease); lease.After(latest) {
 		lease = latest
@@ -190,7 +194,7 @@
 		if time.Now().Before(s.lease) {
 			return
 		}
-		s.endAllRuns("lapsed")
+		s.endAllRuns()
 	})
 }
 
@@ -213,10 +217,10 @@
 	s.runEnded = make(chan struct{})
 }
 
-// endAllRuns ends all runs. The caller holds mu.
-func (s *Server) endAllRuns(ending string) {
+// endAllRuns ends all runs as lapsed. The caller holds mu.
+func (s *Server) endAllRuns() {
 	for _, r := range s.runs {
-		s.endRun(r, ending)
+		s.endRun(r, "lapsed")
 	}
 }
 
