Let the soak starve entries of processor time

Cause: entries that get little processor time handle the end of a caller's connection late; no soak had such entries.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	scripts/soak.sh --seed 3320 --for 15s
 	scripts/soak.sh --seed 3327 --for 15s
 	scripts/soak.sh --seed 5 --crash 30 --for 10s
+	scripts/soak.sh --seed 39 --starve --rate 30 --for 15s
 
 test: lint unit soak-short ## checks format and style, and runs all tests and short soaks
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -5,6 +5,7 @@
 //
 //	soak --seed 1 --for 20s          # a schedule of faults drawn from a seed
 //	soak --calm --for 10s            # the same fleet without faults
+//	soak --starve --rate 60          # entries that get little processor time
 package main
 
 import (
@@ -32,6 +33,7 @@
 	Octet   int           `help:"second octet of the addresses in 127.0.0.0/8 [default: of a free range]"`
 	Rate    float64       `default:"20" help:"jobs submitted per second"`
 	Seed    uint64        `default:"1" help:"seed of the load and of the schedule of faults"`
+	Starve  bool          `help:"starve entries of processor time and reset their callers' connections, in place of the schedule of faults"`
 }
 
 // Times and limits of a run.
@@ -97,7 +99,10 @@
 	c := callers.New(f.CallerAddresses, f.Checker, o.Seed)
 	ctx, cancel := context.WithTimeout(context.Background(), o.For)
 	defer cancel()
-	if !o.Calm {
+	switch {
+	case o.Starve:
+		go starveEntries(ctx, f, c, o.Seed)
+	case !o.Calm:
 		go injectFaults(ctx, f, c, o.Seed)
 	}
 	c.Run(ctx, o.Rate, o.Crash)
