Report to entries what showed that a run was over

When a task has run twice, only the agent of the first run knows the evidence on which it was taken for over. Entries, which order the second run, get the ending and a reason in words, so that their logs can't tell why they sent the task again. Change: tasklink.RunEnd and RunState carry the evidence, as a code of one byte, and its age in milliseconds. Completed runs state none. The arrays are longer, so this is version 7 of the protocol. TestRelink compares the two fields too. Result: an end of a run grows by 2 bytes if it is done and by at most 4 otherwise (TestEvidenceSize).

--- a/executor/commands.go
+++ b/executor/commands.go
@@ -60,8 +60,8 @@
 			reason = x.taskRefusalReason(now, start, id)
 		}
 		if reason != "" {
-			end := tasklink.RunEnd{Run: id, Ending: pollenfront.EndingNotStarted, Superseded: isSuperseded(reason), Reason: reason}
-			x.reportEnd(now, e, EndedRun{RunEnd: end, Entry: e.Name, Evidence: NoStartSent}, effects)
+			end := tasklink.RunEnd{Run: id, Ending: pollenfront.EndingNotStarted, Superseded: isSuperseded(reason), Reason: reason, Evidence: NoStartSent}
+			x.reportEnd(now, e, EndedRun{RunEnd: end, Entry: e.Name}, effects)
 			continue
 		}
 		r := &run{
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/tasklink"
@@ -43,10 +42,6 @@
 
 	// Entry is the name of the entry that sent the start command.
 	Entry string
-	// Evidence is what shows that the run is over.
-	Evidence Evidence
-	// EvidenceAge is the time since the evidence was taken.
-	EvidenceAge time.Duration
 	// Reported is whether the entry is linked, and so gets the end in an update.
 	Reported bool
 }
--- a/executor/endings_test.go
+++ b/executor/endings_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/executor"
+	"github.com/pollenfront/pollenfront/tasklink"
 )
 
 // TestEvidenceOfEnds guards against ends of runs of which the log does not tell what showed
@@ -44,6 +45,47 @@
 	}
 }
 
+// TestEvidenceIsReported guards against entries that can't tell why they sent a task again, since
+// the reported end of its run does not state what showed it.
+func TestEvidenceIsReported(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(x *executor.Executor)
+		want tasklink.RunEnd
+	}{
+		{
+			name: "the lease has expired", end: func(x *executor.Executor) { x.Tick(at(670)) },
+			want: tasklink.RunEnd{Ending: pollenfront.EndingLost, Evidence: tasklink.LeaseExpired, EvidenceAge: 2 * time.Millisecond},
+		},
+		{
+			name: "a completed run needs none", want: tasklink.RunEnd{Ending: pollenfront.EndingDone},
+			end: func(x *executor.Executor) {
+				ended := []pollenfront.EndedRun{{Ending: pollenfront.EndingDone, Run: runID(0), SeqNum: 1}}
+				x.HandleRenewal(at(50), at(40), &pollenfront.RenewalResponse{Clock: time.Second, Ended: ended, Incarnation: 1})
+			},
+		},
+		{
+			name: "a refused command", want: tasklink.RunEnd{Ending: pollenfront.EndingNotStarted, Evidence: tasklink.NoStartSent},
+			end: func(x *executor.Executor) { x.HandleCommands(at(5), testEntry, startCommands(at(5), 0)) },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			x := newExecutor()
+			x.HandleCommands(at(0), testEntry, startCommands(at(0), 0))
+			x.HandleStartResponse(at(1), pollenfront.StartRequest{Incarnation: 1, Run: runID(0)}, 0, nil)
+			test.end(x)
+			update, _ := x.NextUpdate(at(670), testEntry.Name)
+			c.Assert(update.RunEnds, qt.HasLen, 1)
+			got := update.RunEnds[0]
+			c.Assert(got.Ending, qt.Equals, test.want.Ending)
+			c.Assert(got.Evidence, qt.Equals, test.want.Evidence)
+			c.Assert(got.EvidenceAge, qt.Equals, test.want.EvidenceAge)
+		})
+	}
+}
+
 // TestContradictedConclusions guards against conclusions about runs and incarnations that turn
 // out to be wrong without a trace in the log.
 func TestContradictedConclusions(t *testing.T) {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -57,6 +58,15 @@
 	end tasklink.RunEnd
 }
 
+// runState returns the state of the run for a hello that is sent now.
+func (r *recentEnd) runState(now time.Duration) tasklink.RunState {
+	state := tasklink.RunState{Run: r.end.Run, Ending: r.end.Ending, Reason: r.end.Reason, Evidence: r.end.Evidence}
+	if state.Evidence != "" {
+		state.EvidenceAge = r.end.EvidenceAge + now - r.at
+	}
+	return state
+}
+
 // LinkEntry records that an entry has linked. That does not show that the entry has heard from
 // the agent, so it counts as silent until it has echoed an update. It returns the runs of the entry that
 // the agent knows, including those that ended within runEndRetention. It stops the
@@ -80,7 +90,7 @@
 	x.removeFromShares(e) // A new link starts without a statement.
 	x.addToShares(e)
 	x.interference.forget(ref.Name)
-	return x.runStates(e), effects
+	return x.runStates(now, e), effects
 }
 
 // UnlinkEntry records that the link to an entry is closed. Its runs go on until
@@ -93,7 +103,7 @@
 }
 
 // runStates returns the active and the recently ended runs of an entry.
-func (x *Executor) runStates(e *entry) []tasklink.RunState {
+func (x *Executor) runStates(now time.Duration, e *entry) []tasklink.RunState {
 	var states []tasklink.RunState
 	for _, r := range x.acceptedRuns {
 		if r.entry == e {
@@ -101,7 +111,7 @@
 		}
 	}
 	for _, ended := range e.recentEnds {
-		states = append(states, tasklink.RunState{Run: ended.end.Run, Ending: ended.end.Ending, Reason: ended.end.Reason})
+		states = append(states, ended.runState(now))
 	}
 	return states
 }
@@ -110,6 +120,9 @@
 // for an entry that links again.
 func (x *Executor) reportEnd(now time.Duration, e *entry, ended EndedRun, effects *Effects) {
 	end := ended.RunEnd
+	if end.Ending == pollenfront.EndingDone {
+		end.Evidence, end.EvidenceAge = "", 0 // The task is not run again.
+	}
 	e.recentEnds = append(e.recentEnds, recentEnd{at: now, end: end})
 	ended.Reported = e.linked
 	effects.Ended = append(effects.Ended, ended)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -378,7 +378,8 @@
 	x.HandleStartResponse(at(2), pollenfront.StartRequest{Incarnation: 1, Run: runID(1)}, 0, pollenfront.ErrRejected)
 	runs, _ := x.LinkEntry(at(3), testEntry)
 	c.Assert(runs, qt.DeepEquals, []tasklink.RunState{
-		{Run: runID(0)}, {Ending: pollenfront.EndingFailed, Reason: pollenfront.ErrRejected.Error(), Run: runID(1)},
+		{Run: runID(0)},
+		{Ending: pollenfront.EndingFailed, Evidence: tasklink.StartRefused, EvidenceAge: time.Millisecond, Reason: pollenfront.ErrRejected.Error(), Run: runID(1)},
 	})
 	later := pollenfront.EntryRef{Incarnation: 2, Name: testEntry.Name}
 	runs, effects := x.LinkEntry(at(4), later)
--- a/executor/run.go
+++ b/executor/run.go
@@ -211,7 +211,9 @@
 	if r.stopReason != "" {
 		reason = r.stopReason
 	}
-	end := tasklink.RunEnd{Run: r.id, Ending: ending, Superseded: isSuperseded(reason), Reason: reason}
+	end := tasklink.RunEnd{
+		Run: r.id, Ending: ending, Superseded: isSuperseded(reason), Reason: reason, Evidence: shownBy.kind, EvidenceAge: now - shownBy.asOf,
+	}
 	x.interference.recordEnd(now, r, ending, x.stats.slowness())
 	if r.state != queued {
 		runTime := now - r.lastStartSent
@@ -222,7 +224,7 @@
 	if ending != pollenfront.EndingNotStarted {
 		x.recordRelease(now, r)
 	}
-	ended := EndedRun{RunEnd: end, Entry: r.entry.Name, Evidence: shownBy.kind, EvidenceAge: now - shownBy.asOf}
+	ended := EndedRun{RunEnd: end, Entry: r.entry.Name}
 	x.endings.record(now, r, ended)
 	if x.entries[r.entry.Name] != r.entry {
 		effects.Ended = append(effects.Ended, ended)
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -20,7 +20,11 @@
 //	err = link.Receive(&commands)
 package tasklink
 
-import "github.com/pollenfront/pollenfront"
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+)
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file message.go -o message_gen.go -tests=false -marshal=true -io=false
 
@@ -28,9 +32,14 @@
 //
 //msgp:limit arrays:65536 maps:65536
 
+// Evidence and ages are encoded in few bytes.
+//
+//msgp:shim Evidence as:uint8 using:encodeEvidence/decodeEvidence
+//msgp:shim time.Duration as:uint32 using:encodeAge/decodeAge
+
 // Version is the version of the protocol. Both sides close a link if the other
 // side uses a different version.
-const Version = 6
+const Version = 7
 
 // Hello is the first message on a link, in both directions.
 //
@@ -69,6 +78,10 @@
 	Ending pollenfront.Ending
 	// Reason explains the ending.
 	Reason string
+	// Evidence is what shows that the run is over, as in RunEnd.
+	Evidence Evidence
+	// EvidenceAge is the time since the evidence was taken, as in RunEnd.
+	EvidenceAge time.Duration
 }
 
 // An Update is a message from an agent to an entry.
@@ -172,6 +185,11 @@
 	// Seconds is the time in seconds from the newest start request for the run to
 	// its end, or zero if no request was sent.
 	Seconds float64
+	// Evidence is what shows that the run is over. Agents leave it empty if the run has
+	// succeeded, so that frequent ends stay small.
+	Evidence Evidence
+	// EvidenceAge is the time since the evidence was taken, in whole milliseconds.
+	EvidenceAge time.Duration
 }
 
 // Commands is a message from an entry to an agent.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -312,6 +312,34 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Evidence) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, encodeEvidence(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Evidence) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = decodeEvidence(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Evidence) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -326,19 +354,11 @@
 	o = msgp.AppendUint64(o, z.ConfigVersion)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
 	for za0001 := range z.Runs {
-		// array header, size 3
-		o = append(o, 0x93)
-		o, err = z.Runs[za0001].Run.MarshalMsg(o)
+		o, err = z.Runs[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "Run")
-			return
-		}
-		o, err = z.Runs[za0001].Ending.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "Ending")
+			err = msgp.WrapError(err, "Runs", za0001)
 			return
 		}
-		o = msgp.AppendString(o, z.Runs[za0001].Reason)
 	}
 	return
 }
@@ -406,31 +426,11 @@
 		z.Runs = make([]RunState, zb0002)
 	}
 	for za0001 := range z.Runs {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Runs[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Runs", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		bts, err = z.Runs[za0001].Run.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "Run")
-			return
-		}
-		bts, err = z.Runs[za0001].Ending.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "Ending")
-			return
-		}
-		z.Runs[za0001].Reason, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "Reason")
-			return
-		}
 	}
 	o = bts
 	return
@@ -440,7 +440,7 @@
 func (z *Hello) Msgsize() (s int) {
 	s = 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.Name) + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.Service) + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Runs {
-		s += 1 + z.Runs[za0001].Run.Msgsize() + z.Runs[za0001].Ending.Msgsize() + msgp.StringPrefixSize + len(z.Runs[za0001].Reason)
+		s += z.Runs[za0001].Msgsize()
 	}
 	return
 }
@@ -658,8 +658,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunEnd) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 7
+	o = append(o, 0x97)
 	o, err = z.Run.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Run")
@@ -673,6 +673,8 @@
 	o = msgp.AppendString(o, z.Reason)
 	o = msgp.AppendBool(o, z.Superseded)
 	o = msgp.AppendFloat64(o, z.Seconds)
+	o = msgp.AppendUint8(o, encodeEvidence(z.Evidence))
+	o = msgp.AppendUint32(o, encodeAge(z.EvidenceAge))
 	return
 }
 
@@ -684,8 +686,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	bts, err = z.Run.UnmarshalMsg(bts)
@@ -713,21 +715,39 @@
 		err = msgp.WrapError(err, "Seconds")
 		return
 	}
+	{
+		var zb0002 uint8
+		zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Evidence")
+			return
+		}
+		z.Evidence = decodeEvidence(zb0002)
+	}
+	{
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "EvidenceAge")
+			return
+		}
+		z.EvidenceAge = decodeAge(zb0003)
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunEnd) Msgsize() (s int) {
-	s = 1 + z.Run.Msgsize() + z.Ending.Msgsize() + msgp.StringPrefixSize + len(z.Reason) + msgp.BoolSize + msgp.Float64Size
+	s = 1 + z.Run.Msgsize() + z.Ending.Msgsize() + msgp.StringPrefixSize + len(z.Reason) + msgp.BoolSize + msgp.Float64Size + msgp.Uint8Size + msgp.Uint32Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *RunState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 5
+	o = append(o, 0x95)
 	o, err = z.Run.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Run")
@@ -739,6 +759,8 @@
 		return
 	}
 	o = msgp.AppendString(o, z.Reason)
+	o = msgp.AppendUint8(o, encodeEvidence(z.Evidence))
+	o = msgp.AppendUint32(o, encodeAge(z.EvidenceAge))
 	return
 }
 
@@ -750,8 +772,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	bts, err = z.Run.UnmarshalMsg(bts)
@@ -769,13 +791,31 @@
 		err = msgp.WrapError(err, "Reason")
 		return
 	}
+	{
+		var zb0002 uint8
+		zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Evidence")
+			return
+		}
+		z.Evidence = decodeEvidence(zb0002)
+	}
+	{
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "EvidenceAge")
+			return
+		}
+		z.EvidenceAge = decodeAge(zb0003)
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunState) Msgsize() (s int) {
-	s = 1 + z.Run.Msgsize() + z.Ending.Msgsize() + msgp.StringPrefixSize + len(z.Reason)
+	s = 1 + z.Run.Msgsize() + z.Ending.Msgsize() + msgp.StringPrefixSize + len(z.Reason) + msgp.Uint8Size + msgp.Uint32Size
 	return
 }
 
--- a/tasklink/size_test.go
+++ b/tasklink/size_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -60,3 +61,27 @@
 	qt.Check(t, summary < 1024, qt.IsTrue)
 	qt.Check(t, counts < 64, qt.IsTrue)
 }
+
+// TestEvidenceSize guards against ends of runs that grow by more than two bytes if the run has
+// succeeded, and by more than four otherwise.
+func TestEvidenceSize(t *testing.T) {
+	tests := []struct {
+		name     string
+		evidence tasklink.Evidence
+		age      time.Duration
+		want     int
+	}{
+		{name: "done", want: 2},
+		{name: "age of 1.3 s", evidence: tasklink.AgentSilent, age: 1300 * time.Millisecond, want: 4},
+		{name: "age of a minute", evidence: tasklink.LeaseExpired, age: time.Minute, want: 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			data, err := (&tasklink.RunEnd{Evidence: test.evidence, EvidenceAge: test.age}).MarshalMsg(nil)
+			c.Assert(err, qt.IsNil)
+			const sizeBefore = 19 // The size of an empty RunEnd in version 6.
+			c.Assert(len(data)-sizeBefore <= test.want, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
+		})
+	}
+}
