Log starts that may be the second ones of their tasks

Agents log starts only of sampled jobs, and then neither token nor lease. A second start of a task leaves no trace. Change: the executor describes each start request for a run with a number above 1, or for a task of which an earlier run may have started. The agent logs "task started again" when it sends the request: entry, attempt, token, incarnation, end of the lease on the server's clock, time until then, age of the newest echo. A run of a task of which the agent knows an ended run always has a higher number, so that Restart effects are covered. "start answered" of sampled jobs has token and lease end too, without further lines.

--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -157,7 +157,7 @@
 	}
 	for _, request := range effects.Starts {
 		d.metrics.startRequests.Inc()
-		go d.startRun(now, request)
+		go d.startRun(now, request, effects.RerunOf(request.Run))
 	}
 	for _, request := range effects.Stops {
 		d.metrics.stopRequests.Inc()
@@ -235,10 +235,11 @@
 }
 
 // startRun asks the backend server to start a run and passes the response to the
-// executor. Failed requests are logged, and so are those of sampled jobs. A request that the
+// executor. Failed requests are logged, and so are those of sampled jobs and those for which
+// rerun is not nil. A request that the
 // executor decided on more than maxStartDelay before is not sent: the process was suspended
 // meanwhile, and the server may have been restarted.
-func (d *Driver) startRun(decided time.Duration, request pollenfront.StartRequest) {
+func (d *Driver) startRun(decided time.Duration, request pollenfront.StartRequest, rerun *executor.Rerun) {
 	if now := bootclock.Now(); now-decided > maxStartDelay {
 		d.handleEvent(now, func() executor.Effects {
 			return d.executor.HandleStartResponse(now, request, 0, pollenfront.ErrNotSent)
@@ -247,6 +248,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), request.Timeout)
 	defer cancel()
+	if rerun != nil {
+		d.logRerun(&request, rerun)
+	}
 	sent := bootclock.Now()
 	clock, err := d.server.Start(ctx, request)
 	if errors.Is(err, pollenfront.ErrNoCapacity) {
@@ -254,12 +258,21 @@
 	}
 	if err != nil || observe.Sampled(request.Run.Job) {
 		d.logger.Info("start answered", zap.String("request", request.Run.Job), zap.Int("task", request.Run.Index),
-			zap.Int("run", request.Run.Number), zap.Duration("after", bootclock.Now()-sent), zap.Error(err))
+			zap.Int("run", request.Run.Number), zap.Uint64("token", request.Token), zap.Duration("lease-end", request.LeaseExpiry),
+			zap.Duration("after", bootclock.Now()-sent), zap.Error(err))
 	}
 	now := bootclock.Now()
 	d.handleEvent(now, func() executor.Effects { return d.executor.HandleStartResponse(now, request, clock, err) })
 }
 
+// logRerun logs a start that may be the second one of its task when it is sent. The end of the
+// lease is a time on the server's clock.
+func (d *Driver) logRerun(request *pollenfront.StartRequest, rerun *executor.Rerun) {
+	d.logger.Info("task started again", zap.String("request", request.Run.Job), zap.Int("task", request.Run.Index), zap.Int("run", request.Run.Number),
+		zap.String("entry", rerun.Entry), zap.Int("attempt", rerun.Attempt), zap.Uint64("token", request.Token), zap.Uint64("incarnation", request.Incarnation),
+		zap.Duration("lease-end", request.LeaseExpiry), zap.Duration("lease", rerun.Lease), zap.Duration("echo-age", rerun.EchoAge))
+}
+
 // stopRun asks the backend server to stop a run and passes the response to the
 // executor, which repeats a stop that failed.
 func (d *Driver) stopRun(request executor.StopRequest) {
--- a/agent/internal/driver/driver_test.go
+++ b/agent/internal/driver/driver_test.go
@@ -360,8 +360,8 @@
 	c := qt.New(t)
 	server := &fakeServer{}
 	d := New(tasklink.Hello{Name: "agent-1"}, server, &fakeStore{}, prometheus.NewRegistry(), zap.NewNop())
-	d.startRun(bootclock.Now()-time.Second, pollenfront.StartRequest{Timeout: time.Second})
+	d.startRun(bootclock.Now()-time.Second, pollenfront.StartRequest{Timeout: time.Second}, nil)
 	c.Assert(server.startRequests, qt.HasLen, 0)
-	d.startRun(bootclock.Now(), pollenfront.StartRequest{Timeout: time.Second})
+	d.startRun(bootclock.Now(), pollenfront.StartRequest{Timeout: time.Second}, nil)
 	c.Assert(server.startRequests, qt.HasLen, 1)
 }
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/tasklink"
@@ -26,6 +27,8 @@
 	Notify []string
 	// RenewNow is whether the next renewal is to be sent without the delay after a failed one.
 	RenewNow bool
+	// Reruns describes those of Starts whose task may have been sent before, for the log.
+	Reruns []Rerun
 	// Restarts lists the accepted tasks of which an earlier run is known, for the log.
 	Restarts []Restart
 	// Starts lists the start requests to send to the server.
@@ -46,6 +49,29 @@
 	Reported bool
 }
 
+// A Rerun is a start request for a task that may have been sent before: its run is not the
+// first one, or an earlier one may have started.
+type Rerun struct {
+	// Attempt counts the start requests for the run, from 1 upwards.
+	Attempt int
+	// EchoAge is the age of the newest echo of the entry.
+	EchoAge time.Duration
+	Entry   string
+	// Lease is the time until the lease expires that the request states.
+	Lease time.Duration
+	Run   pollenfront.RunID
+}
+
+// RerunOf returns the Rerun that describes the start of a run, or nil.
+func (e *Effects) RerunOf(id pollenfront.RunID) *Rerun {
+	for i := range e.Reruns {
+		if e.Reruns[i].Run == id {
+			return &e.Reruns[i]
+		}
+	}
+	return nil
+}
+
 // An InvalidDemand is a stated demand that was ignored.
 type InvalidDemand struct {
 	Demand int
--- a/executor/run.go
+++ b/executor/run.go
@@ -88,6 +88,12 @@
 	stopReason string
 }
 
+// mayRepeat reports whether the task may have been sent to an agent before. An entry that sends
+// a task of which the agent knows an ended run must use a higher number.
+func (r *run) mayRepeat() bool {
+	return r.rerun || r.id.Number > 1
+}
+
 // enqueue puts a run into the queue by its latest start. Runs with the same latest
 // start stay in the order in which they were queued.
 func (x *Executor) enqueue(r *run) {
--- a/executor/start.go
+++ b/executor/start.go
@@ -47,8 +47,14 @@
 	r.openStarts++
 	r.startAttempts++
 	r.lastStartSent, r.state, r.startRetryPending = now, starting, false
+	leaseExpiry := x.extendLease(now)
+	if r.mayRepeat() {
+		effects.Reruns = append(effects.Reruns, Rerun{
+			Attempt: r.startAttempts, EchoAge: now - r.entry.lastEcho, Entry: r.entry.Name, Lease: leaseExpiry - x.slowestClock(now), Run: r.id,
+		})
+	}
 	effects.Starts = append(effects.Starts, pollenfront.StartRequest{
-		Incarnation: x.server.incarnation, LeaseExpiry: x.extendLease(now), Payload: r.payload, Run: r.id, Timeout: x.startTimeout(now), Token: x.token,
+		Incarnation: x.server.incarnation, LeaseExpiry: leaseExpiry, Payload: r.payload, Run: r.id, Timeout: x.startTimeout(now), Token: x.token,
 	})
 }
 
