Keep with each task why its former run was taken for over

The scheduler orders the second run of a task on the end of the first, which it forgets. Some of these ends it infers itself: the agent is silent, was restarted, or does not know the run when it links again. Change: a task keeps its former run with agent, number, ending, evidence and the time as of which the evidence holds. Placements list their reruns with it.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -91,11 +91,11 @@
 	for _, t := range a.sortedTasks() {
 		switch r, ok := known[t.run]; {
 		case !ok && a.mayHaveStarted(t):
-			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingLost}, effects)
+			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingLost, Evidence: tasklink.AgentRestarted}, effects)
 		case !ok:
-			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingNotStarted}, effects)
+			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingNotStarted, Evidence: tasklink.NotInHello}, effects)
 		case r.Ending != "":
-			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: r.Ending}, effects)
+			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: r.Ending, Evidence: r.Evidence, EvidenceAge: r.EvidenceAge}, effects)
 		case t.stopRequested:
 			s.stop(t, effects)
 		}
@@ -207,7 +207,8 @@
 		effects.SilentRuns = append(effects.SilentRuns, SilentRun{
 			Agent: pollenfront.AgentRef{Incarnation: t.agentIncarnation, Name: a.Name}, Run: t.run, SentAge: now - t.sentAt, UpdateAge: now - a.lastUpdate,
 		})
-		s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingLost}, effects)
+		end := tasklink.RunEnd{Ending: pollenfront.EndingLost, Evidence: tasklink.AgentSilent, EvidenceAge: now - a.lastUpdate}
+		s.handleRunEnd(now, t, end, effects)
 	}
 	if !a.linked {
 		delete(s.agents, a.Name)
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -45,6 +45,8 @@
 	MaxRunNumber int
 	// ReportAge is the age of the agent's latest report.
 	ReportAge time.Duration
+	// Reruns are the tasks of which an earlier run was sent.
+	Reruns []Rerun
 	// Slowness is the server's slowness according to that report.
 	Slowness float64
 	Tasks    int
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -59,7 +59,9 @@
 	failures        int
 	// failedOn are the names of the agents on whose servers runs of the task have failed.
 	failedOn []string
-	job      *job
+	// former is the newest run that was taken for over, or nil.
+	former *formerRun
+	job    *job
 	// mayHaveStarted is set if a run of the task has ended that may have started.
 	mayHaveStarted bool
 	// run identifies the newest run. Its number is increased before each send.
@@ -287,6 +289,7 @@
 	if end.Ending != pollenfront.EndingNotStarted {
 		t.mayHaveStarted, j.mayHaveStarted = true, true
 	}
+	t.recordFormer(now, a, &end)
 	if end.Superseded {
 		t.run.Number += supersededStep
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -279,7 +279,7 @@
 			batches = append(batches, b)
 		}
 		s.markTaskSent(now, t, c.agent)
-		b.add(t)
+		b.add(now, t)
 	}
 	for _, b := range batches {
 		commands := effects.commandsFor(s, b.agent)
@@ -314,8 +314,11 @@
 
 // add adds a task to the batch. The task must be the last one that was marked as
 // sent to the agent, since add uses the sequence number that was assigned last.
-func (b *batch) add(t *task) {
+func (b *batch) add(now time.Duration, t *task) {
 	b.placement.Tasks++
+	if t.former != nil {
+		b.placement.Reruns = append(b.placement.Reruns, t.rerun(now))
+	}
 	b.placement.MaxRunNumber = max(b.placement.MaxRunNumber, t.run.Number)
 	b.start.Tasks = append(b.start.Tasks, tasklink.StartTask{Index: t.run.Index, Rerun: t.mayHaveStarted, Run: t.run.Number, SeqNum: t.agent.lastSeqNum})
 }
--- a/scheduler/run_numbers.go
+++ b/scheduler/run_numbers.go
@@ -16,7 +16,10 @@
 // A usedNumber is the highest run number of a job that has ended.
 type usedNumber struct {
 	endedAt time.Duration
-	number  int
+	// former has the newest run of each task of a canceled job, to log when the job is
+	// submitted again.
+	former []*formerRun
+	number int
 }
 
 // record records the run numbers of a job that ends now.
@@ -26,14 +29,30 @@
 		highest = max(highest, t.run.Number)
 	}
 	if highest > 0 {
-		r[j.ID] = usedNumber{endedAt: now, number: highest}
+		r[j.ID] = usedNumber{endedAt: now, former: j.formerRuns(), number: highest}
 	}
 }
 
+// formerRuns returns the newest run of each task if the job was canceled, and nil otherwise.
+func (j *job) formerRuns() []*formerRun {
+	if !j.canceled {
+		return nil
+	}
+	former := make([]*formerRun, len(j.tasks))
+	for i, t := range j.tasks {
+		former[i] = t.former
+	}
+	return former
+}
+
 // apply makes the runs of a new job continue the numbers of an earlier job with the same ID.
 func (r runNumbers) apply(j *job) {
-	for _, t := range j.tasks {
-		t.run.Number = r[j.ID].number
+	used := r[j.ID]
+	for i, t := range j.tasks {
+		t.run.Number = used.number
+		if i < len(used.former) {
+			t.former = used.former[i]
+		}
 	}
 }
 
