Log at the entry why tasks are sent again

"tasks placed" tells neither the evidence on which the run before was taken for over nor what is known of the caller.

--- a/entry/internal/jobs/effects.go
+++ b/entry/internal/jobs/effects.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/pollenfront/pollenfront/observe"
 	"github.com/pollenfront/pollenfront/scheduler"
 )
 
@@ -17,7 +16,7 @@
 		j.deliverResult(now, result)
 	}
 	for i := range effects.Placements {
-		j.logPlacement(&effects.Placements[i])
+		j.recordPlacement(now, &effects.Placements[i])
 	}
 	j.recordSilentRuns(effects.SilentRuns)
 	for i := range effects.Withholdings {
@@ -60,16 +59,6 @@
 	}
 }
 
-// logPlacement logs why tasks were sent to a server, if the job is sampled or one
-// of the tasks was sent before.
-func (j *Jobs) logPlacement(p *scheduler.Placement) {
-	if p.MaxRunNumber == 1 && !observe.Sampled(p.Job) {
-		return
-	}
-	j.logger.Info("tasks placed", zap.String("request", p.Job), zap.String("server", p.Agent), zap.Int("tasks", p.Tasks), zap.Int("run", p.MaxRunNumber),
-		zap.Duration("waited", p.Waited), zap.Duration("report-age", p.ReportAge), zap.Int("free-cpu", p.FreeCPU), zap.Float64("slowness", p.Slowness))
-}
-
 // recordWithholding logs and counts an attempt that was withheld from a failing server.
 func (j *Jobs) recordWithholding(w *scheduler.Withholding) {
 	j.metrics.withheld.WithLabelValues(w.Agent).Inc()
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -18,6 +18,7 @@
 	invalidShares   prometheus.Counter
 	limits          *prometheus.GaugeVec
 	refusedRequests *prometheus.CounterVec
+	reruns          *prometheus.CounterVec
 	resubmissions   *prometheus.CounterVec
 	responseTimes   *prometheus.HistogramVec
 	sharedCPU       prometheus.Gauge
@@ -50,6 +51,9 @@
 		refusedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_requests_refused_total", Help: "Requests refused by their form, route or kind, by reason.",
 		}, []string{"reason"}),
+		reruns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollenfront_reruns_total", Help: "Runs of tasks after their first one, by what showed that the run before was over.",
+		}, []string{"evidence"}),
 		resubmissions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_jobs_submitted_again_total", Help: "Submissions of jobs that this entry had before, by how the earlier submission ended.",
 		}, []string{"earlier"}),
@@ -68,7 +72,7 @@
 		}, []string{"agent"}),
 	}
 	registry.MustRegister(
-		m.answered, m.callersLeft, m.fairShares, m.invalidReports, m.invalidShares, m.limits, m.refusedRequests,
+		m.answered, m.callersLeft, m.fairShares, m.invalidReports, m.invalidShares, m.limits, m.refusedRequests, m.reruns,
 		m.responseTimes, m.resubmissions, m.sharedCPU, m.silentRuns, m.withheld,
 	)
 	return m
