Let pollenctl explain tell two runs of a task at the same time

Nobody can tell from the logs of two processes that a task ran twice, nor why. Change: explain lists the starts of each task in order, with agent, entry, token, end of the lease, the end as far as it is certain, and on what evidence the entry took the run for over. If a run was started on another agent before the end of the first was certain, or the server lists a run that was taken for over, it says so in one line, with the evidence and its age, or with the times at which two entries had the job. Runs without a logged end are named as missing, not claimed. Numbers keep their digits: tokens do not fit into a float64.

--- a/pollenctl/internal/timeline/timeline.go
+++ b/pollenctl/internal/timeline/timeline.go
@@ -1,5 +1,8 @@
 // Package timeline collects the log lines that concern one request from the
-// logs of several processes, orders them by time and summarizes them.
+// logs of several processes, orders them by time and summarizes them. It lists the starts of
+// each task, and finds two runs of one task that went on at the same time, with the evidence on
+// which the entry had taken the first one for over. Lines of the entries and of both agents tell
+// that; the clocks of their machines must agree.
 //
 // # Usage
 //
@@ -41,9 +44,13 @@
 	Lines []Line `json:"lines"`
 	// Missing explains which expected log lines are absent.
 	Missing []string `json:"missing"`
+	// Overlaps are the runs of a task that went on at the same time.
+	Overlaps []Overlap `json:"overlaps"`
 	// Request is the ID of the request.
 	Request string `json:"request"`
-	Summary string `json:"summary"`
+	// Starts are the started runs by task and time.
+	Starts  []Start `json:"starts"`
+	Summary string  `json:"summary"`
 }
 
 // New returns an empty timeline of the request with the given ID.
@@ -64,14 +71,23 @@
 		if start < 0 || !bytes.Contains(line, requestField) {
 			continue
 		}
-		var fields map[string]any
-		if json.Unmarshal(line[start:], &fields) == nil {
+		if fields, err := decode(line[start:]); err == nil {
 			t.add(fields)
 		}
 	}
 	return scanner.Err()
 }
 
+// decode decodes a JSON object. Numbers keep their digits, since tokens and incarnations have more
+// of them than a float64.
+func decode(object []byte) (map[string]any, error) {
+	decoder := json.NewDecoder(bytes.NewReader(object))
+	decoder.UseNumber()
+	var fields map[string]any
+	err := decoder.Decode(&fields)
+	return fields, err
+}
+
 // add adds a line with the given fields, unless its time can't be parsed. It
 // removes fields from the map, which becomes the Inputs of the line.
 func (t *Timeline) add(fields map[string]any) {
@@ -93,7 +109,7 @@
 	return value
 }
 
-// summarize sorts the lines by time, and sets Summary and Missing.
+// summarize sorts the lines by time, and sets Summary, Starts, Overlaps and Missing.
 func (t *Timeline) summarize() {
 	slices.SortStableFunc(t.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	seen := make(map[string]bool)
@@ -119,6 +135,22 @@
 	case !seen["job taken"]:
 		t.Missing = append(t.Missing, "the request was not sampled: placements of first runs are not logged")
 	}
+	t.Starts = starts(t.Lines)
+	t.Overlaps = overlaps(t.Starts, t.Lines)
+	t.Missing = append(t.Missing, missingEnds(t.Starts)...)
+}
+
+// missingEnds names the runs that another one of the same task followed and whose ends no log
+// tells. Whether the two overlapped is not known.
+func missingEnds(all []Start) []string {
+	var missing []string
+	for i := range all {
+		s := &all[i]
+		if i+1 < len(all) && all[i+1].Task == s.Task && s.Ended.IsZero() && s.SeenUntil.IsZero() {
+			missing = append(missing, fmt.Sprintf("the end of run %d of task %d on %s: look for the log of the agent, or the end of its process", s.Run, s.Task, s.Agent))
+		}
+	}
+	return missing
 }
 
 // WriteJSON writes the timeline as an indented JSON object.
@@ -129,14 +161,20 @@
 	return encoder.Encode(t)
 }
 
-// WriteTable writes the timeline as a table for people: the summary, one row
-// for each line, and what is missing. Times are in UTC.
+// WriteTable writes the timeline as a table for people: the summary, the overlaps, the
+// starts, one row for each line, and what is missing. Times are in UTC.
 func (t *Timeline) WriteTable(out io.Writer) error {
 	t.summarize()
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "request %s: %s\n", t.Request, t.Summary)
+	for i := range t.Overlaps {
+		fmt.Fprintln(w, &t.Overlaps[i])
+	}
+	for i := range t.Starts {
+		fmt.Fprintln(w, &t.Starts[i])
+	}
 	for _, line := range t.Lines {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", line.Time.UTC().Format("15:04:05.000000"), line.Process, line.Message, formatInputs(line.Inputs))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", line.Time.UTC().Format(clockFormat), line.Process, line.Message, formatInputs(line.Inputs))
 	}
 	for _, missing := range t.Missing {
 		fmt.Fprintf(w, "missing: %s\n", missing)
@@ -144,13 +182,28 @@
 	return w.Flush()
 }
 
+// formatInput returns the text of an input. The elements of a list are in brackets.
+func formatInput(input any) string {
+	switch value := input.(type) {
+	case []any:
+		var b strings.Builder
+		for _, element := range value {
+			fmt.Fprintf(&b, "[%s]", formatInput(element))
+		}
+		return b.String()
+	case map[string]any:
+		return formatInputs(value)
+	}
+	return fmt.Sprint(input)
+}
+
 // formatInputs returns the inputs of a line as "name=value" pairs sorted by
 // name. It leaves out empty strings.
 func formatInputs(inputs map[string]any) string {
 	var pairs []string
 	for _, name := range slices.Sorted(maps.Keys(inputs)) {
-		if value := inputs[name]; value != "" {
-			pairs = append(pairs, fmt.Sprintf("%s=%v", name, value))
+		if value := formatInput(inputs[name]); value != "" {
+			pairs = append(pairs, name+"="+value)
 		}
 	}
 	return strings.Join(pairs, " ")
