Log at the entry when a run that it took for over is still there

If a run goes on after its entry took it for over, and then completes, no log has a line of its end: agents don't log completed runs that they report, and the entry passes over ends that it does not wait for. Change: the scheduler lists such runs, from updates and from hellos; the entry logs them, and explain reads them. A report may be delayed, so the run is taken to have ended as soon as it can have by its length.

--- a/entry/internal/jobs/effects.go
+++ b/entry/internal/jobs/effects.go
@@ -19,6 +19,7 @@
 		j.recordPlacement(now, &effects.Placements[i])
 	}
 	j.recordSilentRuns(effects.SilentRuns)
+	j.logLateRuns(effects.LateRuns)
 	for i := range effects.Withholdings {
 		j.recordWithholding(&effects.Withholdings[i])
 	}
@@ -66,6 +67,20 @@
 		zap.Float64("fail-share", w.FailShare), zap.Bool("last-attempt", w.LastAttempt))
 }
 
+// logLateRuns logs the runs of which agents tell although they were taken for over.
+func (j *Jobs) logLateRuns(runs []scheduler.LateRun) {
+	for i := range runs {
+		end := &runs[i].End
+		fields := []zap.Field{zap.String("request", end.Run.Job), zap.Int("task", end.Run.Index), zap.Int("run", end.Run.Number), zap.String("agent", runs[i].Agent)}
+		if end.Ending == "" {
+			j.logger.Warn("run that was taken for over goes on", fields...)
+			continue
+		}
+		j.logger.Warn("run that was taken for over has ended", append(fields, zap.String("ending", string(end.Ending)), zap.Float64("seconds", end.Seconds),
+			zap.String("evidence", string(end.Evidence)), zap.Duration("evidence-age", end.EvidenceAge))...)
+	}
+}
+
 // recordSilentRuns counts and logs the runs that were taken for ended because their agent was
 // silent.
 func (j *Jobs) recordSilentRuns(runs []scheduler.SilentRun) {
--- a/pollenctl/internal/timeline/overlaps_test.go
+++ b/pollenctl/internal/timeline/overlaps_test.go
@@ -103,3 +103,21 @@
 	c.Assert(linesWith(out.String(), "missing: the end of run 1 of task 0 on agent-1"), qt.HasLen, 1)
 	c.Assert(linesWith(out.String(), "taken for over by agent-silent, 1.310 s old, at entry-1"), qt.HasLen, 1)
 }
+
+// TestLateEnd guards against an overlap that only the entry knows of: the first run was taken for
+// over, and ended as done after the second one had started. The report of it arrives late.
+func TestLateEnd(t *testing.T) {
+	c := qt.New(t)
+	const logs = `{"ts":"2026-12-05T08:00:03Z","msg":"tasks placed","name":"entry-1","request":"0a","server":"agent-2","run":2,"tasks":1,"waited":2,
+"reruns":[{"task":0,"run":2,"former":1,"former-agent":"agent-1","former-sent-age":1.9,"ending":"lost","evidence":"agent-silent","evidence-age":1.31}]}
+{"ts":"2026-12-05T08:00:03.9Z","msg":"run that was taken for over has ended","name":"entry-1","request":"0a","task":0,"run":1,"agent":"agent-1","ending":"done","seconds":2.1}
+`
+	tl := timeline.New("0a")
+	c.Assert(tl.Read(strings.NewReader(strings.Replace(logs, ",\n", ",", 1))), qt.IsNil)
+	var out bytes.Buffer
+	c.Assert(tl.WriteTable(&out), qt.IsNil)
+	c.Assert(linesWith(out.String(), "two runs"), qt.DeepEquals, []string{
+		"task 0: two runs at the same time: run 1 on agent-1 and run 2 on agent-2 from 08:00:03.000000 to 08:00:03.200000, " +
+			"because run 1 was taken for over by agent-silent, 1.310 s old, at entry-1",
+	})
+}
--- a/pollenctl/internal/timeline/starts.go
+++ b/pollenctl/internal/timeline/starts.go
@@ -100,7 +100,11 @@
 	case "task started again", "start answered":
 		h.readStart(line)
 	case "run ended":
-		h.readEnd(line)
+		h.readEnd(line, line.Process)
+	case "run that was taken for over has ended":
+		h.readLateEnd(line)
+	case "run that was taken for over goes on":
+		h.run(stringValue(in["agent"]), in).seenOnServer(line.Time)
 	case "unknown run on the backend server", "conclusion contradicted by the backend server":
 		h.run(line.Process, in).seenOnServer(line.Time)
 	case "run of a silent agent taken for ended":
@@ -149,11 +153,16 @@
 	}
 }
 
-// readEnd reads the end of a run from the log of its agent. An expired lease shows that the run was over by
-// then. All other evidence states a time at which the run may still have gone on.
-func (h history) readEnd(line *Line) {
-	s := h.run(line.Process, line.Inputs)
-	s.Entry, s.Ending, s.Ended = stringValue(line.Inputs["entry"]), stringValue(line.Inputs["ending"]), line.Time
+// readEnd reads the end of a run from the log of its agent, or of the entry that the agent told of it.
+// An expired lease shows that the run was over by then. All other evidence states a time at which the run
+// may still have gone on.
+func (h history) readEnd(line *Line, agent string) {
+	s := h.run(agent, line.Inputs)
+	if s.endKnown(stringValue(line.Inputs["evidence"])) {
+		return
+	}
+	s.Ending, s.Ended = stringValue(line.Inputs["ending"]), line.Time
+	s.Entry = cmp.Or(stringValue(line.Inputs["entry"]), line.Process)
 	if stringValue(line.Inputs["evidence"]) == "lease-expired" {
 		s.Ended = line.Time.Add(-seconds(line.Inputs["evidence-age"]))
 	}
@@ -162,6 +171,25 @@
 	}
 }
 
+// readLateEnd reads the end of a run from the log of its entry. The agent's update may have been delayed,
+// so the run is taken to have ended as soon as it can have.
+func (h history) readLateEnd(line *Line) {
+	h.readEnd(line, stringValue(line.Inputs["agent"]))
+	s := h.run(stringValue(line.Inputs["agent"]), line.Inputs)
+	if soonest := s.Sent.Add(seconds(line.Inputs["seconds"])); s.Ended.Equal(line.Time) && soonest.Before(s.Ended) {
+		s.Ended = soonest
+	}
+}
+
+// endKnown reports whether a line with an end on the given evidence tells nothing new: the entry's line
+// follows the one of the agent, or the agent refused the same number from another entry.
+func (s *Start) endKnown(evidence string) bool {
+	if evidence == "no-start-sent" && s.sentByAgent {
+		return true
+	}
+	return !s.Ended.IsZero() && s.Ending != notStarted
+}
+
 // readRerun reads a rerun from the log of the entry that has placed it, and why the entry took the
 // former run for over.
 func (h history) readRerun(line *Line, rerun map[string]any) {
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -112,6 +112,7 @@
 		if _, ok := a.tasks[r.Run]; !ok && r.Ending == "" {
 			commands := effects.commandsFor(s, a)
 			commands.Stops = append(commands.Stops, r.Run)
+			effects.LateRuns = append(effects.LateRuns, LateRun{Agent: a.Name, End: tasklink.RunEnd{Run: r.Run}})
 		}
 	}
 }
@@ -178,8 +179,12 @@
 	}
 	for i := range update.RunEnds {
 		end := &update.RunEnds[i]
-		if t, ok := a.tasks[end.Run]; ok {
+		t, ok := a.tasks[end.Run]
+		switch {
+		case ok:
 			s.handleRunEnd(now, t, *end, effects)
+		case end.Ending != pollenfront.EndingNotStarted:
+			effects.LateRuns = append(effects.LateRuns, LateRun{Agent: name, End: *end})
 		}
 	}
 	if !unchanged {
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -22,6 +22,8 @@
 	InterferenceChanges []interference.Change
 	// InvalidEstimates are the messages with invalid estimates of interference.
 	InvalidEstimates []InvalidEstimates
+	// LateRuns are the runs of which agents tell although they were taken for over, to log.
+	LateRuns []LateRun
 	// Placements are the placements to log.
 	Placements []Placement
 	// Results are the answers to give to callers. Each submission gets one, unless
@@ -54,6 +56,14 @@
 	Waited time.Duration
 }
 
+// A LateRun is a run of which an agent tells although the scheduler does not wait for it any more,
+// since it was taken for over before.
+type LateRun struct {
+	Agent string
+	// End is how the run has ended. Its Ending is empty if the run goes on.
+	End tasklink.RunEnd
+}
+
 // A SilentRun is a run that is taken for ended because its agent was silent for longer than
 // AgentLossTimeout, by which time its lease has expired.
 type SilentRun struct {
