--- a/pollenctl/internal/timeline/overlaps.go
+++ b/pollenctl/internal/timeline/overlaps.go
@@ -96,7 +96,7 @@
 	case first.TakenForOver != nil && !first.TakenForOver.At.After(second.Sent.Add(clockTolerance)):
 		return fmt.Sprintf("run %d was taken for over %s", first.Run, first.TakenForOver)
 	}
-	return fmt.Sprintf("something that the logs do not tell ended run %d for %s", first.Run, cmp.Or(first.Entry, "its entry"))
+	return fmt.Sprintf("%s took run %d for over, for a reason that the logs do not tell", cmp.Or(first.Entry, "its entry"), first.Run)
 }
 
 // twoEntries explains that two entries had the job at the same time.
