Explain a second run from the logs of the built programs

Cause: the lines that explain reads of second runs are logged by two programs and were checked for each of them only. Change: TestExplain kills the agent of a running task, and wants the first start with the evidence on which it was taken for over, and the second one with token and lease.

--- a/soak/explain_test.go
+++ b/soak/explain_test.go
@@ -49,7 +49,7 @@
 }
 
 // TestExplain checks that pollenctl explain states the cause of a refused, an
-// unanswered and a late request, from the logs of the built programs.
+// unanswered and a late request, and of a second run, from the logs of the built programs.
 func TestExplain(t *testing.T) {
 	tests := []struct {
 		name string
@@ -93,6 +93,17 @@
 			},
 			want: []string{`entry-0 answered completed after`, `job answered`, `due=0\.3\d+ expected=0\.\d+ last-run=0\.\d+ last-sent=0\S* last-server=agent-\d`},
 		},
+		{
+			name: "sent again after its agent was killed", id: "00000000000000d1", outcome: caller.Completed,
+			run: func(_ *testing.T, f *fleet.Fleet, submit func(caller.Job) caller.Outcome) caller.Outcome {
+				time.AfterFunc(400*time.Millisecond, func() { f.Agents[0].Signal(syscall.SIGKILL) })
+				return submit(newJob("/trade/00000000000000d1", agentCount, largeCPU, 800*time.Millisecond))
+			},
+			want: []string{
+				`task \d: run 1 on agent-0, sent \S+ by entry-0, .*taken for over by agent-(restarted|silent), \d\.\d+ s old, at entry-0`,
+				`task \d: run 2 on agent-\d, sent \S+ by entry-0, token \d+, lease until \S+`, `task started again`,
+			},
+		},
 	}
 	bin, dir := buildPrograms(t), t.TempDir()
 	f, err := fleet.Start(fleet.Options{Agents: agentCount, Bin: bin, Dir: dir, Entries: 1})
