State what a duration in a message is

Cause: the shim for ages applies to each time.Duration in message.go, and would cut off another one. Change: the comment says so. The generated code is the same. Result: tests and linter of the package pass.

--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -32,7 +32,8 @@
 //
 //msgp:limit arrays:65536 maps:65536
 
-// Evidence and ages are encoded in few bytes.
+// Evidence and ages are encoded in few bytes. Each time.Duration in this file is an age, in whole
+// milliseconds from 0 upwards.
 //
 //msgp:shim Evidence as:uint8 using:encodeEvidence/decodeEvidence
 //msgp:shim time.Duration as:uint32 using:encodeAge/decodeAge
