--- a/entry/internal/jobs/effects.go
+++ b/entry/internal/jobs/effects.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/pollenfront/pollenfront/observe"
 	"github.com/pollenfront/pollenfront/scheduler"
 )
 
@@ -17,9 +16,10 @@
 		j.deliverResult(now, result)
 	}
 	for i := range effects.Placements {
-		j.logPlacement(&effects.Placements[i])
+		j.recordPlacement(now, &effects.Placements[i])
 	}
 	j.recordSilentRuns(effects.SilentRuns)
+	j.logLateRuns(effects.LateRuns)
 	for i := range effects.Withholdings {
 		j.recordWithholding(&effects.Withholdings[i])
 	}
@@ -60,16 +60,6 @@
 	}
 }
 
-// logPlacement logs why tasks were sent to a server, if the job is sampled or one
-// of the tasks was sent before.
-func (j *Jobs) logPlacement(p *scheduler.Placement) {
-	if p.MaxRunNumber == 1 && !observe.Sampled(p.Job) {
-		return
-	}
-	j.logger.Info("tasks placed", zap.String("request", p.Job), zap.String("server", p.Agent), zap.Int("tasks", p.Tasks), zap.Int("run", p.MaxRunNumber),
-		zap.Duration("waited", p.Waited), zap.Duration("report-age", p.ReportAge), zap.Int("free-cpu", p.FreeCPU), zap.Float64("slowness", p.Slowness))
-}
-
 // recordWithholding logs and counts an attempt that was withheld from a failing server.
 func (j *Jobs) recordWithholding(w *scheduler.Withholding) {
 	j.metrics.withheld.WithLabelValues(w.Agent).Inc()
@@ -77,6 +67,20 @@
 		zap.Float64("fail-share", w.FailShare), zap.Bool("last-attempt", w.LastAttempt))
 }
 
+// logLateRuns logs the runs of which agents tell although they were taken for over.
+func (j *Jobs) logLateRuns(runs []scheduler.LateRun) {
+	for i := range runs {
+		end := &runs[i].End
+		fields := []zap.Field{zap.String("request", end.Run.Job), zap.Int("task", end.Run.Index), zap.Int("run", end.Run.Number), zap.String("agent", runs[i].Agent)}
+		if end.Ending == "" {
+			j.logger.Warn("run that was taken for over goes on", fields...)
+			continue
+		}
+		j.logger.Warn("run that was taken for over has ended", append(fields, zap.String("ending", string(end.Ending)), zap.Float64("seconds", end.Seconds),
+			zap.String("evidence", string(end.Evidence)), zap.Duration("evidence-age", end.EvidenceAge))...)
+	}
+}
+
 // recordSilentRuns counts and logs the runs that were taken for ended because their agent was
 // silent.
 func (j *Jobs) recordSilentRuns(runs []scheduler.SilentRun) {
--- a/executor/run.go
+++ b/executor/run.go
@@ -88,6 +88,12 @@
 	stopReason string
 }
 
+// mayRepeat reports whether the task may have been sent to an agent before. An entry that sends
+// a task of which the agent knows an ended run must use a higher number.
+func (r *run) mayRepeat() bool {
+	return r.rerun || r.id.Number > 1
+}
+
 // enqueue puts a run into the queue by its latest start. Runs with the same latest
 // start stay in the order in which they were queued.
 func (x *Executor) enqueue(r *run) {
@@ -211,7 +217,9 @@
 	if r.stopReason != "" {
 		reason = r.stopReason
 	}
-	end := tasklink.RunEnd{Run: r.id, Ending: ending, Superseded: isSuperseded(reason), Reason: reason}
+	end := tasklink.RunEnd{
+		Run: r.id, Ending: ending, Superseded: isSuperseded(reason), Reason: reason, Evidence: shownBy.kind, EvidenceAge: now - shownBy.asOf,
+	}
 	x.interference.recordEnd(now, r, ending, x.stats.slowness())
 	if r.state != queued {
 		runTime := now - r.lastStartSent
@@ -222,7 +230,7 @@
 	if ending != pollenfront.EndingNotStarted {
 		x.recordRelease(now, r)
 	}
-	ended := EndedRun{RunEnd: end, Entry: r.entry.Name, Evidence: shownBy.kind, EvidenceAge: now - shownBy.asOf}
+	ended := EndedRun{RunEnd: end, Entry: r.entry.Name}
 	x.endings.record(now, r, ended)
 	if x.entries[r.entry.Name] != r.entry {
 		effects.Ended = append(effects.Ended, ended)
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -91,11 +91,11 @@
 	for _, t := range a.sortedTasks() {
 		switch r, ok := known[t.run]; {
 		case !ok && a.mayHaveStarted(t):
-			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingLost}, effects)
+			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingLost, Evidence: tasklink.AgentRestarted}, effects)
 		case !ok:
-			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingNotStarted}, effects)
+			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingNotStarted, Evidence: tasklink.NotInHello}, effects)
 		case r.Ending != "":
-			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: r.Ending}, effects)
+			s.handleRunEnd(now, t, tasklink.RunEnd{Ending: r.Ending, Evidence: r.Evidence, EvidenceAge: r.EvidenceAge}, effects)
 		case t.stopRequested:
 			s.stop(t, effects)
 		}
@@ -112,6 +112,7 @@
 		if _, ok := a.tasks[r.Run]; !ok && r.Ending == "" {
 			commands := effects.commandsFor(s, a)
 			commands.Stops = append(commands.Stops, r.Run)
+			effects.LateRuns = append(effects.LateRuns, LateRun{Agent: a.Name, End: tasklink.RunEnd{Run: r.Run}})
 		}
 	}
 }
@@ -178,8 +179,12 @@
 	}
 	for i := range update.RunEnds {
 		end := &update.RunEnds[i]
-		if t, ok := a.tasks[end.Run]; ok {
+		t, ok := a.tasks[end.Run]
+		switch {
+		case ok:
 			s.handleRunEnd(now, t, *end, effects)
+		case end.Ending != pollenfront.EndingNotStarted:
+			effects.LateRuns = append(effects.LateRuns, LateRun{Agent: name, End: *end})
 		}
 	}
 	if !unchanged {
@@ -207,7 +212,8 @@
 		effects.SilentRuns = append(effects.SilentRuns, SilentRun{
 			Agent: pollenfront.AgentRef{Incarnation: t.agentIncarnation, Name: a.Name}, Run: t.run, SentAge: now - t.sentAt, UpdateAge: now - a.lastUpdate,
 		})
-		s.handleRunEnd(now, t, tasklink.RunEnd{Ending: pollenfront.EndingLost}, effects)
+		end := tasklink.RunEnd{Ending: pollenfront.EndingLost, Evidence: tasklink.AgentSilent, EvidenceAge: now - a.lastUpdate}
+		s.handleRunEnd(now, t, end, effects)
 	}
 	if !a.linked {
 		delete(s.agents, a.Name)
