Count the silence of a caller's machine before its request was read

What callers saw: nothing yet. A task could run twice if an entry stood still or was slow while a connection to it broke unseen, behind a cut: it read the request afterwards and took the job, while the caller had it run elsewhere. Cause: the time in which a caller's machine may be silent began when its job was taken, whatever the age of the request. Silent callers were looked for at ticks only, so that after a pause another event sent starts or echoes for them first. Change: the silence counts from the last packet on the connection. A request whose caller has been silent for callerconn.SilenceTimeout when it is read is not taken. beginEvent cancels the jobs of silent callers together with those of closed connections, before anything is sent, at most once in half a tick. Why it works: the kernel counts the silence, which needs no punctual goroutine.

--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -75,8 +75,10 @@
 	reportedFairShares time.Duration
 	scheduler          *scheduler.Scheduler
 	// self is the hello of this entry.
-	self  tasklink.Hello
-	store pollenfront.Store
+	self tasklink.Hello
+	// silenceChecked is when beginEvent last looked for silent callers.
+	silenceChecked time.Duration
+	store          pollenfront.Store
 	// storeFailed is set once a configuration could not be read from the store.
 	storeFailed bool
 	// storeRead is set once a configuration was read from the store.
@@ -191,7 +193,6 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.beginEvent()
-	j.cancelSilent(now)
 	j.adoptConfig(now)
 	j.sendCopies(now)
 	j.applyEffects(now, j.scheduler.Tick(now))
--- a/entry/internal/jobs/submissions.go
+++ b/entry/internal/jobs/submissions.go
@@ -66,7 +66,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.beginEvent()
-	if j.conns.IsClosed(caller.conn) {
+	if j.hasLeft(now, caller) {
 		j.metrics.callersLeft.Inc()
 		j.logger.Info("caller left before its job was taken", zap.String("request", sub.ID))
 		caller.result <- callerLeftResult(sub.ID)
@@ -78,11 +78,11 @@
 			return false
 		}
 		job.callers = append(job.callers, caller)
-		j.watch(now, caller)
+		j.watch(caller)
 		return true
 	}
 	j.submissions[sub.ID] = &activeSubmission{arrivedAt: now, callers: []*waitingCaller{caller}, submission: sub}
-	j.watch(now, caller)
+	j.watch(caller)
 	if observe.Sampled(sub.ID) {
 		j.logger.Info("job taken", zap.String("request", sub.ID), zap.String("route", sub.Route.Name), zap.Uint64("config-version", j.configVersion()),
 			zap.Int("tasks", sub.TaskCount), zap.Duration("estimate", sub.Estimate), zap.Duration("time-limit", sub.TimeLimit), zap.Int("cpu", sub.Need.CPU))
--- a/entry/internal/jobs/waiting.go
+++ b/entry/internal/jobs/waiting.go
@@ -9,13 +9,20 @@
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/bootclock"
 	"github.com/pollenfront/pollenfront/callerconn"
+	"github.com/pollenfront/pollenfront/scheduler"
 )
 
+// silenceCheckInterval is the shortest time between two looks at silent callers, each of which takes
+// a system call. It is shorter than the time between two ticks, so that each of these looks.
+const silenceCheckInterval = scheduler.TickInterval / 2
+
 // A waitingCaller is a caller that waits for the result of a job.
 type waitingCaller struct {
-	conn  callerconn.ID
-	job   string
-	since time.Duration // since is when the caller began to wait.
+	conn callerconn.ID
+	job  string
+	// lastHeard is when the caller's machine last sent anything before the caller began to wait.
+	// The request may have been read long after it arrived.
+	lastHeard time.Duration
 	// result has a buffer of one, so that sending the result never blocks.
 	result chan pollenfront.Result
 }
@@ -26,12 +33,18 @@
 }
 
 // beginEvent returns the time of an event for the scheduler. Before, it cancels the jobs of all
-// callers whose connections are closed by now. Commands that the event causes are sent only
+// callers whose connections are closed by now, and of those whose machines are silent if the last
+// look was silenceCheckInterval ago. Commands that the event causes are sent only
 // after that, so that no agent gets a start or an echo that is newer than a break and
 // overtakes the stop. The caller must hold mu.
 func (j *Jobs) beginEvent() time.Duration {
 	now := bootclock.Now()
-	j.cancelJobsOf(now, j.conns.Closed())
+	left := j.conns.Closed()
+	if now-j.silenceChecked >= silenceCheckInterval {
+		j.silenceChecked = now
+		left = append(left, j.silentConns(now)...)
+	}
+	j.cancelJobsOf(now, left)
 	return now
 }
 
@@ -49,22 +62,30 @@
 	}
 }
 
-// cancelSilent cancels the jobs of callers whose machines have sent nothing, not even answers to
-// probes, for callerconn.SilenceTimeout. The caller must hold mu.
-func (j *Jobs) cancelSilent(now time.Duration) {
+// silentConns returns the connections of the waiting callers whose machines have sent nothing, not
+// even answers to probes, for callerconn.SilenceTimeout. The caller must hold mu.
+func (j *Jobs) silentConns(now time.Duration) []callerconn.ID {
 	var silent []callerconn.ID
 	for conn, caller := range j.watched {
-		if now-caller.since > callerconn.SilenceTimeout && j.conns.LastHeard(conn) > callerconn.SilenceTimeout {
+		if now-caller.lastHeard > callerconn.SilenceTimeout && j.conns.LastHeard(conn) > callerconn.SilenceTimeout {
 			silent = append(silent, conn)
 		}
 	}
-	j.cancelJobsOf(now, silent)
+	return silent
+}
+
+// hasLeft reports whether a caller whose request was read is known to have left: its connection
+// is closed, or its machine has been silent for callerconn.SilenceTimeout. It records when the
+// machine was heard of.
+func (j *Jobs) hasLeft(now time.Duration, caller *waitingCaller) bool {
+	silence := j.conns.LastHeard(caller.conn)
+	caller.lastHeard = now - silence
+	return silence > callerconn.SilenceTimeout || j.conns.IsClosed(caller.conn)
 }
 
-// watch makes beginEvent and cancelSilent cancel the job of a caller. The caller must hold mu.
-func (j *Jobs) watch(now time.Duration, caller *waitingCaller) {
+// watch makes beginEvent cancel the job of a caller. The caller must hold mu.
+func (j *Jobs) watch(caller *waitingCaller) {
 	if caller.conn != 0 {
-		caller.since = now
 		j.watched[caller.conn] = caller
 	}
 }
--- a/entry/internal/jobs/waiting_test.go
+++ b/entry/internal/jobs/waiting_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,6 +166,83 @@
 	}
 }
 
+// TestRequestOfSilentCaller guards against a job that is taken, or goes on, for a caller whose
+// machine has been silent for callerconn.SilenceTimeout, part of which had passed when the request
+// was read: an entry that stood still reads it late, and the connection broke unseen meanwhile.
+func TestRequestOfSilentCaller(t *testing.T) {
+	tests := []struct {
+		readAfter time.Duration
+		started   bool
+	}{
+		{readAfter: 0, started: true},
+		{readAfter: 800 * time.Millisecond, started: true},
+		{readAfter: callerconn.SilenceTimeout + 50*time.Millisecond, started: false},
+	}
+	for _, test := range tests {
+		t.Run("read after "+test.readAfter.String(), func(t *testing.T) {
+			c := qt.New(t)
+			j, a := newLinkedJobs(t, nil)
+			var starts atomic.Int64
+			go countStarts(a, &starts)
+			ctx, _, conn := newWatchedPair(t, j)
+			heard := time.Now()
+			c.Assert(conn.SetKeepAlive(false), qt.IsNil) // An unanswered probe tells as much as none.
+			tickUntil := func(silence time.Duration, result <-chan pollenfront.Result) {
+				for len(result) == 0 && time.Since(heard) < silence {
+					time.Sleep(20 * time.Millisecond)
+					a.sendClock(t, 1)
+					j.tick()
+				}
+			}
+			tickUntil(test.readAfter, nil)
+			result := submitAsync(ctx, j, newSubmission(false))
+			tickUntil(callerconn.SilenceTimeout+120*time.Millisecond, result)
+			c.Assert(result, qt.HasLen, 1)
+			c.Assert((<-result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+			c.Assert(starts.Load() > 0, qt.Equals, test.started)
+		})
+	}
+}
+
+// TestEchoForSilentCaller guards against an echo that keeps a run alive for a caller whose machine
+// has been silent for callerconn.SilenceTimeout, if the entry stood still and another event comes
+// before the next tick.
+func TestEchoForSilentCaller(t *testing.T) {
+	c := qt.New(t)
+	j, a := newLinkedJobs(t, nil)
+	ctx, _, conn := newWatchedPair(t, j)
+	heard := time.Now()
+	c.Assert(conn.SetKeepAlive(false), qt.IsNil) // An unanswered probe tells as much as none.
+	for time.Since(heard) < 400*time.Millisecond {
+		time.Sleep(20 * time.Millisecond)
+		a.sendClock(t, 1)
+	}
+	result := submitAsync(ctx, j, newSubmission(false))
+	run := a.receiveStart(t)
+	time.Sleep(time.Until(heard.Add(callerconn.SilenceTimeout + 50*time.Millisecond)))
+	a.sendClock(t, 2)
+	echoRegularly(t, j)
+	var commands tasklink.Commands
+	for commands.EchoedClock < 2 && len(commands.Stops) == 0 {
+		commands = tasklink.Commands{}
+		c.Assert(a.Receive(&commands), qt.IsNil)
+	}
+	c.Assert(commands.Stops, qt.DeepEquals, []pollenfront.RunID{run})
+	c.Assert((<-result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+}
+
+// countStarts receives the messages to an agent until its link is closed, and counts the start
+// commands.
+func countStarts(a *fakeAgent, starts *atomic.Int64) {
+	for {
+		var commands tasklink.Commands
+		if a.Receive(&commands) != nil {
+			return
+		}
+		starts.Add(int64(len(commands.Starts)))
+	}
+}
+
 // discard receives the messages to an agent until its link is closed.
 func discard(a *fakeAgent) {
 	for {
