Let servers of the replay take 50 ms to stop runs

Cause: the servers of the replay ended a run 10 ms after a stop and in the instant at which their lease expired.

--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -51,6 +51,7 @@
 	RunTimeFactors      []float64     // RunTimeFactors are assigned to the servers in turn and multiply the run times there. The default is 1.
 	Seed                uint64
 	ServerClockRates    []float64 // ServerClockRates are assigned to the servers in turn: how fast their clocks run. The default is 1.
+	SlowStops           bool      // SlowStops makes the end of each stopped or expired run take slowStopTime.
 	SlowTaskShare       float64   // SlowTaskShare is the share of tasks that take slowTaskFactor times as long as the work of their job.
 	Zones               int       // Zones is the number of zones over which entries and agents are spread. It is 1 by default.
 }
--- a/replay/server.go
+++ b/replay/server.go
@@ -190,7 +190,7 @@
 	lifetime, left := s.lifetime, time.Duration(float64(expiry-s.clock())/s.clockRate)
 	s.fleet.schedule(left, func() {
 		if s.lifetime == lifetime && s.leaseExpiry == expiry {
-			s.endAllRuns()
+			s.expireRuns()
 		}
 	})
 }
@@ -236,7 +236,7 @@
 	s.token = token
 	s.supersededRuns[run.TaskID] = max(s.supersededRuns[run.TaskID], run.Number)
 	if r := s.runs[run.TaskID]; r != nil && r.id.Number <= run.Number {
-		s.fleet.schedule(10*time.Millisecond, func() { s.endRun(r, pollenfront.EndingStopped) })
+		s.endSlowly(r, stopTime, pollenfront.EndingStopped)
 	}
 	return nil
 }
--- a/replay/server_lifetime.go
+++ b/replay/server_lifetime.go
@@ -1,6 +1,16 @@
 package replay
 
-import "time"
+import (
+	"time"
+
+	"github.com/pollenfront/pollenfront"
+)
+
+// Times that a server takes to end a run.
+const (
+	slowStopTime = 50 * time.Millisecond // slowStopTime is the longest time that the protocol allows.
+	stopTime     = 10 * time.Millisecond
+)
 
 // Parameters of the servers' clocks.
 const (
@@ -47,3 +57,19 @@
 func (s *serverNode) receives(sent int) bool {
 	return !s.isDown() && (s.lifetime == sent || !s.fleet.settings.DropDelayedRequests)
 }
+
+// endSlowly ends a run after some time, or after slowStopTime if the fleet has slow stops. It stays
+// in the list of running runs until then.
+func (s *serverNode) endSlowly(r *serverRun, d time.Duration, ending pollenfront.Ending) {
+	if s.fleet.settings.SlowStops {
+		d = slowStopTime
+	}
+	s.fleet.afterDelay(d, func() { s.endRun(r, ending) })
+}
+
+// expireRuns ends all runs when their lease has expired.
+func (s *serverNode) expireRuns() {
+	for _, r := range s.runsByStart() {
+		s.endSlowly(r, 0, pollenfront.EndingLost)
+	}
+}
