Count on the longest lease when the server's clock contradicts itself

What callers saw: nothing that we know of; found by reading. A task could run twice if its server had been restarted under the same ID since it last answered a renewal, took the start, and then did not answer for 0.67 s (it is slow, or the agent stands still). Cause: the start states the end of the lease on the clock of the former incarnation, which is ahead, so that the next one grants a second. The agent counted 0.668 s, and reported the run as lost while it went on. It had the proof in hand: the clock in the answer to the start. Change: a reading that contradicts the former one by more than the drift and the longest wait for an answer makes the agent count the longest lease for all that it asks for, until a renewal that was sent later is answered. Evidence: TestStartOnUnseenIncarnation fails without it in both cases, 675 ms after the start, while the lease lasts for 1.07 s at most. TestLateClockReading: a late answer of the same incarnation changes nothing. What remains: a clock that is less than 0.25 s behind the former one, and starts without an answer.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -95,6 +95,8 @@
 	acknowledgeWindow = 250 * time.Millisecond
 	// leaseExpiryMargin covers the time that the server takes to kill its runs.
 	leaseExpiryMargin = 50 * time.Millisecond
+	// maxAnswerTime is the longest time that the driver waits for an answer of the server.
+	maxAnswerTime = RenewalWait + renewalTimeoutMargin
 	// maxClockDrift is the highest ratio of the speed of the agent's clock to that
 	// of the server's clock.
 	maxClockDrift = 1.03
--- a/executor/lease.go
+++ b/executor/lease.go
@@ -49,7 +49,11 @@
 // returns its expiry on the server's clock for the request. The limit must not have passed.
 func (x *Executor) extendLease(now time.Duration) time.Duration {
 	lease := min(Lease, x.leaseLimit()-now)
-	x.server.leaseExpiry = max(x.server.leaseExpiry, now+time.Duration(float64(lease)*maxClockDrift)+leaseExpiryMargin)
+	granted := time.Duration(float64(lease)*maxClockDrift) + leaseExpiryMargin
+	if x.server.clockDoubtedAt > 0 {
+		granted = longestLease
+	}
+	x.server.leaseExpiry = max(x.server.leaseExpiry, now+granted)
 	return x.slowestClock(now) + lease
 }
 
--- a/executor/server.go
+++ b/executor/server.go
@@ -17,6 +17,9 @@
 	announcementSeqNum uint64
 	// capacity is what the server announced and what the agent has learned of it.
 	capacity effectiveCapacity
+	// clockDoubtedAt is when a reading of the clock last contradicted an earlier one, and zero if
+	// none has since this incarnation last answered a renewal. See recordClock.
+	clockDoubtedAt time.Duration
 	// clockOffset is the server's clock minus the agent's.
 	clockOffset      time.Duration
 	clockOffsetKnown bool
@@ -161,11 +164,28 @@
 }
 
 // recordClock records a reading of the server's clock, where zero means that there is
-// none.
+// none. If it contradicts the former reading, another incarnation has answered, which only the
+// response to a renewal will show. That incarnation may have been asked for leases by the
+// former clock, and grants its longest one if that was ahead.
 func (x *Executor) recordClock(now, clock time.Duration) {
-	if clock > 0 {
-		x.server.clockOffset, x.server.clockOffsetKnown, x.server.clockReadAt = clock-now, true, now
+	if clock <= 0 {
+		return
+	}
+	s := &x.server
+	if s.clockOffsetKnown && !s.mayRead(now, clock) {
+		s.clockDoubtedAt = now
+		s.leaseExpiry = max(s.leaseExpiry, now+longestLease)
 	}
+	s.clockOffset, s.clockOffsetKnown, s.clockReadAt = clock-now, true, now
+}
+
+// mayRead reports whether the clock that was read before may have a reading, which was received
+// now.
+func (s *server) mayRead(now, clock time.Duration) bool {
+	elapsed := now - s.clockReadAt
+	drift := time.Duration(float64(elapsed) * (maxClockDrift - 1))
+	expected := s.clockReadAt + s.clockOffset + elapsed
+	return (clock - expected).Abs() <= drift+maxAnswerTime
 }
 
 // slowestClock returns the reading of the server's clock if it is as slow as maxClockDrift
@@ -213,6 +233,9 @@
 		x.handleNewIncarnation(now, response.Incarnation, &effects)
 	}
 	x.recordClock(now, response.Clock)
+	if sent > x.server.clockDoubtedAt {
+		x.server.clockDoubtedAt = 0
+	}
 	before := x.State()
 	x.server.lastRenewal, x.server.crashed = sent, false
 	x.recordResponse(now, nil)
