--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -30,7 +30,7 @@
 
 // Version is the version of the protocol. Both sides close a link if the other
 // side uses a different version.
-const Version = 6
+const Version = 7
 
 // Hello is the first message on a link, in both directions.
 //
@@ -96,6 +96,11 @@
 	RouteCounts []RouteCount
 	// Interference holds the estimates that have changed, or is nil.
 	Interference *Interference
+	// Cancellations lists cancellations of jobs that the agent has not told the entry of yet.
+	// They apply before RunEnds.
+	Cancellations []pollenfront.Cancellation
+	// CancellationSeqNum is the newest CancellationSeqNum in the commands on the link.
+	CancellationSeqNum uint64
 }
 
 // A Report is the state of a backend server and its agent.
@@ -201,6 +206,12 @@
 	// Overloaded is the demandshare.NameHash of an entry of which an agent has reported
 	// lately that it is overloaded, or zero.
 	Overloaded uint32
+	// Cancellations lists cancellations of jobs that the entry has not told the agent of yet.
+	// They apply before Starts.
+	Cancellations []pollenfront.Cancellation
+	// CancellationSeqNum numbers the cancellations that the entry has told the agent of.
+	// The agent returns it, which shows that it has received them.
+	CancellationSeqNum uint64
 }
 
 // A StartCommand tells an agent to start runs of tasks of one job.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -16,8 +16,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendInt64(o, z.EchoedClock)
 	// array header, size 2
 	o = append(o, 0x92)
@@ -62,6 +62,15 @@
 	}
 	o = msgp.AppendInt32(o, z.Demand)
 	o = msgp.AppendUint32(o, z.Overloaded)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cancellations)))
+	for za0005 := range z.Cancellations {
+		o, err = z.Cancellations[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Cancellations", za0005)
+			return
+		}
+	}
+	o = msgp.AppendUint64(o, z.CancellationSeqNum)
 	return
 }
 
@@ -73,8 +82,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.EchoedClock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -216,6 +225,33 @@
 		err = msgp.WrapError(err, "Overloaded")
 		return
 	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cancellations")
+		return
+	}
+	if zb0007 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Cancellations) >= int(zb0007) {
+		z.Cancellations = (z.Cancellations)[:zb0007]
+	} else {
+		z.Cancellations = make([]pollenfront.Cancellation, zb0007)
+	}
+	for za0005 := range z.Cancellations {
+		bts, err = z.Cancellations[za0005].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Cancellations", za0005)
+			return
+		}
+	}
+	z.CancellationSeqNum, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CancellationSeqNum")
+		return
+	}
 	o = bts
 	return
 }
@@ -243,7 +279,11 @@
 	} else {
 		s += z.Config.Msgsize()
 	}
-	s += msgp.Int32Size + msgp.Uint32Size
+	s += msgp.Int32Size + msgp.Uint32Size + msgp.ArrayHeaderSize
+	for za0005 := range z.Cancellations {
+		s += z.Cancellations[za0005].Msgsize()
+	}
+	s += msgp.Uint64Size
 	return
 }
 
@@ -991,8 +1031,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendInt64(o, z.Clock)
 	o = msgp.AppendUint64(o, z.LastSeqNum)
 	o, err = z.Report.MarshalMsg(o)
@@ -1042,6 +1082,15 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cancellations)))
+	for za0004 := range z.Cancellations {
+		o, err = z.Cancellations[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Cancellations", za0004)
+			return
+		}
+	}
+	o = msgp.AppendUint64(o, z.CancellationSeqNum)
 	return
 }
 
@@ -1053,8 +1102,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1170,6 +1219,33 @@
 			return
 		}
 	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cancellations")
+		return
+	}
+	if zb0005 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Cancellations) >= int(zb0005) {
+		z.Cancellations = (z.Cancellations)[:zb0005]
+	} else {
+		z.Cancellations = make([]pollenfront.Cancellation, zb0005)
+	}
+	for za0004 := range z.Cancellations {
+		bts, err = z.Cancellations[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Cancellations", za0004)
+			return
+		}
+	}
+	z.CancellationSeqNum, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CancellationSeqNum")
+		return
+	}
 	o = bts
 	return
 }
@@ -1198,5 +1274,10 @@
 	} else {
 		s += z.Interference.Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0004 := range z.Cancellations {
+		s += z.Cancellations[za0004].Msgsize()
+	}
+	s += msgp.Uint64Size
 	return
 }
