Cancel jobs in the scheduler at a caller's request

Cause: a job could only be canceled by its caller's leaving, and only at its entry. Change: CancelJob and the cancellations in hellos and updates answer the job with VerdictCanceled at once and stop its runs. They are read before the ends of runs, so that a stopped run is not placed again, and passed on to the other agents at the next tick. A job that is submitted after its cancellation is not started. The job stays until its agents have reported the ends of its runs.

--- a/reason.go
+++ b/reason.go
@@ -8,6 +8,7 @@
 const (
 	ReasonAlreadyClaimed    Reason = "claimed"      // The job may run at most once, and its ID was submitted before.
 	ReasonCallerLeft        Reason = "left"         // The caller has left.
+	ReasonCanceled          Reason = "canceled"     // A caller has canceled the job.
 	ReasonConflict          Reason = "conflict"     // Another job with the same ID is running.
 	ReasonEarlierRunsEnding Reason = "ending"       // Runs of an earlier submission of the job are still being stopped.
 	ReasonMalformed         Reason = "malformed"    // The request is invalid.
@@ -23,6 +24,7 @@
 	ReasonTimeLimit         Reason = "time-limit"   // The caller's time limit has passed.
 	ReasonTooLarge          Reason = "too-large"    // No backend server has the capacity for a task of the job.
 	ReasonUnconfigured      Reason = "unconfigured" // The entry has not read a configuration yet.
+	ReasonUnconfirmed       Reason = "unconfirmed"  // It is not known whether the job to be canceled exists.
 	ReasonUnroutable        Reason = "unroutable"   // No queue matches the host and the path, or the name.
 	ReasonUnsupported       Reason = "unsupported"  // This kind of job is not supported.
 )
@@ -31,6 +33,7 @@
 var remedies = map[Reason]string{
 	ReasonAlreadyClaimed:    "look for the effects of the job before submitting it under a new ID",
 	ReasonCallerLeft:        "submit again if the work is still wanted",
+	ReasonCanceled:          "submit the work under a new ID if it is wanted again",
 	ReasonConflict:          "use another ID for another job",
 	ReasonEarlierRunsEnding: "submit again in a moment",
 	ReasonMalformed:         "correct the request",
@@ -46,6 +49,7 @@
 	ReasonTimeLimit:         "submit again with a longer time limit",
 	ReasonTooLarge:          "ask for less room for each task",
 	ReasonUnconfigured:      "submit again after the stated time",
+	ReasonUnconfirmed:       "send the request again: the job is canceled where it is met meanwhile",
 	ReasonUnroutable:        "use a queue of the operators' configuration",
 	ReasonUnsupported:       "submit a job of one step of plain tasks that may run again",
 }
--- a/result.go
+++ b/result.go
@@ -12,6 +12,7 @@
 	VerdictRefused                  // No task of this submission has started, and none will.
 	VerdictUnknown                  // The job did not complete, and tasks of it may have run.
 	VerdictConflict                 // Another job with the same ID is running.
+	VerdictCanceled                 // A caller has canceled the job. Its runs are stopped, and it is not started again.
 )
 
 // String returns the name of the verdict in answers, logs and metrics.
@@ -27,6 +28,8 @@
 		return "unknown"
 	case VerdictConflict:
 		return "conflict"
+	case VerdictCanceled:
+		return "canceled"
 	}
 	return "invalid"
 }
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -15,6 +15,9 @@
 type agent struct {
 	pollenfront.AgentRef
 
+	// cancelCursor is the position up to which the agent was told of cancellations on its
+	// current link, and confirmedCancellations the one up to which it has received them.
+	cancelCursor, confirmedCancellations uint64
 	// confined is set if the jobs of confined routes may run on the agent's server.
 	confined bool
 	// crashCursor is the position up to which the agent was told of crashes on its
@@ -79,10 +82,13 @@
 	a.AgentRef = pollenfront.AgentRef{Incarnation: hello.Incarnation, Name: hello.Name}
 	a.crashCursor, a.echo, a.lastUpdate, a.linked, a.lastSeqNum, a.unreported = 0, 0, now, true, 0, nil
 	a.service, a.zone, a.report, a.invalidReport = hello.Service, hello.Zone, tasklink.Report{}, false
-	a.share = 0
+	a.share, a.cancelCursor, a.confirmedCancellations = 0, 0, 0
 	s.countAgents()
 	s.interference.recordLink(a)
 	a.primary = s.isPrimary(a)
+	for _, c := range hello.Cancellations { // Before the ends of runs, which must not be placed again.
+		s.recordCancellation(now, c, a.Name, effects)
+	}
 	known := make(map[pollenfront.RunID]tasklink.RunState, len(hello.Runs))
 	for _, r := range hello.Runs {
 		known[r.Run] = r
@@ -172,6 +178,11 @@
 	if update.Report.DisabledZones.Version > s.disabledZones.Version {
 		s.disabledZones = update.Report.DisabledZones
 	}
+	a.confirmedCancellations = min(update.CancellationSeqNum, a.cancelCursor)
+	for _, c := range update.Cancellations { // Before the ends of runs, which must not be placed again.
+		s.recordCancellation(now, c, name, effects)
+		unchanged = false
+	}
 	for _, crash := range update.Crashes {
 		s.recordCrash(now, crash, name, effects)
 		unchanged = false
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -10,6 +10,9 @@
 
 // Effects are what the driver has to do after an event.
 type Effects struct {
+	// CanceledJobs are the jobs of which has become known that they were canceled by an entry
+	// that had them.
+	CanceledJobs []pollenfront.JobRef
 	// Commands are the messages to send to agents, by the agent's name. The
 	// driver calls MarkSent for each one that it sends.
 	Commands map[string]*tasklink.Commands
@@ -79,6 +82,8 @@
 		commands = &tasklink.Commands{AgentCount: s.agentCounts[a.service], DisabledZones: s.disabledZones, EchoedClock: a.echo}
 		commands.Demand, commands.Overloaded = s.statedDemand(a), s.overloadedEntry()
 		commands.Crashes, a.crashCursor = s.crashes.Since(s.lastEvent, a.crashCursor, a.Name)
+		commands.Cancellations, a.cancelCursor = s.cancellations.Since(s.lastEvent, a.cancelCursor, a.Name)
+		commands.CancellationSeqNum = a.cancelCursor
 		e.Commands[a.Name] = commands
 	}
 	return commands
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,7 +3,7 @@
 // is answered. It has no goroutines, sockets or clock: its driver passes events
 // to it and carries out the effects that it returns.
 //
-// The events are a submission, a caller that leaves, a list of disabled zones, a
+// The events are a submission, a caller that leaves, a cancellation, a list of disabled zones, a
 // list of entries, a link to an agent that opens or closes, an update from an
 // agent, and a tick. The effects are commands to agents, results for callers, and
 // the reasons of placements for the log.
@@ -45,6 +45,9 @@
 //   - A job that may have crashed a server is started again only while no other server
 //     crashes. A route whose jobs crash servers again and again is confined to a few
 //     servers, which other jobs avoid.
+//   - A job that a caller has canceled, at this entry or at another one, is answered at once
+//     and its runs are stopped. It is not started if it arrives, again or for the first
+//     time, while the cancellation is remembered.
 //   - The first run of a task that may have started is stopped, and the task placed
 //     again, if it takes much longer than expected and the answer can still be of use
 //     after another run. Tasks of jobs that may run at most once are not stopped for this.
@@ -78,6 +81,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/attempts"
+	"github.com/pollenfront/pollenfront/cancellog"
 	"github.com/pollenfront/pollenfront/crashlog"
 	"github.com/pollenfront/pollenfront/placement"
 	"github.com/pollenfront/pollenfront/tasklink"
@@ -120,7 +124,9 @@
 	agents      map[string]*agent
 	// assessedAt is when the health of the servers was last estimated, or zero.
 	assessedAt time.Duration
-	chooser    pollenfront.Chooser
+	// cancellations are the cancellations of jobs that the entry knows of.
+	cancellations *cancellog.Log
+	chooser       pollenfront.Chooser
 	// confinements holds the confined routes by name.
 	confinements map[string]confinement
 	corrector    estimateCorrector
@@ -192,7 +198,7 @@
 // start of the warm-up.
 func New(now time.Duration, name, zone string, options ...Option) *Scheduler {
 	s := &Scheduler{
-		agentCounts: make(map[string]int), agents: make(map[string]*agent), chooser: placement.EarliestFinish{},
+		agentCounts: make(map[string]int), agents: make(map[string]*agent), cancellations: cancellog.New(), chooser: placement.EarliestFinish{},
 		confinements: make(map[string]confinement), corrector: make(estimateCorrector),
 		crashes: crashlog.New(), evidence: make(map[string]*attempts.Evidence), jobs: make(map[string]*job), name: name, remoteFactor: 1,
 		retrySpreaders: make(map[string]*retrySpreader), runNumbers: make(runNumbers), warmUpStart: now, zone: zone,
@@ -231,6 +237,9 @@
 func (s *Scheduler) Submit(now time.Duration, sub pollenfront.Submission) *Effects {
 	effects := &Effects{}
 	s.detectSuspension(now, effects)
+	if s.answerIfCanceled(now, &sub, effects) {
+		return effects
+	}
 	if _, ok := s.jobs[sub.ID]; ok {
 		effects.addResult(pollenfront.Result{ID: sub.ID, Reason: pollenfront.ReasonEarlierRunsEnding, Verdict: pollenfront.VerdictUnknown})
 		return effects
@@ -303,6 +312,7 @@
 func (s *Scheduler) Tick(now time.Duration) *Effects {
 	effects := &Effects{}
 	s.detectSuspension(now, effects)
+	s.cancellations.Expire(now)
 	s.crashes.Expire(now)
 	s.runNumbers.expire(now)
 	s.expireConfinements(now)
@@ -315,6 +325,7 @@
 		s.tickJob(now, j, effects)
 	}
 	s.place(now, effects)
+	s.sendCancellations(effects)
 	for _, a := range s.sortedAgents {
 		if a.linked && now-a.lastSent >= a.commandsInterval() {
 			effects.commandsFor(s, a)
--- a/submission.go
+++ b/submission.go
@@ -29,3 +29,8 @@
 	// TimeLimit is how long the caller waits for the answer.
 	TimeLimit time.Duration
 }
+
+// Ref returns the reference to the job.
+func (s *Submission) Ref() JobRef {
+	return JobRef{ID: s.ID, Route: s.Route.Name}
+}
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -58,6 +58,9 @@
 	// the entry has sent over an earlier link did not reach this incarnation of
 	// the agent and never will. Entries leave it empty.
 	Runs []RunState
+	// Cancellations lists the cancellations of jobs that the agent knows of. They apply before
+	// Runs. Entries leave it empty.
+	Cancellations []pollenfront.Cancellation
 }
 
 // A RunState is the state of a run on an agent.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -355,8 +355,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendInt(o, z.Version)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendUint64(o, z.Incarnation)
@@ -380,6 +380,14 @@
 		}
 		o = msgp.AppendString(o, z.Runs[za0001].Reason)
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cancellations)))
+	for za0002 := range z.Cancellations {
+		o, err = z.Cancellations[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Cancellations", za0002)
+			return
+		}
+	}
 	return
 }
 
@@ -391,8 +399,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Version, bts, err = msgp.ReadIntBytes(bts)
@@ -472,6 +480,28 @@
 			return
 		}
 	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cancellations")
+		return
+	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Cancellations) >= int(zb0004) {
+		z.Cancellations = (z.Cancellations)[:zb0004]
+	} else {
+		z.Cancellations = make([]pollenfront.Cancellation, zb0004)
+	}
+	for za0002 := range z.Cancellations {
+		bts, err = z.Cancellations[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Cancellations", za0002)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -482,6 +512,10 @@
 	for za0001 := range z.Runs {
 		s += 1 + z.Runs[za0001].Run.Msgsize() + z.Runs[za0001].Ending.Msgsize() + msgp.StringPrefixSize + len(z.Runs[za0001].Reason)
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Cancellations {
+		s += z.Cancellations[za0002].Msgsize()
+	}
 	return
 }
 
