Stop the runs of canceled jobs at the agents

Cause: the runs of a job go on until their own entry stops them. Change: an agent revokes the runs of a job that was canceled at any of its entries, as for a stop of their own entry, refuses later ones, and tells its other entries at its next tick. It confirms to an entry which cancellations it has received.

--- a/agent/internal/driver/link.go
+++ b/agent/internal/driver/link.go
@@ -144,6 +144,7 @@
 	hello := d.self
 	d.lastLinkSeqNum++
 	hello.LinkSeqNum, hello.Runs = d.lastLinkSeqNum, runs
+	hello.Cancellations = d.executor.NextCancellations(now, link.ref.Name)
 	if err := link.Send(&hello); err != nil {
 		delete(d.links, link.ref.Name)
 		d.executor.UnlinkEntry(link.ref)
--- a/executor/commands.go
+++ b/executor/commands.go
@@ -24,6 +24,7 @@
 	}
 	x.recordDisabledZones(commands.DisabledZones)
 	x.recordDemand(now, e, commands, &effects)
+	x.recordCancellations(now, e, commands, &effects)
 	for _, crash := range commands.Crashes {
 		x.crashes.Add(now, crash, e.Name)
 	}
@@ -121,6 +122,8 @@
 		return "the order was delayed"
 	case start.Service != x.service:
 		return "the server belongs to another service"
+	case x.cancellations.Contains(pollenfront.JobRef{ID: start.Job, Route: start.Route}):
+		return jobCanceled
 	case x.State() == tasklink.StateUnavailable:
 		return "the server has not announced itself"
 	case x.State() == tasklink.StateDraining:
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -11,6 +11,11 @@
 type entry struct {
 	EntryRef
 
+	// cancelCursor is the position up to which the entry was told of cancellations on its
+	// current link.
+	cancelCursor uint64
+	// cancellationSeqNum is the newest CancellationSeqNum of its commands on that link.
+	cancellationSeqNum uint64
 	// crashCursor is the position up to which the entry was told of crashes on its
 	// current link.
 	crashCursor uint64
@@ -76,7 +81,7 @@
 		x.entries[ref.Name] = e
 	}
 	e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = 0, true, 0, false, nil
-	e.crashCursor = 0
+	e.cancelCursor, e.cancellationSeqNum, e.crashCursor = 0, 0, 0
 	x.removeFromShares(e) // A new link starts without a statement.
 	x.addToShares(e)
 	x.interference.forget(ref.Name)
@@ -160,6 +165,7 @@
 	}
 	update.Report.Share, update.Report.Overloaded = x.grantShare(now, e), x.overloadedEntry(now, name)
 	e.pendingEnds = nil
+	update.Cancellations, update.CancellationSeqNum = x.NextCancellations(now, name), e.cancellationSeqNum
 	update.Crashes, e.crashCursor = x.crashes.Since(now, e.crashCursor, name)
 	x.interference.fill(now, name, &update)
 	return update, true
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -40,6 +40,7 @@
 //   - The server has a new incarnation when its own answer to a renewal says so.
 //     Announcements may be delayed or come from somebody else.
 //   - A task under which too many servers have crashed is refused.
+//   - The runs of a job that was canceled at any entry are stopped, and further ones refused.
 //   - The response to a renewal lists the runs on the server. A run that it
 //     should list but does not is lost.
 //
@@ -61,6 +62,7 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/cancellog"
 	"github.com/pollenfront/pollenfront/crashlog"
 	"github.com/pollenfront/pollenfront/demandshare"
 	"github.com/pollenfront/pollenfront/tasklink"
@@ -168,6 +170,8 @@
 	acceptedRuns []*run
 	// agentZone is the agent's own availability zone.
 	agentZone string
+	// cancellations are the cancellations of jobs that the agent knows of.
+	cancellations *cancellog.Log
 	// crashes are the crashes of processes that the agent knows of.
 	crashes *crashlog.Log
 	// disabledZones is the newest list that an entry has sent.
@@ -218,15 +222,16 @@
 // higher than those of earlier incarnations of the agent.
 func New(name, service, zone string, token uint64) *Executor {
 	return &Executor{
-		agentZone:  zone,
-		crashes:    crashlog.New(),
-		endings:    make(endings),
-		entries:    make(map[string]*entry),
-		name:       name,
-		runsByTask: make(map[pollenfront.TaskID]*run),
-		service:    service,
-		stats:      newRunStats(),
-		token:      token,
+		agentZone:     zone,
+		cancellations: cancellog.New(),
+		crashes:       crashlog.New(),
+		endings:       make(endings),
+		entries:       make(map[string]*entry),
+		name:          name,
+		runsByTask:    make(map[pollenfront.TaskID]*run),
+		service:       service,
+		stats:         newRunStats(),
+		token:         token,
 	}
 }
 
@@ -268,6 +273,7 @@
 	var effects Effects
 	x.stats.decay(now)
 	x.findOverloaded(now)
+	x.cancellations.Expire(now)
 	x.crashes.Expire(now)
 	x.endings.expire(now)
 	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
@@ -290,6 +296,7 @@
 	x.retryStarts(now, &effects)
 	x.retryStops(now, &effects)
 	x.startQueued(now, &effects)
+	x.notifyOfCancellations(&effects)
 	return effects
 }
 
--- a/replay/agent_link.go
+++ b/replay/agent_link.go
@@ -57,7 +57,8 @@
 	a.linkEpochs[e] = epoch
 	a.entryRefs[e] = pollenfront.EntryRef{Incarnation: entry.incarnation, Name: entry.name}
 	runs, effects := a.executor.LinkEntry(a.fleet.now, a.entryRefs[e])
-	hello := &tasklink.Hello{Incarnation: a.incarnation, Name: a.name, Runs: runs, Service: service, Version: tasklink.Version, Zone: a.zone}
+	cancellations := a.executor.NextCancellations(a.fleet.now, entry.name)
+	hello := &tasklink.Hello{Cancellations: cancellations, Incarnation: a.incarnation, Name: a.name, Runs: runs, Service: service, Version: tasklink.Version, Zone: a.zone}
 	generation := entry.generation
 	a.fleet.deliver(e, a, func() {
 		if entry.generation != generation || !entry.up {
