Answer DELETE of a job by what became of it

Cause: DELETE of a best-effort job was answered with 410 without asking whether the job is under way. Change: DELETE cancels the job here or, over the agents, at its entry. The POST is answered with the state cancelled.

--- a/entry/internal/callers/api.go
+++ b/entry/internal/callers/api.go
@@ -155,7 +155,7 @@
 // httpStatus returns the HTTP status for the result of a job.
 func httpStatus(result pollenfront.Result) int {
 	switch result.Verdict {
-	case pollenfront.VerdictCompleted, pollenfront.VerdictFailed:
+	case pollenfront.VerdictCanceled, pollenfront.VerdictCompleted, pollenfront.VerdictFailed:
 		return http.StatusOK
 	case pollenfront.VerdictConflict:
 		return http.StatusConflict
--- a/entry/internal/callers/api_test.go
+++ b/entry/internal/callers/api_test.go
@@ -22,6 +22,10 @@
 	submitted []pollenfront.Submission
 }
 
+func (f *fakeJobs) Cancel(context.Context, pollenfront.JobRef, time.Duration) pollenfront.CancelOutcome {
+	return pollenfront.CancelNoJob
+}
+
 func (f *fakeJobs) Config(context.Context) *pollenfront.Config { return f.config }
 
 func (f *fakeJobs) Pending(pollenfront.Route) int { return 0 }
--- a/entry/internal/jobs/effects.go
+++ b/entry/internal/jobs/effects.go
@@ -16,6 +16,7 @@
 	for _, result := range effects.Results {
 		j.deliverResult(now, result)
 	}
+	j.confirmCancellations(effects.CanceledJobs)
 	for i := range effects.Placements {
 		j.logPlacement(&effects.Placements[i])
 	}
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -36,7 +36,9 @@
 // Jobs drives the scheduler of an entry. It serializes all events for the scheduler
 // and carries out the effects that the scheduler returns.
 type Jobs struct {
-	config atomic.Pointer[pollenfront.Config]
+	// cancelWaiters are the requests to cancel jobs that wait until the jobs are found.
+	cancelWaiters []*cancelWaiter
+	config        atomic.Pointer[pollenfront.Config]
 	// conns watches the connections of callers. It may be nil.
 	conns *callerconn.Watcher
 	// configured is closed once there is a configuration.
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -12,6 +12,7 @@
 type metrics struct {
 	answered        *prometheus.CounterVec
 	callersLeft     prometheus.Counter
+	cancellations   *prometheus.CounterVec
 	fairShares      *prometheus.GaugeVec
 	interference    interferenceMetrics
 	invalidReports  prometheus.Counter
@@ -34,6 +35,9 @@
 		callersLeft: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_callers_left_total", Help: "Jobs whose callers left before the answer.",
 		}),
+		cancellations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollenfront_cancellations_total", Help: "Requests to cancel a job, by outcome.",
+		}, []string{"outcome"}),
 		fairShares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "pollenfront_fair_share_served_ratio", Help: "Work sent to servers as a share of the work that arrived, by route and size class. Only with fair-shares.",
 		}, []string{"route", "class"}),
@@ -68,7 +72,7 @@
 		}, []string{"agent"}),
 	}
 	registry.MustRegister(
-		m.answered, m.callersLeft, m.fairShares, m.invalidReports, m.invalidShares, m.limits, m.refusedRequests,
+		m.answered, m.callersLeft, m.cancellations, m.fairShares, m.invalidReports, m.invalidShares, m.limits, m.refusedRequests,
 		m.responseTimes, m.resubmissions, m.sharedCPU, m.silentRuns, m.withheld,
 	)
 	return m
