Decide on the answer to a cancellation in the scheduler

Cause: the simulation of the fleet is to ask the same question as the entry. Change: CancelOutcome holds the limits on time that were in the driver. Result: the tests of both packages pass, the driver's under -race.

--- a/entry/internal/jobs/cancellations.go
+++ b/entry/internal/jobs/cancellations.go
@@ -13,17 +13,8 @@
 
 // Parameters of requests to cancel a job.
 const (
-	// cancelAnswerMargin is how long before its caller's time limit a request is answered.
-	cancelAnswerMargin = 30 * time.Millisecond
-	// cancelCheckInterval is the time between two checks whether the job does not exist.
+	// cancelCheckInterval is the time between two checks whether the request is to wait on.
 	cancelCheckInterval = 50 * time.Millisecond
-	// cancelSettleTime is the time after which the entry that has the job has been told of the
-	// cancellation, and this entry of that, if all links work. The way there and back leads
-	// through two agents and two entries at the most, which need 260 ms.
-	cancelSettleTime = 500 * time.Millisecond
-	// cancelTimeout is how long the request waits at the longest. An agent that is lost may
-	// have runs for 1.3 s.
-	cancelTimeout = 2 * time.Second
 	// maxCancelWaiters is the number of requests that may wait.
 	maxCancelWaiters = 1024
 )
@@ -46,7 +37,7 @@
 // cancel implements Cancel.
 func (j *Jobs) cancel(ctx context.Context, job pollenfront.JobRef, timeLimit time.Duration) pollenfront.CancelOutcome {
 	start := bootclock.Now()
-	waiter, outcome := j.beginCancel(job)
+	waiter, outcome := j.beginCancel(job, timeLimit)
 	if waiter == nil {
 		return outcome
 	}
@@ -61,41 +52,34 @@
 			return pollenfront.CancelUnconfirmed
 		case <-ticker.C:
 		}
-		waited := bootclock.Now() - start
-		if waited >= cancelSettleTime && j.isUnknown(job) {
-			return pollenfront.CancelNoJob
-		}
-		if waited >= min(cancelTimeout, timeLimit-cancelAnswerMargin) {
-			return pollenfront.CancelUnconfirmed
+		if outcome, ok := j.cancelOutcome(job, bootclock.Now()-start, timeLimit); ok {
+			return outcome
 		}
 	}
 }
 
 // beginCancel cancels a job. It returns a waiter if it is not known yet whether the job exists,
 // and the outcome otherwise.
-func (j *Jobs) beginCancel(job pollenfront.JobRef) (*cancelWaiter, pollenfront.CancelOutcome) {
+func (j *Jobs) beginCancel(job pollenfront.JobRef, timeLimit time.Duration) (*cancelWaiter, pollenfront.CancelOutcome) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.beginEvent()
 	j.applyEffects(now, j.scheduler.CancelJob(now, job))
-	switch {
-	case j.scheduler.JobFound(now, job):
-		return nil, pollenfront.CancelDone
-	case len(j.cancelWaiters) >= maxCancelWaiters:
-		return nil, pollenfront.CancelUnconfirmed
+	outcome, ok := j.scheduler.CancelOutcome(now, job, 0, timeLimit)
+	if ok || len(j.cancelWaiters) >= maxCancelWaiters {
+		return nil, outcome
 	}
 	waiter := &cancelWaiter{found: make(chan struct{}), job: job}
 	j.cancelWaiters = append(j.cancelWaiters, waiter)
-	return waiter, pollenfront.CancelUnconfirmed
+	return waiter, outcome
 }
 
-// isUnknown reports whether a canceled job does not exist as far as can be known: no entry has
-// found it, and all agents hold the cancellation.
-func (j *Jobs) isUnknown(job pollenfront.JobRef) bool {
+// cancelOutcome returns the outcome of a request that has waited for some time, and false if it
+// is to wait on.
+func (j *Jobs) cancelOutcome(job pollenfront.JobRef, waited, timeLimit time.Duration) (pollenfront.CancelOutcome, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	now := j.beginEvent()
-	return !j.scheduler.JobFound(now, job) && j.scheduler.AgentsHoldCancellation(now, job)
+	return j.scheduler.CancelOutcome(j.beginEvent(), job, waited, timeLimit)
 }
 
 // confirmCancellations notifies those who wait for a job that was found. The caller must hold mu.
--- a/entry/internal/jobs/cancellations_test.go
+++ b/entry/internal/jobs/cancellations_test.go
@@ -16,6 +16,8 @@
 const (
 	// cancelBound is the time after the acknowledgement from which no task may start.
 	cancelBound = 3 * time.Second
+	// settleTime is the time after which a job that was not found is reported as not existing.
+	settleTime = 500 * time.Millisecond
 	// stopBound is the time after that from which no task may run.
 	stopBound = 50 * time.Millisecond
 	// callerTimeLimit is how long the callers of these tests wait.
@@ -165,7 +167,7 @@
 			f := newCancelFleet(t, 2)
 			start := bootclock.Now()
 			c.Assert(cancelJob(f.entries[0]), qt.Equals, pollenfront.CancelNoJob)
-			c.Assert(bootclock.Now()-start >= cancelSettleTime, qt.IsTrue)
+			c.Assert(bootclock.Now()-start >= settleTime, qt.IsTrue)
 			c.Assert(f.entries[i].Submit(context.Background(), newSubmission(false)).Verdict, qt.Equals, pollenfront.VerdictCanceled)
 			_, started := f.counts()
 			c.Assert(started, qt.Equals, 0)
@@ -207,7 +209,7 @@
 		f := newCancelFleet(t, 1)
 		start := bootclock.Now()
 		c.Assert(f.entries[0].Cancel(context.Background(), sub.Ref(), 200*time.Millisecond), qt.Equals, pollenfront.CancelUnconfirmed)
-		c.Assert(bootclock.Now()-start < cancelSettleTime, qt.IsTrue)
+		c.Assert(bootclock.Now()-start < settleTime, qt.IsTrue)
 	})
 	t.Run("caller has left", func(t *testing.T) {
 		t.Parallel()
@@ -232,7 +234,7 @@
 		}
 		start := bootclock.Now()
 		c.Assert(cancelJob(f.entries[0]), qt.Equals, pollenfront.CancelUnconfirmed)
-		c.Assert(bootclock.Now()-start < cancelSettleTime, qt.IsTrue)
+		c.Assert(bootclock.Now()-start < settleTime, qt.IsTrue)
 	})
 }
 
--- a/scheduler/cancellations.go
+++ b/scheduler/cancellations.go
@@ -6,6 +6,17 @@
 	"github.com/pollenfront/pollenfront"
 )
 
+// Parameters of requests to cancel a job.
+const (
+	// cancelSettleTime is the time after which the entry that has the job has been told of the
+	// cancellation, and this entry of that, if all links work. The way there and back leads
+	// through two agents and two entries at the most, which need 260 ms.
+	cancelSettleTime = 500 * time.Millisecond
+	// cancelTimeout is how long a request waits at the longest. An agent that is lost may
+	// have runs for 1.3 s.
+	cancelTimeout = 2 * time.Second
+)
+
 // CancelJob cancels a job at the request of a caller. The job may belong to another entry, so
 // the cancellation is sent to all agents, which pass it on. While it is remembered, the job is
 // not started here.
@@ -69,15 +80,24 @@
 	}
 }
 
-// JobFound reports whether a job was canceled and an entry had it.
-func (s *Scheduler) JobFound(now time.Duration, job pollenfront.JobRef) bool {
-	c, ok := s.cancellations.Find(now, job)
-	return ok && c.Found
+// CancelOutcome returns the outcome of a request to cancel a job that has waited for some time,
+// and false if it is to wait on. timeLimit is the time that its caller waits.
+func (s *Scheduler) CancelOutcome(now time.Duration, job pollenfront.JobRef, waited, timeLimit time.Duration) (pollenfront.CancelOutcome, bool) {
+	c, _ := s.cancellations.Find(now, job)
+	switch {
+	case c.Found:
+		return pollenfront.CancelDone, true
+	case waited >= cancelSettleTime && s.agentsHoldCancellation(now, job):
+		return pollenfront.CancelNoJob, true
+	case waited >= min(cancelTimeout, timeLimit-answerMargin):
+		return pollenfront.CancelUnconfirmed, true
+	}
+	return pollenfront.CancelUnconfirmed, false
 }
 
-// AgentsHoldCancellation reports whether all agents that may have runs of this entry know that a
+// agentsHoldCancellation reports whether all agents that may have runs of this entry know that a
 // job was canceled. There must be at least one, and none may be suspect.
-func (s *Scheduler) AgentsHoldCancellation(now time.Duration, job pollenfront.JobRef) bool {
+func (s *Scheduler) agentsHoldCancellation(now time.Duration, job pollenfront.JobRef) bool {
 	seqNum := s.cancellations.SeqNum(job)
 	for _, a := range s.sortedAgents {
 		if !a.linked || a.confirmedCancellations < seqNum || now-a.lastUpdate > AgentSuspectTimeout {
--- a/scheduler/cancellations_test.go
+++ b/scheduler/cancellations_test.go
@@ -16,6 +16,21 @@
 	return pollenfront.JobRef{ID: id, Route: "r"}
 }
 
+// settleTime is the time after which a job that was not found is reported as not existing.
+const settleTime = 500 * time.Millisecond
+
+// waiting stands for a request to cancel a job that is to wait on.
+const waiting pollenfront.CancelOutcome = -1
+
+// cancelOutcome returns the outcome of a request to cancel the job "0a".
+func cancelOutcome(s *scheduler.Scheduler, now, waited time.Duration) pollenfront.CancelOutcome {
+	outcome, known := s.CancelOutcome(now, jobRef("0a"), waited, time.Minute)
+	if !known {
+		return waiting
+	}
+	return outcome
+}
+
 // canceledUpdate returns an update that lists the cancellation of a job.
 func canceledUpdate(id string, ends ...tasklink.RunEnd) *tasklink.Update {
 	u := update(64, ends...)
@@ -65,7 +80,7 @@
 			c.Assert(effects.Results[0].Verdict, qt.Equals, pollenfront.VerdictCanceled)
 			c.Assert(effects.Results[0].Reason, qt.Equals, pollenfront.ReasonCanceled)
 			c.Assert(effects.CanceledJobs, qt.DeepEquals, []pollenfront.JobRef{jobRef("0a")})
-			c.Assert(s.JobFound(at(20), jobRef("0a")), qt.IsTrue)
+			c.Assert(cancelOutcome(s, at(20), 0), qt.Equals, pollenfront.CancelDone)
 			c.Assert(startedTasks(effects), qt.Equals, 0)
 			c.Assert(s.JobCount(), qt.Equals, 1, qt.Commentf("the job must be kept until its runs have ended"))
 			commands := effects.Commands["agent-1"]
@@ -102,7 +117,7 @@
 	c := qt.New(t)
 	s := newScheduler(64)
 	c.Assert(s.CancelJob(at(0), jobRef("0a")).CanceledJobs, qt.HasLen, 0)
-	c.Assert(s.JobFound(at(0), jobRef("0a")), qt.IsFalse)
+	c.Assert(cancelOutcome(s, at(0), 0), qt.Equals, waiting)
 	for ms := 10; ms <= 14_990; ms += 20 {
 		s.HandleUpdate(at(ms), "agent-1", update(64))
 		s.Tick(at(ms))
@@ -112,7 +127,7 @@
 		effects := s.Submit(at(ms), submission("0a", 1))
 		c.Assert(effects.Results, qt.DeepEquals, []pollenfront.Result{{ID: "0a", Reason: pollenfront.ReasonCanceled, Verdict: pollenfront.VerdictCanceled}})
 		c.Assert(startedTasks(effects), qt.Equals, 0)
-		c.Assert(s.JobFound(at(ms), jobRef("0a")), qt.IsTrue)
+		c.Assert(cancelOutcome(s, at(ms), 0), qt.Equals, pollenfront.CancelDone)
 	}
 	otherRoute := submission("0a", 1)
 	otherRoute.Route.Name = "other"
@@ -121,35 +136,35 @@
 	c.Assert(startedTasks(s.Submit(at(14_990), submission("0b", 1))), qt.Equals, 1)
 }
 
-// TestAgentsHoldCancellation checks when a job that no entry has found may be reported as not
+// TestCancelOutcome checks when a job that no entry has found may be reported as not
 // existing: only when all agents are known to hold the cancellation, which none does whose link
 // was lost, that is silent, or that has not answered.
-func TestAgentsHoldCancellation(t *testing.T) {
+func TestCancelOutcome(t *testing.T) {
 	tests := []struct {
 		name  string
 		after func(s *scheduler.Scheduler, sent uint64)
-		want  bool
+		want  pollenfront.CancelOutcome
 	}{
-		{name: "answered", want: true, after: func(s *scheduler.Scheduler, sent uint64) {
+		{name: "answered", want: pollenfront.CancelNoJob, after: func(s *scheduler.Scheduler, sent uint64) {
 			u := update(64)
 			u.CancellationSeqNum = sent
 			s.HandleUpdate(at(30), "agent-1", u)
 		}},
-		{name: "not answered", after: func(s *scheduler.Scheduler, _ uint64) { s.HandleUpdate(at(30), "agent-1", update(64)) }},
-		{name: "invalid answer", after: func(s *scheduler.Scheduler, sent uint64) {
+		{name: "not answered", want: waiting, after: func(s *scheduler.Scheduler, _ uint64) { s.HandleUpdate(at(30), "agent-1", update(64)) }},
+		{name: "invalid answer", want: waiting, after: func(s *scheduler.Scheduler, sent uint64) {
 			s.UnlinkAgent("agent-1", 1)
 			s.LinkAgent(at(20), &tasklink.Hello{Incarnation: 1, Name: "agent-1", Service: "service", Zone: "west"})
 			u := update(64)
 			u.CancellationSeqNum = sent + 100
 			s.HandleUpdate(at(30), "agent-1", u)
 		}},
-		{name: "link lost after the answer", after: func(s *scheduler.Scheduler, sent uint64) {
+		{name: "link lost after the answer", want: waiting, after: func(s *scheduler.Scheduler, sent uint64) {
 			u := update(64)
 			u.CancellationSeqNum = sent
 			s.HandleUpdate(at(30), "agent-1", u)
 			s.UnlinkAgent("agent-1", 1)
 		}},
-		{name: "another agent", after: func(s *scheduler.Scheduler, sent uint64) {
+		{name: "another agent", want: waiting, after: func(s *scheduler.Scheduler, sent uint64) {
 			u := update(64)
 			u.CancellationSeqNum = sent
 			s.HandleUpdate(at(30), "agent-1", u)
@@ -161,14 +176,21 @@
 			c := qt.New(t)
 			s := newScheduler(64)
 			effects := s.CancelJob(at(20), jobRef("0a"))
-			c.Assert(s.AgentsHoldCancellation(at(20), jobRef("0a")), qt.IsFalse)
+			c.Assert(cancelOutcome(s, at(20), settleTime), qt.Equals, waiting)
 			test.after(s, effects.Commands["agent-1"].CancellationSeqNum)
-			c.Assert(s.AgentsHoldCancellation(at(30), jobRef("0a")), qt.Equals, test.want)
-			c.Assert(s.AgentsHoldCancellation(at(30)+scheduler.AgentSuspectTimeout+time.Millisecond, jobRef("0a")), qt.IsFalse)
-			c.Assert(s.AgentsHoldCancellation(at(30), jobRef("0b")), qt.IsFalse)
+			c.Assert(cancelOutcome(s, at(30), settleTime-1), qt.Equals, waiting)
+			c.Assert(cancelOutcome(s, at(30), settleTime), qt.Equals, test.want)
+			c.Assert(cancelOutcome(s, at(30)+scheduler.AgentSuspectTimeout+time.Millisecond, settleTime), qt.Equals, waiting)
+			_, known := s.CancelOutcome(at(30), jobRef("0b"), settleTime, time.Minute)
+			c.Assert(known, qt.IsFalse)
+			outcome, known := s.CancelOutcome(at(30), jobRef("0b"), 100*time.Millisecond, 130*time.Millisecond)
+			c.Assert(known && outcome == pollenfront.CancelUnconfirmed, qt.IsTrue)
 		})
 	}
-	qt.Assert(t, scheduler.New(at(0), "entry-1", "west").AgentsHoldCancellation(at(0), jobRef("0a")), qt.IsFalse)
+	withoutAgents := scheduler.New(at(0), "entry-1", "west")
+	withoutAgents.CancelJob(at(0), jobRef("0a"))
+	qt.Assert(t, cancelOutcome(withoutAgents, at(0), settleTime), qt.Equals, waiting)
+	qt.Assert(t, cancelOutcome(withoutAgents, at(0), 2*time.Second), qt.Equals, pollenfront.CancelUnconfirmed)
 }
 
 // TestCancellationSentAgain guards against a cancellation that gets lost with a link: it is sent
