Cancel jobs at any entry in the simulated fleet

Cause: what a cancellation does under faults was tested with two entries only. Change: the fleet sends requests to cancel jobs to random entries, repeats them until they are acknowledged, and checks that 3.05 s later no task runs and the caller has its answer. The property test under all faults gets a variant with cancellations.

--- a/replay/faults_test.go
+++ b/replay/faults_test.go
@@ -142,6 +142,11 @@
 
 // checkFaults draws a fleet and the named faults, and checks what the servers have seen.
 func checkFaults(t *rapid.T, names []string, inference bool) {
+	checkFaultsOf(t, names, inference, func(*replay.Fleet) {})
+}
+
+// checkFaultsOf is like checkFaults, with further events in the fleet.
+func checkFaultsOf(t *rapid.T, names []string, inference bool, schedule func(f *replay.Fleet)) {
 	s := replay.Settings{
 		Agents:              rapid.IntRange(1, 6).Draw(t, "agents"),
 		DropDelayedRequests: inference,
@@ -162,6 +167,7 @@
 	for range rapid.IntRange(1, 5).Draw(t, "faults") {
 		drawFault(t, f, s, names)
 	}
+	schedule(f)
 	result := f.Run(14 * time.Second)
 	if len(result.Violations) > 0 {
 		t.Fatalf("violations: %v", result.Violations)
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -29,10 +29,11 @@
 
 // Settings describe a fleet.
 type Settings struct {
-	Agents      int                 // Agents is the number of agents, each with one server.
-	CellOnly    bool                // CellOnly keeps agents from linking to overloaded entries beyond their cells.
-	Chooser     pollenfront.Chooser // Chooser is placement.EarliestFinish by default.
-	Clairvoyant bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
+	Agents             int                 // Agents is the number of agents, each with one server.
+	CellOnly           bool                // CellOnly keeps agents from linking to overloaded entries beyond their cells.
+	CheckCancellations bool                // CheckCancellations records a violation if a job runs on after it was canceled.
+	Chooser            pollenfront.Chooser // Chooser is placement.EarliestFinish by default.
+	Clairvoyant        bool                // Clairvoyant replaces the schedulers and executors with one queue that has full knowledge.
 	// CorruptEstimates changes the updates of an agent on their way. It may be nil.
 	CorruptEstimates    func(agent int, update *tasklink.Update)
 	DelayedRequestShare float64 // DelayedRequestShare is the share of requests to servers that are carried out seconds later and get no response.
@@ -97,8 +98,9 @@
 // keyed by the name of the job's kind, maps of values by the second in which the job
 // arrived.
 type Result struct {
-	CapacityRegained    []time.Duration // CapacityRegained lists how long after its return the capacity of each shrunk server was used again.
-	ChangeTimes         []time.Duration // ChangeTimes are the times of InterferenceChanges.
+	CancelOutcomes      map[pollenfront.CancelOutcome]int // CancelOutcomes counts the acknowledged requests to cancel a job.
+	CapacityRegained    []time.Duration                   // CapacityRegained lists how long after its return the capacity of each shrunk server was used again.
+	ChangeTimes         []time.Duration                   // ChangeTimes are the times of InterferenceChanges.
 	Classes             map[Class]ClassCounts
 	Crashes             int                                 // Crashes is the number of servers that crashed under tasks.
 	EarnedValue         map[int]float64                     // EarnedValue is the value of the answers.
@@ -126,6 +128,7 @@
 	Strictness          map[string][]float64 // Strictness holds the strictness of the first entry's admission limits every strictnessInterval, by route.
 	Submitted           map[string]int
 	Unknown             map[string]int // Unknown counts the jobs that failed, conflicted or were not answered within their time limit.
+	UnfoundJobs         int            // UnfoundJobs is the number of jobs that were reported as not existing, at a request to cancel them, while their callers waited.
 	UsefulCoreSeconds   float64        // UsefulCoreSeconds is the CPU time of the runs that ended as done.
 	Violations          []string       // Violations are the violated invariants, each with its time.
 	WastedCoreSeconds   float64        // WastedCoreSeconds is the CPU time of the runs that ended in any other way.
@@ -134,7 +137,8 @@
 // newResult returns a result without jobs.
 func newResult() Result {
 	return Result{
-		Classes: make(map[Class]ClassCounts), EarnedValue: make(map[int]float64), Entries: make(map[int]*EntryCounts), Failed: make(map[string]int),
+		CancelOutcomes: make(map[pollenfront.CancelOutcome]int),
+		Classes:        make(map[Class]ClassCounts), EarnedValue: make(map[int]float64), Entries: make(map[int]*EntryCounts), Failed: make(map[string]int),
 		FirstFindings: make(map[interference.Pair]time.Duration), Late: make(map[string]int), OfferedValue: make(map[int]float64), OnTime: make(map[string]int),
 		Refused: make(map[string]int), Submitted: make(map[string]int), Unknown: make(map[string]int),
 	}
@@ -164,8 +168,12 @@
 		r.Classes[class] = sum
 	}
 	r.addEntries(other)
+	for outcome, n := range other.CancelOutcomes {
+		r.CancelOutcomes[outcome] += n
+	}
 	r.CapacityRegained = append(r.CapacityRegained, other.CapacityRegained...)
 	r.Crashes += other.Crashes
+	r.UnfoundJobs += other.UnfoundJobs
 	r.FailedWait += other.FailedWait
 	r.FaultyStarts += other.FaultyStarts
 	r.InvalidEstimates += other.InvalidEstimates
--- a/replay/history_test.go
+++ b/replay/history_test.go
@@ -81,7 +81,7 @@
 		return !s.started
 	case pollenfront.VerdictCompleted:
 		return s.done == uint64(1)<<s.tasks-1 && s.active == 0
-	case pollenfront.VerdictConflict, pollenfront.VerdictFailed, pollenfront.VerdictUnknown:
+	case pollenfront.VerdictCanceled, pollenfront.VerdictConflict, pollenfront.VerdictFailed, pollenfront.VerdictUnknown:
 	}
 	return true
 }
--- a/replay/load.go
+++ b/replay/load.go
@@ -50,11 +50,12 @@
 // A callerJob is a job as seen by its caller.
 type callerJob struct {
 	arrived       time.Duration
-	attempt       int  // attempt is the number of the last submission.
-	brokenAttempt int  // brokenAttempt is the last attempt whose connection broke. Its answer does not reach the caller.
-	counted       bool // counted is false for jobs that do not count in the result: the caller leaves early, or the tasks always fail.
-	done          bool // done is set when the job has its final answer or is canceled.
-	entry         int  // entry is the index of the entry of the last submission.
+	attempt       int           // attempt is the number of the last submission.
+	brokenAttempt int           // brokenAttempt is the last attempt whose connection broke. Its answer does not reach the caller.
+	canceledAt    time.Duration // canceledAt is when a request to cancel the job was acknowledged, or zero.
+	counted       bool          // counted is false for jobs that do not count in the result: the caller leaves early, or the tasks always fail.
+	done          bool          // done is set when the job has its final answer or is canceled.
+	entry         int           // entry is the index of the entry of the last submission.
 	estimate      time.Duration
 	id            string
 	kind          Kind
@@ -278,6 +279,10 @@
 		f.entryCounts(j).Refused++
 		f.result.RefusalWait += f.now - j.arrived
 		j.done = true
+	case pollenfront.VerdictCanceled:
+		f.countJob(f.result.Unknown, j)
+		f.entryCounts(j).Unknown++
+		j.done = true
 	case pollenfront.VerdictFailed, pollenfront.VerdictConflict:
 		f.countJob(f.result.Unknown, j)
 		f.countJob(f.result.Failed, j)
--- a/replay/server.go
+++ b/replay/server.go
@@ -109,6 +109,7 @@
 	f.result.Starts++
 	r.startNum = f.result.Starts
 	job.started = true
+	f.checkStartAfterCancel(job)
 	if other := f.activeRuns[id]; other != nil {
 		f.recordViolation("task %v runs twice at the same time", id)
 	}
