Keep each cancellation for two seconds at least

Cause: in a flood of more than 2,048 cancellations the oldest was forgotten at once. Its job, submitted again to another entry, could have started while its former runs were being stopped. Change: a cancellation that would displace one of the last 2 s is not accepted, and then does not cancel the job either.

--- a/cancellog/log.go
+++ b/cancellog/log.go
@@ -27,6 +27,9 @@
 	maxRouteSize = 1024
 	// maxRecords is the number of cancellations that are kept.
 	maxRecords = 2048
+	// minRetention is how long a cancellation is kept although others arrive that have no room.
+	// By then the runs of the job have ended, so that a start of it is no second run.
+	minRetention = 2 * time.Second
 	// retention is how long a cancellation is kept. It is longer than a submission may be
 	// delayed.
 	retention = 15 * time.Second
@@ -59,7 +62,8 @@
 }
 
 // Add adds a cancellation that was learned from a peer, or here if peer is empty. It returns
-// false if it states nothing new, or is too old or too large to be kept.
+// false if it states nothing new, or can't be kept: it is too old or too large, or there is no
+// room for it.
 func (l *Log) Add(now time.Duration, c pollenfront.Cancellation, peer string) bool {
 	if c.Age > retention || len(c.ID) > maxIDSize || len(c.Route) > maxRouteSize {
 		return false
@@ -68,6 +72,9 @@
 		return false
 	}
 	if len(l.records) == maxRecords {
+		if now-l.records[0].at < minRetention {
+			return false
+		}
 		l.removeFirst()
 	}
 	l.records = append(l.records, record{at: now - max(0, c.Age), found: c.Found, job: c.JobRef, source: peer})
--- a/scheduler/cancellations.go
+++ b/scheduler/cancellations.go
@@ -32,7 +32,8 @@
 // recordCancellation records a cancellation that was learned from an agent, or requested here if
 // peer is empty. It cancels the job if it is under way at this entry, and tells the agent too
 // that the job was found. A job that was answered before may be under way at another entry by
-// now, and its runs here are being stopped already.
+// now, and its runs here are being stopped already. A cancellation that can't be remembered has
+// no effect, since its job could be started elsewhere while its runs are being stopped.
 func (s *Scheduler) recordCancellation(now time.Duration, c pollenfront.Cancellation, peer string, effects *Effects) {
 	j, ok := s.jobs[c.ID]
 	ok = ok && j.Route.Name == c.Route && !j.answered
@@ -42,7 +43,7 @@
 	if s.cancellations.Add(now, c, peer) && c.Found {
 		effects.CanceledJobs = append(effects.CanceledJobs, c.JobRef)
 	}
-	if ok {
+	if ok && s.cancellations.Contains(c.JobRef) {
 		s.cancelOnRequest(now, j, effects)
 	}
 }
