--- a/review/_standin/cancel.go
+++ b/review/_standin/cancel.go
@@ -15,10 +15,21 @@
 	cancelDelay = 200 * time.Millisecond
 )
 
-// playCancel submits a job of long tasks and cancels it on another channel after cancelDelay.
-// The rule UNASKED is broken if a task of it runs later than cancelBound and stopBound after
-// the acknowledgement.
+// playCancel plays the case with one entry.
 func playCancel(f *fleet, r *record, trouble bool) (bool, error) {
+	return cancelAt(f, r, trouble, 0)
+}
+
+// playCancelOther plays the case with three entries. The job is canceled at another entry than
+// the one that runs it.
+func playCancelOther(f *fleet, r *record, trouble bool) (bool, error) {
+	return cancelAt(f, r, trouble, 2)
+}
+
+// cancelAt submits a job of long tasks to the first entry, and cancels it on another channel, at
+// the entry with an index, after cancelDelay. The rule UNASKED is broken if a task of it runs later than cancelBound and stopBound after
+// the acknowledgement.
+func cancelAt(f *fleet, r *record, trouble bool, entry int) (bool, error) {
 	id := newID()
 	answered := make(chan answer, 1)
 	r.printf("caller   %s POST sent", id)
@@ -38,8 +49,8 @@
 		}
 		return false, nil
 	}
-	r.printf("caller   %s DELETE sent", id)
-	a := send(http.MethodDelete, f.callers(0), prefix+id, nil, cancelLimit)
+	r.printf("caller   %s DELETE sent to entry %d", id, entry)
+	a := send(http.MethodDelete, f.callers(entry), prefix+id, nil, cancelLimit)
 	r.printf("caller   %s DELETE answered: %d %s", id, a.status, a.body)
 	if a.status/100 != 2 && a.status != http.StatusGone {
 		return false, errors.New("the cancel was not acknowledged")
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -23,13 +23,14 @@
 	options fleetOptions
 	play    testCase
 }{
-	"freeze":      {options: fleetOptions{entries: 3, agents: 11}, play: playFreeze},
-	"try":         {options: fleetOptions{entries: envInt("ENTRIES", 3), agents: envInt("AGENTS", 11)}, play: playTry},
-	"try-own":     {options: fleetOptions{entries: envInt("ENTRIES", 3), agents: envInt("AGENTS", 11), ownRunners: true}, play: playTry},
-	"wide":        {options: fleetOptions{entries: 3, agents: 11}, play: playWide},
-	"late-random": {options: fleetOptions{entries: 3, agents: 11, ownRunners: true}, play: playLateRandom},
-	"late":        {options: fleetOptions{entries: 3, agents: 11, ownRunners: true}, play: playLate},
-	"cancel":      {options: fleetOptions{entries: 1, agents: 3}, play: playCancel},
+	"freeze":       {options: fleetOptions{entries: 3, agents: 11}, play: playFreeze},
+	"try":          {options: fleetOptions{entries: envInt("ENTRIES", 3), agents: envInt("AGENTS", 11)}, play: playTry},
+	"try-own":      {options: fleetOptions{entries: envInt("ENTRIES", 3), agents: envInt("AGENTS", 11), ownRunners: true}, play: playTry},
+	"wide":         {options: fleetOptions{entries: 3, agents: 11}, play: playWide},
+	"late-random":  {options: fleetOptions{entries: 3, agents: 11, ownRunners: true}, play: playLateRandom},
+	"late":         {options: fleetOptions{entries: 3, agents: 11, ownRunners: true}, play: playLate},
+	"cancel":       {options: fleetOptions{entries: 1, agents: 3}, play: playCancel},
+	"cancel-other": {options: fleetOptions{entries: 3, agents: 11}, play: playCancelOther},
 }
 
 // interrupted is closed when the program is asked to end.
