--- a/executor/run.go
+++ b/executor/run.go
@@ -65,8 +65,8 @@
 	// reportedAt is when the server last listed the run, with percent.
 	reportedAt time.Duration
 	route      string
-	// revokedAt is when the run lost its right to run, since its entry was silent or
-	// restarted or has stopped it, and zero before.
+	// revokedAt is when the run lost its right to run, since its job was canceled, or its entry
+	// was silent or restarted or has stopped it, and zero before.
 	revokedAt time.Duration
 	// rerun is whether an earlier run of the task may have started.
 	rerun bool
