--- a/soak/internal/callers/callers.go
+++ b/soak/internal/callers/callers.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	c := callers.New(entries, checker, seed)
-//	c.Run(ctx, 40)
+//	c.Run(ctx, 40, 0, 0)
 //	counts := c.TakeCounts()
 package callers
 
@@ -25,6 +25,12 @@
 	// job.
 	attemptMargin = 200 * time.Millisecond
 
+	// cancelTimeout is how long a caller waits for the answer to a request to cancel a job.
+	cancelTimeout = 3 * time.Second
+
+	// maxCancelAttempts is how often a caller requests to cancel a job.
+	maxCancelAttempts = 4
+
 	// resendDelay is the time from an attempt with an unknown outcome to the
 	// next one.
 	resendDelay = 1300 * time.Millisecond
@@ -120,8 +126,8 @@
 
 // Run submits jobs at an average rate until ctx is done, and waits for their
 // outcomes. The pauses between jobs are distributed exponentially. One job in
-// crashInterval crashes servers, unless that is zero.
-func (c *Callers) Run(ctx context.Context, jobsPerSecond float64, crashInterval uint64) {
+// crashInterval crashes servers, and one in cancelInterval is canceled, unless these are zero.
+func (c *Callers) Run(ctx context.Context, jobsPerSecond float64, crashInterval, cancelInterval uint64) {
 	var submissions sync.WaitGroup
 	for ctx.Err() == nil {
 		c.mu.Lock()
@@ -131,10 +137,14 @@
 		if crashInterval > 0 && c.lastID%crashInterval == 0 {
 			k = crashing
 		}
+		canceled := cancelInterval > 0 && c.lastID%cancelInterval == 0
 		id := fmt.Sprintf("%016x", c.lastID)
 		c.mu.Unlock()
 		time.Sleep(pause)
 		submissions.Go(func() { c.submit(id, k) })
+		if canceled {
+			submissions.Go(func() { c.cancel(id, k) })
+		}
 	}
 	submissions.Wait()
 }
@@ -173,6 +183,8 @@
 			}
 			c.updateCounts(func(counts *Counts) { counts.Refused++ })
 			return
+		case caller.Canceled:
+			return
 		case caller.Unknown:
 		}
 		time.Sleep(resendDelay)
@@ -182,6 +194,27 @@
 	}
 }
 
+// cancel cancels a job at some time while it should run, at a random entry, and again at another
+// one until that is acknowledged.
+func (c *Callers) cancel(id string, k Kind) {
+	c.mu.Lock()
+	delay := time.Duration(c.random.Float64() * float64(k.work))
+	c.mu.Unlock()
+	time.Sleep(delay)
+	entry := c.randomEntry()
+	for range maxCancelAttempts {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		acknowledged := c.caller.Cancel(ctx, c.entries[entry], caller.Job{Host: Host, Path: k.Prefix + id})
+		cancel()
+		if acknowledged {
+			c.checker.RecordCancellation(id)
+			return
+		}
+		time.Sleep(resendDelay)
+		entry = c.otherEntry(entry)
+	}
+}
+
 // updateCounts calls update with the counts, under the lock.
 func (c *Callers) updateCounts(update func(*Counts)) {
 	c.mu.Lock()
--- a/soak/internal/invariants/invariants.go
+++ b/soak/internal/invariants/invariants.go
@@ -17,6 +17,13 @@
 	"time"
 )
 
+// cancelBound is how long after the acknowledgement of a request to cancel a job its tasks may
+// still start, and cancelStopTime how long after that they may run.
+const (
+	cancelBound    = 3 * time.Second
+	cancelStopTime = 50 * time.Millisecond
+)
+
 // zoneDisableTimeout is how long tasks may still start in a zone after it was
 // taken out of service.
 const zoneDisableTimeout = 5 * time.Second
@@ -65,7 +72,9 @@
 
 // A job records the submissions and outcomes of a job.
 type job struct {
-	completed bool
+	// canceledAt is when a request to cancel the job was acknowledged, or zero.
+	canceledAt time.Time
+	completed  bool
 
 	// refusals is the number of submissions that were refused.
 	refusals    int
@@ -114,6 +123,26 @@
 	}
 }
 
+// RecordCancellation records that a request to cancel a job was acknowledged. After cancelBound
+// and cancelStopTime it checks that no task of the job runs.
+func (c *Checker) RecordCancellation(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id].canceledAt = time.Now()
+	time.AfterFunc(cancelBound+cancelStopTime, func() { c.checkCanceled(id) })
+}
+
+// checkCanceled records a violation for each task of a canceled job that runs.
+func (c *Checker) checkCanceled(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for task, servers := range c.serversOf {
+		if jobOf(task) == id {
+			c.violate("task %s runs on %s %v after its job was canceled", task, strings.Join(servers, ", "), time.Since(c.jobs[id].canceledAt))
+		}
+	}
+}
+
 // RunStarted implements backendserver.Observer. It checks that no other run of the task
 // is in progress, that its job was submitted, and that the zone of the server was
 // in service when the server received the request. A server may carry it out later.
@@ -137,6 +166,9 @@
 		return
 	}
 	c.jobs[id].started = true
+	if canceledAt := c.jobs[id].canceledAt; !canceledAt.IsZero() && received.Sub(canceledAt) > cancelBound {
+		c.violate("task %s started on %s %v after its job was canceled", task, server, received.Sub(canceledAt))
+	}
 	if since, ok := c.disabledSince[c.zoneOf[server]]; ok && received.Sub(since) > zoneDisableTimeout {
 		c.violate("task %s started in zone %s, which was taken out of service %v earlier", task, c.zoneOf[server], received.Sub(since))
 	}
--- a/soak/internal/invariants/invariants_test.go
+++ b/soak/internal/invariants/invariants_test.go
@@ -76,3 +76,43 @@
 	checker.RunEnded(task, east, "done")
 	c.Assert(checker.Violations(), qt.HasLen, 1)
 }
+
+// TestCanceledJob guards against a canceled job that starts or runs on unnoticed.
+func TestCanceledJob(t *testing.T) {
+	tests := []struct {
+		name string
+		// endedBefore is whether the run ends before the job must be over.
+		endedBefore bool
+		// startedAfter is the time from the cancellation to another start, or zero.
+		startedAfter time.Duration
+		want         []string
+	}{
+		{name: "stopped", endedBefore: true},
+		{name: "runs on", want: []string{"after its job was canceled"}},
+		{name: "starts in time", endedBefore: true, startedAfter: 2900 * time.Millisecond},
+		{name: "starts too late", endedBefore: true, startedAfter: 3100 * time.Millisecond, want: []string{"after its job was canceled"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			checker := newChecker()
+			checker.RunStarted(task, east, time.Now())
+			checker.RecordCancellation(job)
+			if test.endedBefore {
+				checker.RunEnded(task, east, "stopped")
+			}
+			if test.startedAfter > 0 {
+				checker.RunStarted(task, east, time.Now().Add(test.startedAfter))
+				checker.RunEnded(task, east, "stopped")
+			}
+			time.Sleep(3200 * time.Millisecond)
+			checker.RunEnded(task, east, "stopped")
+			violations := checker.Violations()
+			c.Assert(violations, qt.HasLen, len(test.want))
+			for i, want := range test.want {
+				c.Check(violations[i], qt.Contains, want)
+			}
+		})
+	}
+}
--- a/soak/main.go
+++ b/soak/main.go
@@ -25,6 +25,7 @@
 	Agents  int           `default:"6" help:"number of agents, each with a backend server"`
 	Bin     string        `default:"bin" help:"folder with the built programs"`
 	Calm    bool          `help:"inject no faults; a lost or refused job is a violation"`
+	Cancel  uint64        `default:"0" help:"one job in this number is canceled, none with 0"`
 	Crash   uint64        `default:"0" help:"one job in this number crashes each server that starts it, none with 0"`
 	Dir     string        `help:"folder for settings and logs, created if needed [default: a new temporary folder]"`
 	Entries int           `default:"3" help:"number of entries"`
@@ -100,12 +101,12 @@
 	if !o.Calm {
 		go injectFaults(ctx, f, c, o.Seed)
 	}
-	c.Run(ctx, o.Rate, o.Crash)
+	c.Run(ctx, o.Rate, o.Crash, o.Cancel)
 	during := c.TakeCounts()
 	time.Sleep(settleTime)
 	finalCtx, cancelFinal := context.WithTimeout(context.Background(), finalTime)
 	defer cancelFinal()
-	c.Run(finalCtx, o.Rate, 0)
+	c.Run(finalCtx, o.Rate, 0, 0)
 	final := c.TakeCounts()
 	time.Sleep(lingerTime)
 	fmt.Printf("during: %+v; afterwards: %+v; %d starts\n", during, final, f.Checker.Starts())
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -37,6 +37,9 @@
 
 	// Refused means that the job was not run.
 	Refused
+
+	// Canceled means that the job was canceled by a caller.
+	Canceled
 )
 
 // A Job is a job of one step of plain tasks, which may run more than once.
@@ -146,6 +149,25 @@
 		return Refused
 	case response.StatusCode == http.StatusOK && bytes.Contains(data, []byte(`"completed"`)):
 		return Completed
+	case response.StatusCode == http.StatusOK && bytes.Contains(data, []byte(`"cancelled"`)):
+		return Canceled
 	}
 	return Unknown
 }
+
+// Cancel requests once to cancel a job, from the entry at an address. It reports whether the
+// request was acknowledged: the job was canceled, or does not exist.
+func (c *Caller) Cancel(ctx context.Context, entry string, job Job) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+entry+job.Path, http.NoBody)
+	if err != nil {
+		return false
+	}
+	request.Host = job.Host
+	response, err := c.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && (response.StatusCode == http.StatusOK || response.StatusCode == http.StatusGone)
+}
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -54,3 +54,30 @@
 	c.Assert(<-outcomes, qt.Equals, caller.Unknown)
 	c.Assert(<-canceled, qt.Equals, "other.example")
 }
+
+// TestCanceledJob checks which answers acknowledge a request to cancel a job, and that the answer
+// to a canceled job is told from others.
+func TestCanceledJob(t *testing.T) {
+	tests := []struct {
+		status       int
+		body         string
+		acknowledged bool
+		outcome      caller.Outcome
+	}{
+		{status: http.StatusOK, body: `{"state":"cancelled"}`, acknowledged: true, outcome: caller.Canceled},
+		{status: http.StatusGone, acknowledged: true, outcome: caller.Unknown},
+		{status: http.StatusServiceUnavailable, body: `{"reason":"unconfirmed"}`, outcome: caller.Refused},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(test.status)
+			_, _ = io.WriteString(w, test.body)
+		}))
+		callers, job := caller.New(), caller.Job{Deadline: time.Now().Add(time.Minute), Host: "h.example", Path: "/lookup/0011223344556677"}
+		address := strings.TrimPrefix(entry.URL, "http://")
+		c.Check(callers.Cancel(context.Background(), address, job), qt.Equals, test.acknowledged)
+		c.Check(callers.Submit(context.Background(), address, job), qt.Equals, test.outcome)
+		entry.Close()
+	}
+}
