--- a/entry/internal/jobs/cancellations_test.go
+++ b/entry/internal/jobs/cancellations_test.go
@@ -57,7 +57,7 @@
 		c.Assert(r.Reason, qt.Equals, pollenfront.ReasonCanceled)
 	}
 	go a.sendUpdate(t, tasklink.RunEnd{Ending: pollenfront.EndingStopped, Run: run})
-	for j.JobCount() > 0 {
+	for j.jobCount() > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	c.Assert(cancelJob(j), qt.Equals, pollenfront.CancelDone)
@@ -81,8 +81,8 @@
 	return 0
 }
 
-// JobCount returns the number of jobs that have not ended.
-func (j *Jobs) JobCount() int {
+// jobCount returns the number of jobs that have not ended.
+func (j *Jobs) jobCount() int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.scheduler.JobCount()
