--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -68,6 +68,9 @@
 	// the entry has sent over an earlier link did not reach this incarnation of
 	// the agent and never will. Entries leave it empty.
 	Runs []RunState
+	// Cancellations lists the cancellations of jobs that the agent knows of. They apply before
+	// Runs. Entries leave it empty.
+	Cancellations []pollenfront.Cancellation
 }
 
 // A RunState is the state of a run on an agent.
@@ -110,6 +113,11 @@
 	RouteCounts []RouteCount
 	// Interference holds the estimates that have changed, or is nil.
 	Interference *Interference
+	// Cancellations lists cancellations of jobs that the agent has not told the entry of yet.
+	// They apply before RunEnds.
+	Cancellations []pollenfront.Cancellation
+	// CancellationSeqNum is the newest CancellationSeqNum in the commands on the link.
+	CancellationSeqNum uint64
 }
 
 // A Report is the state of a backend server and its agent.
@@ -220,6 +228,12 @@
 	// Overloaded is the demandshare.NameHash of an entry of which an agent has reported
 	// lately that it is overloaded, or zero.
 	Overloaded uint32
+	// Cancellations lists cancellations of jobs that the entry has not told the agent of yet.
+	// They apply before Starts.
+	Cancellations []pollenfront.Cancellation
+	// CancellationSeqNum numbers the cancellations that the entry has told the agent of.
+	// The agent returns it, which shows that it has received them.
+	CancellationSeqNum uint64
 }
 
 // A StartCommand tells an agent to start runs of tasks of one job.
