Ask a server that refuses connections every 4 ms after an unanswered start

Cause: the next incarnation of a server knows no fencing token until it gets the first request of its agent, and carries out a delayed start of the former one.

Change: if a start got no response within the last 12 s, in which it may be carried out, the agent asks every 4 ms for the first 5 s of the refusals, and every 20 ms afterwards. Otherwise it asks every 50 ms as before.

--- a/agent/internal/driver/renewals.go
+++ b/agent/internal/driver/renewals.go
@@ -27,7 +27,7 @@
 		select {
 		case err := <-done:
 			if err != nil && failedBefore { // The next renewal after a first failure shows whether the server has crashed.
-				d.awaitRenewalRetry(ctx)
+				d.awaitRenewalRetry(ctx, err)
 			}
 			failedBefore = err != nil
 		case <-time.After(request.Interval):
@@ -35,13 +35,16 @@
 	}
 }
 
-// awaitRenewalRetry waits for executor.RenewalRetryDelay, until a renewal is requested or until
-// ctx is done.
-func (d *Driver) awaitRenewalRetry(ctx context.Context) {
+// awaitRenewalRetry waits for the delay after a renewal that failed with err, until a renewal is
+// requested or until ctx is done.
+func (d *Driver) awaitRenewalRetry(ctx context.Context, err error) {
+	d.mu.Lock()
+	delay := d.executor.RenewalRetryDelay(bootclock.Now(), err)
+	d.mu.Unlock()
 	select {
 	case <-ctx.Done():
 	case <-d.renewNow:
-	case <-time.After(executor.RenewalRetryDelay):
+	case <-time.After(delay):
 	}
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -74,8 +74,6 @@
 	EntrySilenceTimeout = 600 * time.Millisecond
 	// Lease is how long the server keeps its runs after a start or renewal.
 	Lease = 600 * time.Millisecond
-	// RenewalRetryDelay is the delay before the next renewal after one that failed.
-	RenewalRetryDelay = 50 * time.Millisecond
 	// RenewalWait is how long the server holds a renewal until a run ends. It is
 	// therefore the longest time between two extensions of the lease.
 	RenewalWait = 150 * time.Millisecond
@@ -178,6 +176,8 @@
 	endings endings
 	// entries holds the known entries by name.
 	entries map[string]*entry
+	// lastUnansweredStart is when a start request last failed without a response.
+	lastUnansweredStart time.Duration
 	// leaseLimited is whether the lease can't be extended for long enough to start runs.
 	leaseLimited bool
 	// formerIncarnations are the newest incarnations of the server that were replaced.
--- a/executor/start.go
+++ b/executor/start.go
@@ -70,6 +70,9 @@
 		x.recordClock(now, clock)
 		x.recordResponse(now, err)
 	}
+	if !isDefinite(err) {
+		x.lastUnansweredStart = now
+	}
 	r, ok := x.runsByTask[request.Run.TaskID]
 	if !ok || r.id != request.Run || r.state == queued {
 		return effects
--- a/replay/agent_server.go
+++ b/replay/agent_server.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pollenfront/pollenfront"
-	"github.com/pollenfront/pollenfront/executor"
 )
 
 // errNoResponse is the error of a request to which the server did not respond.
@@ -43,7 +42,7 @@
 
 // renew renews the lease of the server. The next renewal is sent when the response
 // arrives or the interval ends, whichever comes first. If the request times out before
-// that, the next renewal follows after executor.RenewalRetryDelay.
+// that, the next renewal follows after the executor's delay.
 func (a *agentNode) renew() {
 	sent := a.fleet.now
 	request := a.executor.NextRenewal(sent)
@@ -66,7 +65,7 @@
 		if !responded {
 			responded = true // A later response is dropped.
 			a.applyEffects(a.executor.HandleRenewalError(a.fleet.now, sent, errNoResponse))
-			scheduleNext(executor.RenewalRetryDelay)
+			scheduleNext(a.executor.RenewalRetryDelay(a.fleet.now, errNoResponse))
 		}
 	})
 	a.sendRenewal(request, func(response *pollenfront.RenewalResponse, err error) {
@@ -81,7 +80,7 @@
 			a.executor.HandleRenewalFenced()
 		default:
 			a.applyEffects(a.executor.HandleRenewalError(a.fleet.now, sent, err))
-			scheduleNext(executor.RenewalRetryDelay)
+			scheduleNext(a.executor.RenewalRetryDelay(a.fleet.now, err))
 		}
 		scheduleNext(0)
 	})
--- a/replay/crash.go
+++ b/replay/crash.go
@@ -57,6 +57,11 @@
 // endProcess ends the server's process, so that open connections break and new ones are
 // refused, and starts it again after a time.
 func (s *serverNode) endProcess(down time.Duration) {
+	s.endProcessUntil(down, s.announce)
+}
+
+// endProcessUntil is endProcess, and calls restarted when the next incarnation is up.
+func (s *serverNode) endProcessUntil(down time.Duration, restarted func()) {
 	abortRenewal := s.abortRenewal
 	s.crash()
 	s.refusing = true
@@ -66,7 +71,7 @@
 	}
 	s.fleet.schedule(down, func() {
 		if s.restart(lifetime) {
-			s.announce()
+			restarted()
 		}
 	})
 }
@@ -76,3 +81,9 @@
 func (f *Fleet) CrashServerProcess(at time.Duration, agent int, down time.Duration) {
 	f.scheduleAt(at, func() { f.agents[agent].server.endProcess(down) })
 }
+
+// CrashServerProcessUnannounced is CrashServerProcess, but the next incarnation announces itself
+// at the next regular time only.
+func (f *Fleet) CrashServerProcessUnannounced(at time.Duration, agent int, down time.Duration) {
+	f.scheduleAt(at, func() { f.agents[agent].server.endProcessUntil(down, func() {}) })
+}
--- a/replay/next_incarnation_test.go
+++ b/replay/next_incarnation_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -8,6 +9,24 @@
 	"github.com/pollenfront/pollenfront/replay"
 )
 
+// TestDelayedStartAfterRefusals is TestDelayedStartReachesNextIncarnation for a server whose
+// process ends. Its agent knows that the server is down, as connections are refused, but not when
+// it is back: the first announcement of the next incarnation comes after the delayed start.
+func TestDelayedStartAfterRefusals(t *testing.T) {
+	for _, down := range []time.Duration{700 * time.Millisecond, 7 * time.Second} {
+		for _, delay := range append([]time.Duration{20 * time.Millisecond}, restartDelays...) {
+			t.Run(fmt.Sprintf("down for %v, %v after the restart", down, delay), func(t *testing.T) {
+				checkOneRun(t, replay.Settings{Agents: 3, Entries: 2}, func(f *replay.Fleet) {
+					crash := faultAt + 500*time.Millisecond
+					f.Load([]replay.Kind{longKind}, crash, crash+down, 1) // Some of its tasks run when the server is back.
+					f.HoldRequests(faultAt-1700*time.Millisecond, 0, replay.Starts, 1600*time.Millisecond, crash+down+delay)
+					f.CrashServerProcessUnannounced(crash, 0, down)
+				})
+			})
+		}
+	}
+}
+
 // TestDelayedStartsOnNextIncarnation guards against a run that ends with the lease of a former
 // incarnation of its server while the next one carries out its delayed start.
 func TestDelayedStartsOnNextIncarnation(t *testing.T) {
