Send a start up to 12 times

Cause: with half of the requests late, 1 of 64 runs gets no response to all of its 6 start requests and has to be started elsewhere.

A server that responds to nothing for 100 ms is unavailable as before.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -115,7 +115,7 @@
 	maxSlowCheckPercent = 50
 	// maxStartAttempts is how often a start is sent before the task goes back to
 	// its entry.
-	maxStartAttempts = 6
+	maxStartAttempts = 12
 	// noCapacityPause is how long nothing starts after the server refused a start
 	// with ErrNoCapacity although the learned capacity covered it.
 	noCapacityPause = 10 * time.Millisecond
