Withhold ends of runs whose starts may be carried out later

Cause: a start without a response is fenced by a stop, or repeated, and the run ends: it is stopped as slow, fails or is lost. Its entry then starts the task elsewhere.

Change: the end of a run that did not complete and of which a start got no response is told to its entry 12 s after its newest start. Until then it counts as a run of the agent when the entry links again. One that is stopped in a later incarnation than that of the start is reported at once. A first try reported an end when the entry stopped the run; entries also stop slow runs to start them elsewhere, and TestDelayedStartAfterRefusals with 7 s broke the rule on it.

TestUnansweredStart expected the report at once after the stop was confirmed: that is what lets the task run twice. It now checks at the same times that the run has ended, on that evidence, and that the report comes after 12 s. TestAnswerToEarlierRunOfSameNumber checks that the run has ended by the effects in place of the report.

--- a/executor/attribution_test.go
+++ b/executor/attribution_test.go
@@ -15,8 +15,7 @@
 	x := newExecutor()
 	first := x.HandleCommands(at(0), testEntry, startCommands(at(0), 0)).Starts[0]
 	// The goroutine of the start does not run, and the lease expires without any answer.
-	x.Tick(at(700))
-	c.Assert(reportedEndings(x, at(700)), qt.HasLen, 1)
+	c.Assert(x.Tick(at(700)).Ended, qt.HasLen, 1)
 	x.HandleRenewal(at(1351), at(1350), &pollenfront.RenewalResponse{Clock: serverClock(at(1351)), Incarnation: 1})
 	x.LinkEntry(at(1351), busyEntry)
 	c.Assert(x.HandleCommands(at(1352), busyEntry, startCommands(at(1352), 0)).Starts, qt.HasLen, 0)
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -92,7 +92,8 @@
 	}
 }
 
-// runStates returns the active and the recently ended runs of an entry.
+// runStates returns the active and the recently ended runs of an entry. Runs whose ends are
+// withheld count as active.
 func (x *Executor) runStates(e *entry) []tasklink.RunState {
 	var states []tasklink.RunState
 	for _, r := range x.acceptedRuns {
@@ -100,6 +101,11 @@
 			states = append(states, tasklink.RunState{Run: r.id})
 		}
 	}
+	for i := range x.withheldEnds {
+		if w := &x.withheldEnds[i]; w.entry == e {
+			states = append(states, tasklink.RunState{Run: w.end.Run})
+		}
+	}
 	for _, ended := range e.recentEnds {
 		states = append(states, tasklink.RunState{Run: ended.end.Run, Ending: ended.end.Ending, Reason: ended.end.Reason})
 	}
@@ -109,24 +115,24 @@
 // reportEnd queues the end of a run for the next update to its entry, and keeps it
 // for an entry that links again.
 func (x *Executor) reportEnd(now time.Duration, e *entry, ended EndedRun, effects *Effects) {
-	end := ended.RunEnd
-	e.recentEnds = append(e.recentEnds, recentEnd{at: now, end: end})
 	ended.Reported = e.linked
 	effects.Ended = append(effects.Ended, ended)
+	x.queueEnd(now, e, ended.RunEnd, effects)
+}
+
+// queueEnd queues the end of a run for the next update to its entry.
+func (x *Executor) queueEnd(now time.Duration, e *entry, end tasklink.RunEnd, effects *Effects) {
+	e.recentEnds = append(e.recentEnds, recentEnd{at: now, end: end})
 	if e.linked {
 		e.pendingEnds = append(e.pendingEnds, end)
 		effects.notify(e.Name)
 	}
 }
 
-// hasRuns reports whether a run of an entry has not ended.
+// hasRuns reports whether a run of an entry has not ended, or its end is withheld.
 func (x *Executor) hasRuns(e *entry) bool {
-	for _, r := range x.acceptedRuns {
-		if r.entry == e {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(x.acceptedRuns, func(r *run) bool { return r.entry == e }) ||
+		slices.ContainsFunc(x.withheldEnds, func(w withheldEnd) bool { return w.entry == e })
 }
 
 // checkSilence stops all runs of an entry once it has become silent.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -34,6 +34,9 @@
 //     end of the run only when the run can no longer start or go on. This is so,
 //     for example, if the server refused its only start, if a renewal sent after a
 //     confirmed stop does not list it, or if the lease has expired.
+//   - The next incarnation of the server may carry out such a start before the agent can
+//     reject it. The entry of a run that did not complete is therefore told of its end only when
+//     this can't happen any more.
 //   - A server that leaves requests unanswered is first suspect, and requests are
 //     repeated sooner. If it does not respond for longer, it is unavailable and
 //     gets no tasks until it responds.
@@ -211,6 +214,8 @@
 	token uint64
 	// unknownListedAt is when the server last listed runs that the executor does not know.
 	unknownListedAt time.Duration
+	// withheldEnds lists the ends of runs that their entries are told later.
+	withheldEnds []withheldEnd
 }
 
 // New returns an Executor for the agent with the given name in a zone, whose backend
@@ -270,6 +275,7 @@
 	x.findOverloaded(now)
 	x.crashes.Expire(now)
 	x.endings.expire(now)
+	x.releaseEnds(now, &effects)
 	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
 		e := x.entries[name]
 		x.checkSilence(now, e, &effects)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -166,8 +166,9 @@
 }
 
 // TestUnansweredStart guards against reporting a run as not started while its start
-// request may still be carried out. After a start without a response, the end must be
-// reported only when a stop is confirmed and a later renewal does not list the run.
+// request may still be carried out. After a start without a response, the run ends
+// only when a stop is confirmed and a later renewal does not list it. The end must be reported
+// only when the next incarnation of the server can't carry out the start either.
 func TestUnansweredStart(t *testing.T) {
 	c := qt.New(t)
 	x := newExecutor()
@@ -180,13 +181,16 @@
 	c.Assert(effects.Stops, qt.DeepEquals, []executor.StopRequest{{Incarnation: 1, Run: runID(0), Token: 10}})
 	c.Assert(reportedEndings(x, at(200)), qt.HasLen, 0)
 	response := &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1}
-	x.HandleRenewal(at(210), at(190), response)
-	c.Assert(reportedEndings(x, at(210)), qt.HasLen, 0)
+	c.Assert(x.HandleRenewal(at(210), at(190), response).Ended, qt.HasLen, 0)
 	x.HandleStopResponse(at(220), effects.Stops[0], 0, nil)
-	x.HandleRenewal(at(230), at(210), response)
-	c.Assert(reportedEndings(x, at(230)), qt.HasLen, 0)
-	x.HandleRenewal(at(240), at(225), response)
-	c.Assert(reportedEndings(x, at(240)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingNotStarted})
+	c.Assert(x.HandleRenewal(at(230), at(210), response).Ended, qt.HasLen, 0)
+	ended := x.HandleRenewal(at(240), at(225), response).Ended
+	c.Assert(ended, qt.HasLen, 1)
+	c.Assert(ended[0].Evidence, qt.Equals, executor.StoppedAndUnlisted)
+	x.Tick(at(12000))
+	c.Assert(reportedEndings(x, at(12000)), qt.HasLen, 0)
+	x.Tick(at(12200))
+	c.Assert(reportedEndings(x, at(12200)), qt.DeepEquals, map[int]pollenfront.Ending{0: pollenfront.EndingNotStarted})
 }
 
 // TestRepeatedStart checks a start whose first request was not answered. The request
--- a/executor/run.go
+++ b/executor/run.go
@@ -77,6 +77,9 @@
 	// started is whether the server reported that the run has started, or the run
 	// may have started in an earlier incarnation of the server.
 	started bool
+	// startIncarnation is the incarnation of the server that the newest start request is meant
+	// for.
+	startIncarnation uint64
 	// startRetryPending is whether the connection broke during the newest start
 	// request, and retryStarts is to repeat it.
 	startRetryPending bool
@@ -204,7 +207,8 @@
 
 // endRun removes a run and reports its end to its entry. The reason for which it was
 // stopped, if any, takes precedence over the given one. shownBy is what shows that the run
-// is over. A later incarnation of the entry gets no report.
+// is over. A later incarnation of the entry gets no report. An end that may be followed by a
+// delayed start is reported later.
 func (x *Executor) endRun(now time.Duration, r *run, ending pollenfront.Ending, shownBy proof, reason string, effects *Effects) {
 	delete(x.runsByTask, r.id.TaskID)
 	x.acceptedRuns = slices.DeleteFunc(x.acceptedRuns, func(other *run) bool { return other == r })
@@ -228,6 +232,11 @@
 		effects.Ended = append(effects.Ended, ended)
 		return
 	}
+	if x.withholdsEnd(now, r, ending) {
+		x.withholdEnd(r, end)
+		effects.Ended = append(effects.Ended, ended)
+		return
+	}
 	x.reportEnd(now, r.entry, ended, effects)
 }
 
--- a/executor/start.go
+++ b/executor/start.go
@@ -46,6 +46,7 @@
 	x.interference.recordStart(now, r, x.server.capacity.learned)
 	r.openStarts++
 	r.startAttempts++
+	r.startIncarnation = x.server.incarnation
 	r.lastStartSent, r.state, r.startRetryPending = now, starting, false
 	effects.Starts = append(effects.Starts, pollenfront.StartRequest{
 		Incarnation: x.server.incarnation, LeaseExpiry: x.extendLease(now), Payload: r.payload, Run: r.id, Timeout: x.startTimeout(now), Token: x.token,
