--- a/executor/executor.go
+++ b/executor/executor.go
@@ -34,6 +34,9 @@
 //     end of the run only when the run can no longer start or go on. This is so,
 //     for example, if the server refused its only start, if a renewal sent after a
 //     confirmed stop does not list it, or if the lease has expired.
+//   - The next incarnation of the server may carry out such a start before the agent can
+//     reject it. The entry of a run that did not complete is therefore told of its end only when
+//     this can't happen any more.
 //   - A server that leaves requests unanswered is first suspect, and requests are
 //     repeated sooner. If it does not respond for longer, it is unavailable and
 //     gets no tasks until it responds.
@@ -76,8 +79,6 @@
 	EntrySilenceTimeout = 600 * time.Millisecond
 	// Lease is how long the server keeps its runs after a start or renewal.
 	Lease = 600 * time.Millisecond
-	// RenewalRetryDelay is the delay before the next renewal after one that failed.
-	RenewalRetryDelay = 50 * time.Millisecond
 	// RenewalWait is how long the server holds a renewal until a run ends. It is
 	// therefore the longest time between two extensions of the lease.
 	RenewalWait = 150 * time.Millisecond
@@ -121,7 +122,7 @@
 	maxSlowCheckPercent = 50
 	// maxStartAttempts is how often a start is sent before the task goes back to
 	// its entry.
-	maxStartAttempts = 6
+	maxStartAttempts = 12
 	// noCapacityPause is how long nothing starts after the server refused a start
 	// with ErrNoCapacity although the learned capacity covered it.
 	noCapacityPause = 10 * time.Millisecond
@@ -184,6 +185,8 @@
 	endings endings
 	// entries holds the known entries by name.
 	entries map[string]*entry
+	// lastUnansweredStart is when a start request last failed without a response.
+	lastUnansweredStart time.Duration
 	// leaseLimited is whether the lease can't be extended for long enough to start runs.
 	leaseLimited bool
 	// formerIncarnations are the newest incarnations of the server that were replaced.
@@ -217,6 +220,8 @@
 	token uint64
 	// unknownListedAt is when the server last listed runs that the executor does not know.
 	unknownListedAt time.Duration
+	// withheldEnds lists the ends of runs that their entries are told later.
+	withheldEnds []withheldEnd
 }
 
 // New returns an Executor for the agent with the given name in a zone, whose backend
@@ -278,6 +283,7 @@
 	x.cancellations.Expire(now)
 	x.crashes.Expire(now)
 	x.endings.expire(now)
+	x.releaseEnds(now, &effects)
 	for _, name := range slices.Sorted(maps.Keys(x.entries)) {
 		e := x.entries[name]
 		x.checkSilence(now, e, &effects)
--- a/executor/start.go
+++ b/executor/start.go
@@ -46,6 +46,7 @@
 	x.interference.recordStart(now, r, x.server.capacity.learned)
 	r.openStarts++
 	r.startAttempts++
+	r.startIncarnation = x.server.incarnation
 	r.lastStartSent, r.state, r.startRetryPending = now, starting, false
 	leaseExpiry := x.extendLease(now)
 	if r.mayRepeat() {
@@ -76,6 +77,9 @@
 		x.recordClock(now, clock)
 		x.recordResponse(now, err)
 	}
+	if !isDefinite(err) {
+		x.lastUnansweredStart = now
+	}
 	r, ok := x.runsByTask[request.Run.TaskID]
 	if !ok || r.id != request.Run || r.state == queued {
 		return effects
