Answer jobs whose runs' ends are withheld at once

What can't be served is to be answered at once. Change: updates name the runs whose ends are withheld, again on each new link. The entry answers the job as unknown unless the caller waits for longer than the end is withheld, and places the task no more. Result: TestWithheldEnd, TestWithheldEndIsAnnounced; without the change the first gets no answer.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -32,6 +32,8 @@
 	linked bool
 	// pendingEnds lists the ends of runs for the next update.
 	pendingEnds []tasklink.RunEnd
+	// pendingWithheld lists the runs whose ends are withheld, for the next update.
+	pendingWithheld []pollenfront.RunID
 	// released is when the agent began to release the entry, which then is to send
 	// no more tasks, and zero otherwise.
 	released time.Duration
@@ -92,6 +94,7 @@
 	}
 	e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = 0, true, 0, false, nil
 	e.cancelCursor, e.cancellationSeqNum, e.crashCursor = 0, 0, 0
+	e.pendingWithheld = x.withheldRuns(e)
 	x.removeFromShares(e) // A new link starts without a statement.
 	x.addToShares(e)
 	x.interference.forget(ref.Name)
@@ -116,10 +119,8 @@
 			states = append(states, tasklink.RunState{Run: r.id})
 		}
 	}
-	for i := range x.withheldEnds {
-		if w := &x.withheldEnds[i]; w.entry == e {
-			states = append(states, tasklink.RunState{Run: w.end.Run})
-		}
+	for _, run := range x.withheldRuns(e) {
+		states = append(states, tasklink.RunState{Run: run})
 	}
 	for _, ended := range e.recentEnds {
 		states = append(states, ended.runState(now))
@@ -184,6 +185,7 @@
 	}
 	update.Report.Share, update.Report.Overloaded = x.grantShare(now, e), x.overloadedEntry(now, name)
 	e.pendingEnds = nil
+	update.Withheld, e.pendingWithheld = e.pendingWithheld, nil
 	update.Cancellations, update.CancellationSeqNum = x.NextCancellations(now, name), e.cancellationSeqNum
 	update.Crashes, e.crashCursor = x.crashes.Since(now, e.crashCursor, name)
 	x.interference.fill(now, name, &update)
--- a/executor/run.go
+++ b/executor/run.go
@@ -241,7 +241,7 @@
 		return
 	}
 	if x.withholdsEnd(now, r, ending) {
-		x.withholdEnd(r, end)
+		x.withholdEnd(r, end, effects)
 		effects.Ended = append(effects.Ended, ended)
 		return
 	}
--- a/executor/withheld.go
+++ b/executor/withheld.go
@@ -26,9 +26,25 @@
 		now < r.lastStartSent+maxRequestDelay
 }
 
-// withholdEnd keeps the end of a run until its delayed starts can't be carried out any more.
-func (x *Executor) withholdEnd(r *run, end tasklink.RunEnd) {
+// withholdEnd keeps the end of a run until its delayed starts can't be carried out any more. The
+// entry is told that it is withheld, since it need not wait for a job that can't go on in time.
+func (x *Executor) withholdEnd(r *run, end tasklink.RunEnd, effects *Effects) {
 	x.withheldEnds = append(x.withheldEnds, withheldEnd{end: end, entry: r.entry, until: r.lastStartSent + maxRequestDelay})
+	if r.entry.linked {
+		r.entry.pendingWithheld = append(r.entry.pendingWithheld, end.Run)
+		effects.notify(r.entry.Name)
+	}
+}
+
+// withheldRuns returns the runs of an entry whose ends are withheld.
+func (x *Executor) withheldRuns(e *entry) []pollenfront.RunID {
+	var runs []pollenfront.RunID
+	for i := range x.withheldEnds {
+		if w := &x.withheldEnds[i]; w.entry == e {
+			runs = append(runs, w.end.Run)
+		}
+	}
+	return runs
 }
 
 // releaseEnds reports the withheld ends whose delayed starts can't be carried out any more.
--- a/executor/withheld_test.go
+++ b/executor/withheld_test.go
@@ -94,3 +94,20 @@
 	x.Tick(at(12_100))
 	c.Check(reportedEndings(x, at(12_100)), qt.HasLen, 0)
 }
+
+// TestWithheldEndIsAnnounced guards against an entry that waits for a job although the end of one
+// of its runs is withheld, also if the news was on its way when the link broke.
+func TestWithheldEndIsAnnounced(t *testing.T) {
+	c := qt.New(t)
+	x := newOpenStartExecutor()
+	x.HandleRenewal(at(50), at(45), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1})
+	for _, want := range [][]pollenfront.RunID{{runID(1)}, nil} {
+		update, ok := x.NextUpdate(at(60), testEntry.Name)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(update.Withheld, qt.DeepEquals, want)
+	}
+	x.LinkEntry(at(70), testEntry)
+	update, ok := x.NextUpdate(at(71), testEntry.Name)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(update.Withheld, qt.DeepEquals, []pollenfront.RunID{runID(1)})
+}
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -188,6 +188,10 @@
 		s.recordCrash(now, crash, name, effects)
 		unchanged = false
 	}
+	for _, run := range update.Withheld {
+		s.abandonWithheld(now, a, run, effects)
+		unchanged = false
+	}
 	for i := range update.RunEnds {
 		end := &update.RunEnds[i]
 		t, ok := a.tasks[end.Run]
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -118,6 +118,9 @@
 	Cancellations []pollenfront.Cancellation
 	// CancellationSeqNum is the newest CancellationSeqNum in the commands on the link.
 	CancellationSeqNum uint64
+	// Withheld lists runs of the entry that have ended, but are not in RunEnds before a
+	// delayed start of them can't be carried out any more, seconds later.
+	Withheld []pollenfront.RunID
 }
 
 // A Report is the state of a backend server and its agent.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -1105,8 +1105,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendInt64(o, z.Clock)
 	o = msgp.AppendUint64(o, z.LastSeqNum)
 	o, err = z.Report.MarshalMsg(o)
@@ -1165,6 +1165,14 @@
 		}
 	}
 	o = msgp.AppendUint64(o, z.CancellationSeqNum)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Withheld)))
+	for za0005 := range z.Withheld {
+		o, err = z.Withheld[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Withheld", za0005)
+			return
+		}
+	}
 	return
 }
 
@@ -1176,8 +1184,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1320,6 +1328,28 @@
 		err = msgp.WrapError(err, "CancellationSeqNum")
 		return
 	}
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Withheld")
+		return
+	}
+	if zb0006 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Withheld) >= int(zb0006) {
+		z.Withheld = (z.Withheld)[:zb0006]
+	} else {
+		z.Withheld = make([]pollenfront.RunID, zb0006)
+	}
+	for za0005 := range z.Withheld {
+		bts, err = z.Withheld[za0005].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Withheld", za0005)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -1352,6 +1382,9 @@
 	for za0004 := range z.Cancellations {
 		s += z.Cancellations[za0004].Msgsize()
 	}
-	s += msgp.Uint64Size
+	s += msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0005 := range z.Withheld {
+		s += z.Withheld[za0005].Msgsize()
+	}
 	return
 }
