--- a/executor/entry.go
+++ b/executor/entry.go
@@ -32,6 +32,8 @@
 	linked bool
 	// pendingEnds lists the ends of runs for the next update.
 	pendingEnds []tasklink.RunEnd
+	// pendingWithheld lists the runs whose ends are withheld, for the next update.
+	pendingWithheld []pollenfront.RunID
 	// released is when the agent began to release the entry, which then is to send
 	// no more tasks, and zero otherwise.
 	released time.Duration
@@ -92,6 +94,7 @@
 	}
 	e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = 0, true, 0, false, nil
 	e.cancelCursor, e.cancellationSeqNum, e.crashCursor = 0, 0, 0
+	e.pendingWithheld = x.withheldRuns(e)
 	x.removeFromShares(e) // A new link starts without a statement.
 	x.addToShares(e)
 	x.interference.forget(ref.Name)
@@ -107,7 +110,8 @@
 	}
 }
 
-// runStates returns the active and the recently ended runs of an entry.
+// runStates returns the active and the recently ended runs of an entry. Runs whose ends are
+// withheld count as active.
 func (x *Executor) runStates(now time.Duration, e *entry) []tasklink.RunState {
 	var states []tasklink.RunState
 	for _, r := range x.acceptedRuns {
@@ -115,6 +119,9 @@
 			states = append(states, tasklink.RunState{Run: r.id})
 		}
 	}
+	for _, run := range x.withheldRuns(e) {
+		states = append(states, tasklink.RunState{Run: run})
+	}
 	for _, ended := range e.recentEnds {
 		states = append(states, ended.runState(now))
 	}
@@ -124,27 +131,27 @@
 // reportEnd queues the end of a run for the next update to its entry, and keeps it
 // for an entry that links again.
 func (x *Executor) reportEnd(now time.Duration, e *entry, ended EndedRun, effects *Effects) {
-	end := ended.RunEnd
+	ended.Reported = e.linked
+	effects.Ended = append(effects.Ended, ended)
+	x.queueEnd(now, e, ended.RunEnd, effects)
+}
+
+// queueEnd queues the end of a run for the next update to its entry.
+func (x *Executor) queueEnd(now time.Duration, e *entry, end tasklink.RunEnd, effects *Effects) {
 	if end.Ending == pollenfront.EndingDone {
 		end.Evidence, end.EvidenceAge = "", 0 // The task is not run again.
 	}
 	e.recentEnds = append(e.recentEnds, recentEnd{at: now, end: end})
-	ended.Reported = e.linked
-	effects.Ended = append(effects.Ended, ended)
 	if e.linked {
 		e.pendingEnds = append(e.pendingEnds, end)
 		effects.notify(e.Name)
 	}
 }
 
-// hasRuns reports whether a run of an entry has not ended.
+// hasRuns reports whether a run of an entry has not ended, or its end is withheld.
 func (x *Executor) hasRuns(e *entry) bool {
-	for _, r := range x.acceptedRuns {
-		if r.entry == e {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(x.acceptedRuns, func(r *run) bool { return r.entry == e }) ||
+		slices.ContainsFunc(x.withheldEnds, func(w withheldEnd) bool { return w.entry == e })
 }
 
 // checkSilence stops all runs of an entry once it has become silent.
@@ -178,6 +185,7 @@
 	}
 	update.Report.Share, update.Report.Overloaded = x.grantShare(now, e), x.overloadedEntry(now, name)
 	e.pendingEnds = nil
+	update.Withheld, e.pendingWithheld = e.pendingWithheld, nil
 	update.Cancellations, update.CancellationSeqNum = x.NextCancellations(now, name), e.cancellationSeqNum
 	update.Crashes, e.crashCursor = x.crashes.Since(now, e.crashCursor, name)
 	x.interference.fill(now, name, &update)
