Close connections of callers that can't be watched

Cause: if the kernel refused to watch a connection, for example at a limit of the machine, the entry served it all the same and did not know when its caller left. Change: such a connection is closed; its caller connects again. Result: TestUnwatchableConnection; without the change the connection stays open until the test's time limit.

--- a/callerconn/watcher.go
+++ b/callerconn/watcher.go
@@ -74,7 +74,8 @@
 // idKey is the key of the ID in the context of a request.
 type idKey struct{}
 
-// Context adds a connection to the watched ones. It is the ConnContext of an http.Server.
+// Context adds a connection to the watched ones, or closes it if it can't be watched. It is the
+// ConnContext of an http.Server.
 func (w *Watcher) Context(ctx context.Context, conn net.Conn) context.Context {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
@@ -83,7 +84,8 @@
 	_ = tcp.SetKeepAliveConfig(probes) // It fails only if the connection is closed already.
 	id, err := w.add(tcp)
 	if err != nil {
-		return ctx // The connection is closed already, or the server closes it as it can't be read.
+		_ = conn.Close() // Nobody would know when the caller leaves.
+		return ctx
 	}
 	return context.WithValue(ctx, idKey{}, id)
 }
--- a/callerconn/watcher_test.go
+++ b/callerconn/watcher_test.go
@@ -181,3 +181,16 @@
 	c.Assert(w.LastHeard(silent) >= 2*time.Second, qt.IsTrue)
 	c.Assert(w.LastHeard(0), qt.Equals, time.Duration(0))
 }
+
+// TestUnwatchableConnection guards against requests on a connection of which nobody would know
+// that its caller has left.
+func TestUnwatchableConnection(t *testing.T) {
+	c := qt.New(t)
+	w, err := callerconn.NewWatcher()
+	c.Assert(err, qt.IsNil)
+	conn, _, caller := newPair(t, w, func(*net.TCPConn) {})
+	again := callerconn.FromContext(w.Context(context.Background(), conn)) // A descriptor can't be added twice.
+	c.Assert(again, qt.Equals, callerconn.ID(0))
+	_, err = caller.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNotNil)
+}
