Return all closed connections of callers

Change: it goes on until a batch is not full. Each connection is reported once, so that it ends. Result: TestClosedBehindForgotten fails without the change (nothing is returned).

--- a/callerconn/watcher.go
+++ b/callerconn/watcher.go
@@ -141,14 +141,13 @@
 		if errors.Is(err, unix.EINTR) {
 			continue
 		}
-		before := len(closed)
 		for _, event := range w.events[:max(n, 0)] {
 			if id := ID(event.Fd); w.open[id] != nil {
 				delete(w.open, id)
 				closed = append(closed, id)
 			}
 		}
-		if n < eventsPerPoll || len(closed) == before {
+		if n < eventsPerPoll {
 			return closed
 		}
 	}
--- a/callerconn/watcher_test.go
+++ b/callerconn/watcher_test.go
@@ -195,6 +195,26 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+// TestClosedBehindForgotten guards against a closed connection that is not returned since many
+// that the server has given away were closed before it.
+func TestClosedBehindForgotten(t *testing.T) {
+	c := qt.New(t)
+	w, err := callerconn.NewWatcher()
+	c.Assert(err, qt.IsNil)
+	var callers []*net.TCPConn
+	for range 128 {
+		conn, _, caller := newPair(t, w, func(*net.TCPConn) {})
+		w.HandleState(conn, http.StateHijacked)
+		callers = append(callers, caller)
+	}
+	_, id, last := newPair(t, w, func(*net.TCPConn) {})
+	for _, caller := range append(callers, last) {
+		c.Assert(caller.Close(), qt.IsNil)
+	}
+	time.Sleep(50 * time.Millisecond)
+	c.Assert(w.Closed(), qt.DeepEquals, []callerconn.ID{id})
+}
+
 // BenchmarkClosed measures what an entry does before each event, with the connections of 200
 // callers that wait.
 func BenchmarkClosed(b *testing.B) {
