--- a/executor/run.go
+++ b/executor/run.go
@@ -72,6 +72,8 @@
 	rerun bool
 	// startAttempts is the number of start requests since the run left the queue.
 	startAttempts int
+	// startAccepted is whether the server has accepted a start request in an answer.
+	startAccepted bool
 	// startAnswered is when the server last answered a start request.
 	startAnswered time.Duration
 	// started is whether the server reported that the run has started, or the run
@@ -240,7 +242,7 @@
 		effects.Ended = append(effects.Ended, ended)
 		return
 	}
-	if x.withholdsEnd(now, r, ending) {
+	if x.withholdsEnd(now, r, ending, shownBy.kind) {
 		x.withholdEnd(r, end, effects)
 		effects.Ended = append(effects.Ended, ended)
 		return
--- a/executor/start.go
+++ b/executor/start.go
@@ -92,7 +92,7 @@
 	case !isDefinite(err):
 		x.handleUnansweredStart(now, r, &effects)
 	case err == nil:
-		r.started, r.lastProgress = true, now
+		r.started, r.startAccepted, r.lastProgress = true, true, now
 		if r.state == starting {
 			r.state = running
 		}
--- a/executor/withheld.go
+++ b/executor/withheld.go
@@ -21,11 +21,20 @@
 // of the server that started after the last start request rejects the request, as it has seen a
 // higher token. An entry that stops a slow run starts the task again, and one that cancels a job
 // answers that it did not run if this is what the agents report.
-func (x *Executor) withholdsEnd(now time.Duration, r *run, ending pollenfront.Ending) bool {
-	return ending != pollenfront.EndingDone && r.openStarts > 0 && r.startIncarnation == x.server.incarnation &&
+func (x *Executor) withholdsEnd(now time.Duration, r *run, ending pollenfront.Ending, shownBy Evidence) bool {
+	return ending != pollenfront.EndingDone && r.delayedStarts(shownBy) > 0 && r.startIncarnation == x.server.incarnation &&
 		now < r.lastStartSent+maxRequestDelay
 }
 
+// delayedStarts returns how many start requests for the run may still be carried out. If the server
+// knows the run and has accepted none in an answer, one of the open ones was carried out.
+func (r *run) delayedStarts(shownBy Evidence) int {
+	if !r.startAccepted && (r.reportedAt > 0 || shownBy == EndListed) {
+		return r.openStarts - 1
+	}
+	return r.openStarts
+}
+
 // withholdEnd keeps the end of a run until its delayed starts can't be carried out any more. The
 // entry is told that it is withheld, since it need not wait for a job that can't go on in time.
 func (x *Executor) withholdEnd(r *run, end tasklink.RunEnd, effects *Effects) {
--- a/executor/withheld_test.go
+++ b/executor/withheld_test.go
@@ -111,3 +111,20 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(update.Withheld, qt.DeepEquals, []pollenfront.RunID{runID(1)})
 }
+
+// TestEndBeforeAnswerOfStart guards against an end that is withheld because it overtakes the answer
+// to the only start of the run, which can't be carried out again.
+func TestEndBeforeAnswerOfStart(t *testing.T) {
+	c := qt.New(t)
+	x := newExecutor()
+	effects := x.HandleCommands(at(10), testEntry, startCommands(at(10), 0))
+	c.Assert(effects.Starts, qt.HasLen, 1)
+	x.HandleRenewal(at(16), at(15), &pollenfront.RenewalResponse{Clock: time.Second, Incarnation: 1, Ended: []pollenfront.EndedRun{
+		{Ending: pollenfront.EndingFailed, Run: runID(0), SeqNum: 1},
+	}})
+	x.HandleStartResponse(at(18), effects.Starts[0], time.Second, nil)
+	update, ok := x.NextUpdate(at(26), testEntry.Name)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(update.Withheld, qt.HasLen, 0)
+	c.Assert(update.RunEnds, qt.HasLen, 1)
+}
