--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -189,7 +189,7 @@
 		unchanged = false
 	}
 	for _, run := range update.Withheld {
-		s.abandonWithheld(now, a, run, effects)
+		s.handleWithheld(now, a, run, effects)
 		unchanged = false
 	}
 	for i := range update.RunEnds {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -53,6 +53,8 @@
 	// avoid is the agent of the latest run that failed, was slow or was stopped. It
 	// gets the task again only if no other agent's server can run it.
 	avoid *agent
+	// endWithheld is set if the run has ended, and its agent will report that later.
+	endWithheld bool
 	// expectedRunTime is the expected run time on the server that the task was sent
 	// to.
 	expectedRunTime time.Duration
@@ -208,7 +210,7 @@
 		if t.state == taskSent {
 			s.stop(t, effects)
 		}
-		if t.state == taskSent && now-t.agent.lastUpdate > AgentSuspectTimeout {
+		if t.state == taskSent && (t.endWithheld || now-t.agent.lastUpdate > AgentSuspectTimeout) {
 			j.answer(pollenfront.VerdictUnknown, reason, "", 0, effects)
 		}
 	}
@@ -285,7 +287,7 @@
 		a.suspects--
 	}
 	j.trace.LastServer, j.trace.LastSent, j.trace.LastRunTime = a.Name, t.sentAt-j.arrived, time.Duration(end.Seconds*float64(time.Second))
-	t.agent, t.state, t.stopRequested = nil, taskWaiting, false
+	t.agent, t.state, t.stopRequested, t.endWithheld = nil, taskWaiting, false, false
 	if end.Ending != pollenfront.EndingNotStarted {
 		t.mayHaveStarted, j.mayHaveStarted = true, true
 	}
