Refuse requests that may have waited while the entry stood still

Where it reports nothing, or late (a whole machine was suspended, so that the end of the connection is still on its way), the entry takes the request for a new one. Change: package pauselog records when the process stood still, by the boot clock. The accept queue tells which connections waited. An at-most-once job is refused before its ID is claimed; after that, and for a job that is under way, the answer doesn't say that nothing ran. At start an entry checks what the kernel reports, logs it and exports it (pollenfront_caller_watch_supported); pollenfront_callers_left_total tells what showed that a caller left. Why it works: a caller submits again 1.3 s after its connection broke at the earliest, so after the request was sent. The rule needs the clock only.

--- a/callerconn/watcher.go
+++ b/callerconn/watcher.go
@@ -10,12 +10,17 @@
 // cut. It probes each connection after ProbeIdle without a packet. A caller's machine that has
 // lost the connection resets it. LastHeard tells when the machine last answered anything.
 //
+// What the kernel tells may come late, or not at all. MaxRequestAge needs nothing from it: it
+// bounds the age of a request by the times at which the process stood still. Check tells
+// what the kernel reports.
+//
 // # Usage
 //
 //	w, err := callerconn.NewWatcher()
-//	server := &http.Server{ConnContext: w.Context, ConnState: w.HandleState, …}
+//	server := &http.Server{BaseContext: w.BaseContext, ConnContext: w.Context, ConnState: w.HandleState, …}
 //
 //	conn := callerconn.FromContext(request.Context())
+//	w.Observe(now)
 //	for _, conn := range w.Closed() { … }
 package callerconn
 
@@ -29,6 +34,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/pollenfront/pollenfront/pauselog"
 )
 
 // eventsPerPoll is the number of closed connections that one system call returns.
@@ -59,7 +66,17 @@
 	lastID ID
 	mu     sync.Mutex
 	// open has the connections of ids without those that were found closed.
-	open map[ID]*net.TCPConn
+	open map[ID]openConn
+	// pauses has the times during which the process stood still.
+	pauses pauselog.Log
+}
+
+// An openConn is a connection that is not known to be closed.
+type openConn struct {
+	*net.TCPConn
+
+	// establishedAfter is a time before the connection was established.
+	establishedAfter time.Duration
 }
 
 // NewWatcher returns a Watcher that watches no connection yet.
@@ -68,7 +85,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("create an epoll instance: %w", err)
 	}
-	return &Watcher{epoll: epoll, ids: make(map[net.Conn]ID), open: make(map[ID]*net.TCPConn)}, nil
+	return &Watcher{epoll: epoll, ids: make(map[net.Conn]ID), open: make(map[ID]openConn)}, nil
+}
+
+// close releases the epoll instance. The Watcher must not be used afterwards.
+func (w *Watcher) close() {
+	_ = unix.Close(w.epoll)
 }
 
 // idKey is the key of the ID in the context of a request.
@@ -82,7 +104,7 @@
 		return ctx
 	}
 	_ = tcp.SetKeepAliveConfig(probes) // It fails only if the connection is closed already.
-	id, err := w.add(tcp)
+	id, err := w.add(openConn{TCPConn: tcp, establishedAfter: acceptQueueOf(ctx).next()})
 	if err != nil {
 		_ = conn.Close() // Nobody would know when the caller leaves.
 		return ctx
@@ -98,7 +120,7 @@
 }
 
 // add adds a connection and returns its ID.
-func (w *Watcher) add(conn *net.TCPConn) (ID, error) {
+func (w *Watcher) add(conn openConn) (ID, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return 0, err
@@ -111,7 +133,7 @@
 	if err := errors.Join(controlErr, err); err != nil {
 		return 0, err
 	}
-	w.ids[conn], w.open[w.lastID] = w.lastID, conn
+	w.ids[conn.TCPConn], w.open[w.lastID] = w.lastID, conn
 	return w.lastID, nil
 }
 
@@ -142,7 +164,7 @@
 			continue
 		}
 		for _, event := range w.events[:max(n, 0)] {
-			if id := ID(event.Fd); w.open[id] != nil {
+			if id := ID(event.Fd); w.isOpen(id) {
 				delete(w.open, id)
 				closed = append(closed, id)
 			}
@@ -161,7 +183,40 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.open[id] == nil
+	return !w.isOpen(id)
+}
+
+// isOpen reports whether a connection is not known to be closed. The caller must hold mu.
+func (w *Watcher) isOpen(id ID) bool {
+	_, ok := w.open[id]
+	return ok
+}
+
+// Observe records that the process works. It must be called often, and before the methods below
+// whenever the process may have stood still.
+func (w *Watcher) Observe(now time.Duration) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pauses.Observe(now)
+}
+
+// MaxRequestAge returns the longest time since which a request that was just read from a
+// connection may have been under way. It is zero unless the process stood still, or if the
+// connection is not watched any more.
+func (w *Watcher) MaxRequestAge(now time.Duration, id ID) time.Duration {
+	if w == nil {
+		return 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	conn, ok := w.open[id]
+	if !ok {
+		return 0
+	}
+	return w.pauses.MaxAge(now, conn.establishedAfter)
 }
 
 // LastHeard returns the time since the machine of a caller last sent a packet on a connection,
@@ -171,9 +226,9 @@
 		return 0
 	}
 	w.mu.Lock()
-	conn := w.open[id]
+	conn, ok := w.open[id]
 	w.mu.Unlock()
-	if conn == nil {
+	if !ok {
 		return 0
 	}
 	raw, err := conn.SyscallConn()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,6 +110,7 @@
 		return merry.Prepend(err, "watch callers")
 	}
 	e.jobs.WatchCallers(conns)
+	checkCallerWatch(e.process.Registry, e.logger)
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	var group run.Group
@@ -118,7 +119,7 @@
 		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
 	}
 	callerServer := &http.Server{
-		ConnContext: conns.Context, ConnState: conns.HandleState, Handler: e.closeConnections(platform.NewCallerHandler(e.jobs)),
+		BaseContext: conns.BaseContext, ConnContext: conns.Context, ConnState: conns.HandleState, Handler: e.closeConnections(platform.NewCallerHandler(e.jobs)),
 		IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: readHeaderTimeout,
 	}
 	program.AddServer(&group, callerServer, e.settings.Callers, e.logger)
@@ -127,7 +128,9 @@
 	router := mux.NewRouter()
 	e.process.Routes(router, e.jobs.Dump)
 	callers.NewAPI(e.jobs).Routes(router)
-	apiServer := &http.Server{ConnContext: conns.Context, ConnState: conns.HandleState, Handler: router, ReadHeaderTimeout: readHeaderTimeout}
+	apiServer := &http.Server{
+		BaseContext: conns.BaseContext, ConnContext: conns.Context, ConnState: conns.HandleState, Handler: router, ReadHeaderTimeout: readHeaderTimeout,
+	}
 	program.AddServer(&group, apiServer, e.settings.API, e.logger)
 	program.AddReloadHandler(&group, e.reload)
 	program.AddDrainHandler(ctx, partsCtx, &group, func() { e.drain(partsCtx, callerServer) })
--- a/entry/internal/jobs/metrics.go
+++ b/entry/internal/jobs/metrics.go
@@ -11,7 +11,7 @@
 // metrics are the Prometheus metrics of an entry's jobs.
 type metrics struct {
 	answered        *prometheus.CounterVec
-	callersLeft     prometheus.Counter
+	callersLeft     *prometheus.CounterVec
 	cancellations   *prometheus.CounterVec
 	fairShares      *prometheus.GaugeVec
 	interference    interferenceMetrics
@@ -33,9 +33,9 @@
 		answered: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_jobs_answered_total", Help: "Jobs that were answered, by route, verdict and reason.",
 		}, []string{"route", "verdict", "reason"}),
-		callersLeft: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "pollenfront_callers_left_total", Help: "Jobs whose callers left before the answer.",
-		}),
+		callersLeft: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollenfront_callers_left_total", Help: "Jobs whose callers left before the answer, by what showed it.",
+		}, []string{"evidence"}),
 		cancellations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenfront_cancellations_total", Help: "Requests to cancel a job, by outcome.",
 		}, []string{"outcome"}),
--- a/entry/internal/jobs/submissions.go
+++ b/entry/internal/jobs/submissions.go
@@ -42,6 +42,9 @@
 func (j *Jobs) Submit(ctx context.Context, sub pollenfront.Submission) pollenfront.Result {
 	caller := &waitingCaller{conn: callerconn.FromContext(ctx), job: sub.ID, result: make(chan pollenfront.Result, 1)}
 	if sub.AtMostOnce {
+		if result, ok := j.refuseStaleClaim(&sub, caller); ok {
+			return result
+		}
 		if reason := j.claim(ctx, sub.ID); reason != "" {
 			return pollenfront.Result{ID: sub.ID, Reason: reason, Verdict: pollenfront.VerdictUnknown}
 		}
@@ -60,20 +63,25 @@
 
 // submitOrJoin submits a job. If the same job was submitted before and has no result
 // yet, it adds the caller to that submission instead. It returns false if another job
-// with the same ID has no result yet. A caller that has left meanwhile gets its result at once:
-// the request may have waited in a buffer while the process was suspended.
+// with the same ID has no result yet. A caller that has left meanwhile, or may have, gets its
+// result at once: the request may have waited in a buffer while the process was suspended.
 func (j *Jobs) submitOrJoin(sub pollenfront.Submission, caller *waitingCaller) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.beginEvent()
-	if j.hasLeft(now, caller) {
-		j.metrics.callersLeft.Inc()
-		j.logger.Info("caller left before its job was taken", zap.String("request", sub.ID))
+	job, active := j.submissions[sub.ID]
+	if why, left := j.hasLeft(now, caller); left {
+		j.metrics.callersLeft.WithLabelValues(string(why)).Inc()
+		j.logger.Info("caller left before its job was taken", zap.String("request", sub.ID), zap.String("evidence", string(why)))
 		caller.result <- callerLeftResult(sub.ID)
 		return true
 	}
+	if j.isStale(now, caller) {
+		caller.result <- j.refuseStale(now, &sub, caller, active || sub.AtMostOnce) // Nobody else can claim the ID.
+		return true
+	}
 	j.recordResubmission(now, sub.ID)
-	if job, ok := j.submissions[sub.ID]; ok {
+	if active {
 		if job.submission.Payload != sub.Payload || job.submission.TaskCount != sub.TaskCount || job.submission.Route.Name != sub.Route.Name {
 			return false
 		}
@@ -93,6 +101,18 @@
 	return true
 }
 
+// refuseStaleClaim refuses an at-most-once job whose request is stale. It reports whether it did.
+// The ID of the job is still free then, so that the caller can submit the job again.
+func (j *Jobs) refuseStaleClaim(sub *pollenfront.Submission, caller *waitingCaller) (pollenfront.Result, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.beginEvent()
+	if !j.isStale(now, caller) {
+		return pollenfront.Result{}, false
+	}
+	return j.refuseStale(now, sub, caller, false), true
+}
+
 // claim claims the ID of an at-most-once job. It returns the reason why the job must
 // not run, or "" if it may.
 func (j *Jobs) claim(ctx context.Context, id string) pollenfront.Reason {
--- a/entry/internal/jobs/waiting.go
+++ b/entry/internal/jobs/waiting.go
@@ -27,6 +27,16 @@
 	result chan pollenfront.Result
 }
 
+// A departure is what showed that a caller has left. Its value is part of logs and metrics.
+type departure string
+
+// Departures.
+const (
+	departureClosed  departure = "closed"  // The kernel has reported that the connection is closed.
+	departureHandler departure = "handler" // The HTTP server has read the end of the connection, which the kernel had not reported.
+	departureSilent  departure = "silent"  // The caller's machine has sent nothing for callerconn.SilenceTimeout.
+)
+
 // callerLeftResult returns the result of a job whose caller has left.
 func callerLeftResult(id string) pollenfront.Result {
 	return pollenfront.Result{ID: id, Reason: pollenfront.ReasonCallerLeft, Verdict: pollenfront.VerdictUnknown}
@@ -39,27 +49,28 @@
 // overtakes the stop. The caller must hold mu.
 func (j *Jobs) beginEvent() time.Duration {
 	now := bootclock.Now()
-	left := j.conns.Closed()
+	j.conns.Observe(now)
+	left := j.forgetCallers(now, j.conns.Closed(), departureClosed)
 	if now-j.silenceChecked >= silenceCheckInterval {
 		j.silenceChecked = now
-		left = append(left, j.silentConns(now)...)
+		left = append(left, j.forgetCallers(now, j.silentConns(now), departureSilent)...)
+	}
+	if len(left) > 0 {
+		j.applyEffects(now, j.scheduler.Cancel(now, left...))
 	}
-	j.cancelJobsOf(now, left)
 	return now
 }
 
-// cancelJobsOf cancels the jobs for which nobody waits but on the given connections. The caller
-// must hold mu.
-func (j *Jobs) cancelJobsOf(now time.Duration, conns []callerconn.ID) {
+// forgetCallers removes the callers on the given connections, which have left. It returns the jobs
+// that have no caller any more, and so are to be canceled. The caller must hold mu.
+func (j *Jobs) forgetCallers(now time.Duration, conns []callerconn.ID, why departure) []string {
 	var left []string
 	for _, conn := range conns {
-		if caller, ok := j.watched[conn]; ok && j.forgetCaller(now, caller) {
+		if caller, ok := j.watched[conn]; ok && j.forgetCaller(now, caller, why) {
 			left = append(left, caller.job)
 		}
 	}
-	if len(left) > 0 {
-		j.applyEffects(now, j.scheduler.Cancel(now, left...))
-	}
+	return left
 }
 
 // silentConns returns the connections of the waiting callers whose machines have sent nothing, not
@@ -77,10 +88,34 @@
 // hasLeft reports whether a caller whose request was read is known to have left: its connection
 // is closed, or its machine has been silent for callerconn.SilenceTimeout. It records when the
 // machine was heard of.
-func (j *Jobs) hasLeft(now time.Duration, caller *waitingCaller) bool {
+func (j *Jobs) hasLeft(now time.Duration, caller *waitingCaller) (departure, bool) {
 	silence := j.conns.LastHeard(caller.conn)
 	caller.lastHeard = now - silence
-	return silence > callerconn.SilenceTimeout || j.conns.IsClosed(caller.conn)
+	switch {
+	case j.conns.IsClosed(caller.conn):
+		return departureClosed, true
+	case silence > callerconn.SilenceTimeout:
+		return departureSilent, true
+	}
+	return "", false
+}
+
+// isStale reports whether a request may have been under way for so long that its caller may have
+// submitted the job again, whatever the kernel knows of the connection: the process stood still.
+func (j *Jobs) isStale(now time.Duration, caller *waitingCaller) bool {
+	return j.conns.MaxRequestAge(now, caller.conn) > callerconn.SilenceTimeout
+}
+
+// refuseStale answers a request that isStale reports. tasks of the job may run if mayHaveStarted
+// is set.
+func (j *Jobs) refuseStale(now time.Duration, sub *pollenfront.Submission, caller *waitingCaller, mayHaveStarted bool) pollenfront.Result {
+	result := pollenfront.Result{ID: sub.ID, Reason: pollenfront.ReasonSuspended, Verdict: pollenfront.VerdictRefused}
+	if mayHaveStarted {
+		result.Verdict = pollenfront.VerdictUnknown
+	}
+	j.metrics.answered.WithLabelValues(sub.Route.Name, result.Verdict.String(), string(result.Reason)).Inc()
+	j.logger.Info("stale request", zap.String("request", sub.ID), zap.Stringer("verdict", result.Verdict), zap.Duration("max-age", j.conns.MaxRequestAge(now, caller.conn)))
+	return result
 }
 
 // watch makes beginEvent cancel the job of a caller. The caller must hold mu.
@@ -96,14 +131,14 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.beginEvent()
-	if j.forgetCaller(now, caller) {
+	if j.forgetCaller(now, caller, departureHandler) {
 		j.applyEffects(now, j.scheduler.Cancel(now, caller.job))
 	}
 }
 
 // forgetCaller removes a caller that has left. It reports whether its job, which had no result
 // yet, has no caller any more, and so is to be canceled. The caller must hold mu.
-func (j *Jobs) forgetCaller(now time.Duration, caller *waitingCaller) bool {
+func (j *Jobs) forgetCaller(now time.Duration, caller *waitingCaller, why departure) bool {
 	delete(j.watched, caller.conn)
 	job, ok := j.submissions[caller.job]
 	if !ok || !slices.Contains(job.callers, caller) {
@@ -116,7 +151,7 @@
 	}
 	delete(j.submissions, caller.job)
 	j.recent.add(recentJob{endedAt: now, id: caller.job, outcome: callerLeft, reason: pollenfront.ReasonCallerLeft})
-	j.metrics.callersLeft.Inc()
-	j.logger.Info("caller left", zap.String("request", caller.job), zap.Duration("after", now-job.arrivedAt))
+	j.metrics.callersLeft.WithLabelValues(string(why)).Inc()
+	j.logger.Info("caller left", zap.String("request", caller.job), zap.Duration("after", now-job.arrivedAt), zap.String("evidence", string(why)))
 	return true
 }
--- a/entry/internal/jobs/waiting_test.go
+++ b/entry/internal/jobs/waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -22,6 +23,13 @@
 	return ctx, caller
 }
 
+// newWatchedConnOf is like newWatchedConn, for a Watcher that watches others already.
+func newWatchedConnOf(t *testing.T, w *callerconn.Watcher) (context.Context, net.Conn) {
+	t.Helper()
+	ctx, caller, _ := newPairOf(t, w)
+	return ctx, caller
+}
+
 // newWatchedPair is like newWatchedConn. It also returns the entry's side.
 func newWatchedPair(t *testing.T, j *Jobs) (ctx context.Context, caller net.Conn, conn *net.TCPConn) {
 	t.Helper()
@@ -29,6 +37,13 @@
 	w, err := callerconn.NewWatcher()
 	c.Assert(err, qt.IsNil)
 	j.WatchCallers(w)
+	return newPairOf(t, w)
+}
+
+// newPairOf makes w watch a connection, and returns what newWatchedPair does.
+func newPairOf(t *testing.T, w *callerconn.Watcher) (ctx context.Context, caller net.Conn, conn *net.TCPConn) {
+	t.Helper()
+	c := qt.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -51,19 +66,58 @@
 	time.Sleep(20 * time.Millisecond)
 }
 
+// submitWithin submits a job and returns its result. It fails the test if there is none within a
+// second, as the job was taken.
+func submitWithin(ctx context.Context, t *testing.T, j *Jobs, sub pollenfront.Submission) pollenfront.Result {
+	t.Helper()
+	select {
+	case result := <-submitAsync(ctx, j, sub):
+		return result
+	case <-time.After(time.Second):
+		t.Fatalf("job %s is not answered after 1 s: it was taken, and %d jobs wait", sub.ID, j.SubmissionCount())
+		return pollenfront.Result{}
+	}
+}
+
 // TestStartForClosedConnection guards against a start for a caller that left while its request
-// waited in a buffer, for example of an entry that stood still.
+// waited in a buffer, for example of an entry that stood still, or for the answer of the store.
 func TestStartForClosedConnection(t *testing.T) {
+	for _, atMostOnce := range []bool{false, true} {
+		t.Run(fmt.Sprintf("at most once %v", atMostOnce), func(t *testing.T) {
+			c := qt.New(t)
+			j, a := newLinkedJobs(t, &claimStore{claimedIDs: make(map[string]bool)})
+			ctx, caller := newWatchedConn(t, j)
+			closeAndWait(t, caller)
+			c.Assert(submitWithin(ctx, t, j, newSubmission(atMostOnce)).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+			c.Assert(j.SubmissionCount(), qt.Equals, 0)
+			j.tick() // Causes commands if nothing else does.
+			var commands tasklink.Commands
+			c.Assert(a.Receive(&commands), qt.IsNil)
+			c.Assert(commands.Starts, qt.HasLen, 0)
+		})
+	}
+}
+
+// TestJoinOnClosedConnection guards against a job that goes on after its caller has left, since a
+// second caller that had left as well was taken for one that waits.
+func TestJoinOnClosedConnection(t *testing.T) {
 	c := qt.New(t)
 	j, a := newLinkedJobs(t, nil)
-	ctx, caller := newWatchedConn(t, j)
-	closeAndWait(t, caller)
-	c.Assert(j.Submit(ctx, newSubmission(false)).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
-	c.Assert(j.SubmissionCount(), qt.Equals, 0)
-	j.tick() // Causes commands if nothing else does.
+	ctx, first := newWatchedConn(t, j)
+	result := submitAsync(ctx, j, newSubmission(false))
+	run := a.receiveStart(t)
+	otherCtx, second := newWatchedConnOf(t, j.conns)
+	closeAndWait(t, second)
+	c.Assert(submitWithin(otherCtx, t, j, newSubmission(false)).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+	closeAndWait(t, first)
+	j.tick()
+	c.Assert((<-result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
 	var commands tasklink.Commands
-	c.Assert(a.Receive(&commands), qt.IsNil)
-	c.Assert(commands.Starts, qt.HasLen, 0)
+	for len(commands.Stops) == 0 {
+		commands = tasklink.Commands{}
+		c.Assert(a.Receive(&commands), qt.IsNil)
+	}
+	c.Assert(commands.Stops, qt.DeepEquals, []pollenfront.RunID{run})
 }
 
 // TestEchoOvertakesStop guards against a run that an entry keeps alive by echoes although its
