Refuse fewer requests after a pause

Ages of up to 8 s: any request on an open connection counted as old for a second length of the pause, also those of callers that had got an answer since. Change: a request is newer than the answer to the one before on its connection. The second length applies to suspensions of the whole machine only, which the boot clock counts and the monotonic one does not: only there bytes are still on their way when the process goes on.

--- a/callerconn/age_test.go
+++ b/callerconn/age_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -82,3 +83,19 @@
 	c.Assert(support.LastHeard, qt.IsTrue)
 	c.Assert(support.ClosedAfter < 50*time.Millisecond, qt.IsTrue)
 }
+
+// TestMaxRequestAgeOnIdleConnection guards against refusals of callers that send another request
+// on a connection after they got an answer from an entry that had stood still.
+func TestMaxRequestAgeOnIdleConnection(t *testing.T) {
+	c := qt.New(t)
+	w, err := callerconn.NewWatcher()
+	c.Assert(err, qt.IsNil)
+	conn, id, _ := newPair(t, w, func(*net.TCPConn) {})
+	w.Observe(bootclock.Now())
+	time.Sleep(400 * time.Millisecond)
+	w.Observe(bootclock.Now())
+	w.HandleState(conn, http.StateActive)
+	c.Assert(w.MaxRequestAge(bootclock.Now(), id) >= 400*time.Millisecond, qt.IsTrue)
+	w.HandleState(conn, http.StateIdle)
+	c.Assert(w.MaxRequestAge(bootclock.Now(), id), qt.Equals, time.Duration(0))
+}
--- a/callerconn/watcher.go
+++ b/callerconn/watcher.go
@@ -35,6 +35,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/pollenfront/pollenfront/bootclock"
 	"github.com/pollenfront/pollenfront/pauselog"
 )
 
@@ -75,8 +76,9 @@
 type openConn struct {
 	*net.TCPConn
 
-	// establishedAfter is a time before the connection was established.
-	establishedAfter time.Duration
+	// quietAt is a time before the next request on the connection was sent: the connection was
+	// not established yet, or the request before was answered then.
+	quietAt time.Duration
 }
 
 // NewWatcher returns a Watcher that watches no connection yet.
@@ -104,7 +106,7 @@
 		return ctx
 	}
 	_ = tcp.SetKeepAliveConfig(probes) // It fails only if the connection is closed already.
-	id, err := w.add(openConn{TCPConn: tcp, establishedAfter: acceptQueueOf(ctx).next()})
+	id, err := w.add(openConn{TCPConn: tcp, quietAt: acceptQueueOf(ctx).next()})
 	if err != nil {
 		_ = conn.Close() // Nobody would know when the caller leaves.
 		return ctx
@@ -137,16 +139,22 @@
 	return w.lastID, nil
 }
 
-// HandleState forgets a connection that the server has closed. It is the ConnState of an
-// http.Server.
+// HandleState records that a connection is idle, and forgets one that the server has closed. It
+// is the ConnState of an http.Server.
 func (w *Watcher) HandleState(conn net.Conn, state http.ConnState) {
-	if state != http.StateClosed && state != http.StateHijacked {
-		return
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.open, w.ids[conn])
-	delete(w.ids, conn)
+	switch state {
+	case http.StateNew, http.StateActive:
+	case http.StateIdle:
+		if c, ok := w.open[w.ids[conn]]; ok {
+			c.quietAt = bootclock.Now()
+			w.open[w.ids[conn]] = c
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(w.open, w.ids[conn])
+		delete(w.ids, conn)
+	}
 }
 
 // Closed returns the connections that were closed by their callers, or have failed, since the
@@ -200,12 +208,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.pauses.Observe(now)
+	w.pauses.Observe(now, bootclock.Suspended())
 }
 
 // MaxRequestAge returns the longest time since which a request that was just read from a
-// connection may have been under way. It is zero unless the process stood still, or if the
-// connection is not watched any more.
+// connection may have been under way, if its caller has waited for the answer to the one before.
+// It is zero unless the process stood still, or if the connection is not watched any more.
 func (w *Watcher) MaxRequestAge(now time.Duration, id ID) time.Duration {
 	if w == nil {
 		return 0
@@ -216,7 +224,7 @@
 	if !ok {
 		return 0
 	}
-	return w.pauses.MaxAge(now, conn.establishedAfter)
+	return w.pauses.MaxAge(now, conn.quietAt)
 }
 
 // LastHeard returns the time since the machine of a caller last sent a packet on a connection,
--- a/pauselog/log.go
+++ b/pauselog/log.go
@@ -10,8 +10,8 @@
 // # Usage
 //
 //	var log pauselog.Log
-//	log.Observe(now) // Often, while the process works.
-//	age := log.MaxAge(now, connectedAfter)
+//	log.Observe(now, bootclock.Suspended()) // Often, while the process works.
+//	age := log.MaxAge(now, sentAfter)
 package pauselog
 
 import (
@@ -31,6 +31,7 @@
 // for concurrent use.
 type Log struct {
 	lastObservation time.Duration
+	lastSuspended   time.Duration
 	pauses          []pause
 }
 
@@ -38,33 +39,34 @@
 type pause struct {
 	end   time.Duration
 	start time.Duration
+	// suspended is the part of the pause for which the whole machine was suspended.
+	suspended time.Duration
 }
 
 // effectEnd returns the time until which bytes that were sent during the pause may be read.
-// Their sender doubles the interval between two attempts each time, so that the first attempt
-// after the pause comes at most one length of the pause later.
+// What was sent to a suspended machine is sent again at intervals that double each time, so that
+// the first attempt after a suspension comes at most one length of it later.
 func (p pause) effectEnd() time.Duration {
-	return p.end + (p.end - p.start) + readDelay
+	return p.end + p.suspended + readDelay
 }
 
 // Observe records that the process works. The time since the last observation was a pause if it
-// is long.
-func (l *Log) Observe(now time.Duration) {
+// is long. suspended is for how long the machine was suspended since it booted.
+func (l *Log) Observe(now, suspended time.Duration) {
 	if l.lastObservation > 0 && now-l.lastObservation >= minPause {
 		l.pauses = slices.DeleteFunc(l.pauses, func(p pause) bool { return p.effectEnd() < now })
-		l.pauses = append(l.pauses, pause{end: now, start: l.lastObservation})
+		l.pauses = append(l.pauses, pause{end: now, start: l.lastObservation, suspended: suspended - l.lastSuspended})
 	}
-	l.lastObservation = max(l.lastObservation, now)
+	l.lastObservation, l.lastSuspended = max(l.lastObservation, now), max(l.lastSuspended, suspended)
 }
 
 // MaxAge returns the longest time since which a request may have been under way that is read
-// now, from a connection that was established after the given time. It is zero unless the
-// process stood still.
-func (l *Log) MaxAge(now, connectedAfter time.Duration) time.Duration {
+// now and was sent after the given time. It is zero unless the process stood still.
+func (l *Log) MaxAge(now, sentAfter time.Duration) time.Duration {
 	age := time.Duration(0)
 	for _, p := range l.pauses {
-		if connectedAfter < p.end && now <= p.effectEnd() {
-			age = max(age, now-max(p.start, connectedAfter))
+		if sentAfter < p.end && now <= p.effectEnd() {
+			age = max(age, now-max(p.start, sentAfter))
 		}
 	}
 	return age
