--- a/entry/internal/jobs/stale_test.go
+++ b/entry/internal/jobs/stale_test.go
@@ -82,7 +82,7 @@
 				a.receiveStart(t)
 				return
 			}
-			result := submitWithin(ctx, t, j, newSubmission(test.atMostOnce))
+			result := awaitResult(t, j, submitAsync(ctx, j, newSubmission(test.atMostOnce)))
 			c.Assert(result.Verdict, qt.Equals, test.want)
 			c.Assert(result.Reason, qt.Equals, pollenfront.ReasonSuspended)
 			c.Assert(j.SubmissionCount(), qt.Equals, 0)
@@ -109,7 +109,9 @@
 	j, a := newLinkedJobs(t, &pausingStore{claimStore: claimStore{claimedIDs: make(map[string]bool)}})
 	ctx, _ := newWatchedConn(t, j)
 	work(t, j, a, 100*time.Millisecond)
-	result := <-submitAsync(ctx, j, newSubmission(true))
+	pending := submitAsync(ctx, j, newSubmission(true))
+	time.Sleep(pauseLength)
+	result := awaitResult(t, j, pending)
 	c.Assert(result.Verdict, qt.Equals, pollenfront.VerdictUnknown)
 	c.Assert(result.Reason, qt.Equals, pollenfront.ReasonSuspended)
 }
@@ -139,7 +141,7 @@
 	for j.SubmissionCount() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	result := submitWithin(ctx, t, j, newSubmission(false))
+	result := awaitResult(t, j, submitAsync(ctx, j, newSubmission(false)))
 	c.Assert(result.Verdict, qt.Equals, pollenfront.VerdictUnknown)
 	c.Assert(result.Reason, qt.Equals, pollenfront.ReasonSuspended)
 }
@@ -160,7 +162,7 @@
 	}
 	time.Sleep(pauseLength)
 	a.sendUpdate(t, tasklink.RunEnd{Ending: pollenfront.EndingLost, Run: run})
-	c.Assert((<-result).Reason, qt.Equals, pollenfront.ReasonSuspended)
+	c.Assert(awaitResult(t, j, result).Reason, qt.Equals, pollenfront.ReasonSuspended)
 }
 
 // acceptAfter makes w watch a connection that is established after the last look at an empty
--- a/entry/internal/jobs/waiting_test.go
+++ b/entry/internal/jobs/waiting_test.go
@@ -66,15 +66,18 @@
 	time.Sleep(20 * time.Millisecond)
 }
 
-// submitWithin submits a job and returns its result. It fails the test if there is none within a
-// second, as the job was taken.
-func submitWithin(ctx context.Context, t *testing.T, j *Jobs, sub pollenfront.Submission) pollenfront.Result {
+// resultTimeout is the time within which a job is answered that was not taken, or was canceled.
+const resultTimeout = time.Second
+
+// awaitResult returns the result of a job. It fails the test if there is none within
+// resultTimeout, as the job was taken, or goes on.
+func awaitResult(t *testing.T, j *Jobs, result <-chan pollenfront.Result) pollenfront.Result {
 	t.Helper()
 	select {
-	case result := <-submitAsync(ctx, j, sub):
-		return result
-	case <-time.After(time.Second):
-		t.Fatalf("job %s is not answered after 1 s: it was taken, and %d jobs wait", sub.ID, j.SubmissionCount())
+	case r := <-result:
+		return r
+	case <-time.After(resultTimeout):
+		t.Fatalf("no answer after %v: the job was taken or goes on, and %d jobs wait", resultTimeout, j.SubmissionCount())
 		return pollenfront.Result{}
 	}
 }
@@ -88,7 +91,7 @@
 			j, a := newLinkedJobs(t, &claimStore{claimedIDs: make(map[string]bool)})
 			ctx, caller := newWatchedConn(t, j)
 			closeAndWait(t, caller)
-			c.Assert(submitWithin(ctx, t, j, newSubmission(atMostOnce)).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+			c.Assert(awaitResult(t, j, submitAsync(ctx, j, newSubmission(atMostOnce))).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
 			c.Assert(j.SubmissionCount(), qt.Equals, 0)
 			j.tick() // Causes commands if nothing else does.
 			var commands tasklink.Commands
@@ -108,10 +111,10 @@
 	run := a.receiveStart(t)
 	otherCtx, second := newWatchedConnOf(t, j.conns)
 	closeAndWait(t, second)
-	c.Assert(submitWithin(otherCtx, t, j, newSubmission(false)).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+	c.Assert(awaitResult(t, j, submitAsync(otherCtx, j, newSubmission(false))).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
 	closeAndWait(t, first)
 	j.tick()
-	c.Assert((<-result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+	c.Assert(awaitResult(t, j, result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
 	var commands tasklink.Commands
 	for len(commands.Stops) == 0 {
 		commands = tasklink.Commands{}
@@ -150,7 +153,7 @@
 			c.Assert(a.Receive(&commands), qt.IsNil)
 			c.Assert(commands.Stops, qt.DeepEquals, []pollenfront.RunID{run})
 			c.Assert(commands.Starts, qt.HasLen, 0)
-			c.Assert((<-result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+			c.Assert(awaitResult(t, j, result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
 		})
 	}
 }
@@ -183,8 +186,8 @@
 	c.Assert(caller.Close(), qt.IsNil)
 	closeAndWait(t, other)
 	a.sendUpdate(t, tasklink.RunEnd{Ending: pollenfront.EndingLost, Run: run})
-	c.Assert((<-first).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
-	c.Assert((<-second).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+	c.Assert(awaitResult(t, j, first).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+	c.Assert(awaitResult(t, j, second).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
 	c.Assert(j.SubmissionCount(), qt.Equals, 0)
 }
 
@@ -252,7 +255,7 @@
 			result := submitAsync(ctx, j, newSubmission(false))
 			tickUntil(callerconn.SilenceTimeout+120*time.Millisecond, result)
 			c.Assert(result, qt.HasLen, 1)
-			c.Assert((<-result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+			c.Assert(awaitResult(t, j, result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
 			c.Assert(starts.Load() > 0, qt.Equals, test.started)
 		})
 	}
@@ -282,7 +285,7 @@
 		c.Assert(a.Receive(&commands), qt.IsNil)
 	}
 	c.Assert(commands.Stops, qt.DeepEquals, []pollenfront.RunID{run})
-	c.Assert((<-result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
+	c.Assert(awaitResult(t, j, result).Reason, qt.Equals, pollenfront.ReasonCallerLeft)
 }
 
 // countStarts receives the messages to an agent until its link is closed, and counts the start
