Test late starts on restarted servers beside a resubmission

Change: TestDelayedStartBesideResubmission plays the order of events in the replay, with a process and a machine that restart.

--- a/replay/next_incarnation_test.go
+++ b/replay/next_incarnation_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/pollenfront/pollenfront/replay"
 )
 
@@ -45,3 +47,34 @@
 		}
 	}
 }
+
+// TestDelayedStartBesideResubmission guards against a delayed start that the next incarnation of a
+// server carries out beside a run of another entry, to which the caller has submitted the job
+// again: its first entry could not tell it in time that no run is left.
+func TestDelayedStartBesideResubmission(t *testing.T) {
+	const hold, down = 600 * time.Millisecond, 500 * time.Millisecond
+	kind := longKind
+	kind.TimeLimit = 6 * time.Second
+	crashes := []struct {
+		name  string
+		crash func(f *replay.Fleet, at time.Duration, agent int, down time.Duration)
+	}{
+		{name: "process", crash: (*replay.Fleet).CrashServerProcess},
+		{name: "machine", crash: (*replay.Fleet).CrashServer},
+	}
+	for _, c := range crashes {
+		for _, delay := range restartDelays {
+			t.Run(fmt.Sprintf("%s %d us after the restart", c.name, delay.Microseconds()), func(t *testing.T) {
+				for seed := uint64(1); seed <= oneRunSeedCount; seed++ {
+					f := replay.NewFleet(replay.Settings{Agents: 3, Entries: 2, Seed: seed})
+					f.Load([]replay.Kind{kind}, 300*time.Millisecond, faultAt, 1)
+					crash := faultAt + 1500*time.Millisecond
+					f.HoldRequests(faultAt-hold, 0, replay.Starts, hold, crash+down+delay)
+					c.crash(f, crash, 0, down)
+					result := f.Run(14 * time.Second)
+					qt.Check(t, result.Violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+				}
+			})
+		}
+	}
+}
