--- a/entry/internal/jobs/waiting.go
+++ b/entry/internal/jobs/waiting.go
@@ -106,8 +106,8 @@
 	return j.conns.MaxRequestAge(now, caller.conn) > callerconn.SilenceTimeout
 }
 
-// refuseStale answers a request that isStale reports. tasks of the job may run if mayHaveStarted
-// is set.
+// refuseStale returns the answer to a request that isStale reports. mayHaveStarted is whether the
+// answer must not say that the job did not run, or that it may be submitted again.
 func (j *Jobs) refuseStale(now time.Duration, sub *pollenfront.Submission, caller *waitingCaller, mayHaveStarted bool) pollenfront.Result {
 	result := pollenfront.Result{ID: sub.ID, Reason: pollenfront.ReasonSuspended, Verdict: pollenfront.VerdictRefused}
 	if mayHaveStarted {
