--- a/bootclock/bootclock_test.go
+++ b/bootclock/bootclock_test.go
@@ -17,5 +17,5 @@
 	time.Sleep(50 * time.Millisecond)
 	after := bootclock.Suspended()
 	c.Assert(before >= 0 && after <= bootclock.Now(), qt.IsTrue)
-	c.Assert((after - before).Abs() < 10*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after-before))
+	c.Assert((after-before).Abs() < 10*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after-before))
 }
