Test suspended agents under callers that come back

Cause: what bounds a start after the entry's check (the link, the agent's queue, a pause of the agent) was tested in parts, and by the soak.

--- a/soak/suspension_test.go
+++ b/soak/suspension_test.go
@@ -79,9 +79,10 @@
 	return c.Submit(ctx, address, job)
 }
 
-// TestSuspendedEntry guards against tasks that run twice, as an entry that was suspended starts
-// the jobs of callers that have submitted them to another entry meanwhile.
-func TestSuspendedEntry(t *testing.T) {
+// checkSuspension suspends the processes that suspended returns, under callers that come back, and
+// checks that no task ran twice.
+func checkSuspension(t *testing.T, suspended func(f *fleet.Fleet) []*fleet.Process) {
+	t.Helper()
 	c := qt.New(t)
 	f, err := fleet.Start(fleet.Options{Agents: 6, Bin: buildPrograms(t), Dir: t.TempDir(), Entries: 2})
 	c.Assert(err, qt.IsNil)
@@ -89,8 +90,10 @@
 	time.Sleep(settleTime)
 	p := &patientCaller{fleet: f}
 	start := time.Now()
-	time.AfterFunc(time.Second, func() { f.Entries[0].Signal(syscall.SIGSTOP) })
-	time.AfterFunc(time.Second+suspension, func() { f.Entries[0].Signal(syscall.SIGCONT) })
+	for _, process := range suspended(f) {
+		time.AfterFunc(time.Second, func() { process.Signal(syscall.SIGSTOP) })
+		time.AfterFunc(time.Second+suspension, func() { process.Signal(syscall.SIGCONT) })
+	}
 	var submissions sync.WaitGroup
 	for i := 0; time.Since(start) < suspension+2*time.Second; i++ {
 		submissions.Go(func() { p.submit(fmt.Sprintf("%016x", i+1), i%2) })
@@ -101,3 +104,21 @@
 	c.Assert(p.resubmissions.Load() > 0, qt.IsTrue)
 	c.Assert(f.Checker.Violations(), qt.HasLen, 0)
 }
+
+// TestSuspendedEntry guards against tasks that run twice, as an entry that was suspended starts
+// the jobs of callers that have submitted them to another entry meanwhile.
+func TestSuspendedEntry(t *testing.T) {
+	checkSuspension(t, func(f *fleet.Fleet) []*fleet.Process { return f.Entries[:1] })
+}
+
+// TestSuspendedAgents guards against tasks that run twice, as agents that were suspended send the
+// starts that they had got before.
+func TestSuspendedAgents(t *testing.T) {
+	checkSuspension(t, func(f *fleet.Fleet) []*fleet.Process { return f.Agents[:3] })
+}
+
+// TestSuspendedEntryAndAgents guards against the same if both stand still, so that neither notices
+// by the other that it is late.
+func TestSuspendedEntryAndAgents(t *testing.T) {
+	checkSuspension(t, func(f *fleet.Fleet) []*fleet.Process { return append(f.Agents[:3:3], f.Entries[0]) })
+}
