--- a/bootclock/bootclock.go
+++ b/bootclock/bootclock.go
@@ -18,21 +18,21 @@
 // Now returns the time since the machine booted. It panics if the kernel does not
 // support CLOCK_BOOTTIME.
 func Now() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic("bootclock: read CLOCK_BOOTTIME: " + err.Error())
-	}
-	return time.Duration(ts.Nano())
+	return read(unix.CLOCK_BOOTTIME, "CLOCK_BOOTTIME")
 }
 
-// started and startedAt are the same moment on the monotonic clock and on this one.
-var (
-	started   = time.Now()
-	startedAt = Now()
-)
+// Suspended returns for how long the machine was suspended since it booted. It panics if the
+// kernel does not support CLOCK_BOOTTIME or CLOCK_MONOTONIC.
+func Suspended() time.Duration {
+	monotonic := read(unix.CLOCK_MONOTONIC, "CLOCK_MONOTONIC")
+	return max(0, Now()-monotonic)
+}
 
-// Suspended returns for how long the machine was suspended since the process started. now is a
-// reading of the clock that was just taken; unlike it, this takes no system call.
-func Suspended(now time.Duration) time.Duration {
-	return max(0, now-startedAt-time.Since(started))
+// read returns the time of a clock of the kernel.
+func read(id int32, name string) time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(id, &ts); err != nil {
+		panic("bootclock: read " + name + ": " + err.Error())
+	}
+	return time.Duration(ts.Nano())
 }
--- a/bootclock/bootclock_test.go
+++ b/bootclock/bootclock_test.go
@@ -13,9 +13,9 @@
 // since it booted, and does not grow while it works.
 func TestSuspended(t *testing.T) {
 	c := qt.New(t)
-	before := bootclock.Suspended(bootclock.Now())
+	before := bootclock.Suspended()
 	time.Sleep(50 * time.Millisecond)
-	after := bootclock.Suspended(bootclock.Now())
+	after := bootclock.Suspended()
 	c.Assert(before >= 0 && after <= bootclock.Now(), qt.IsTrue)
 	c.Assert((after-before).Abs() < 10*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after-before))
 }
--- a/callerconn/accept_queue.go
+++ b/callerconn/accept_queue.go
@@ -43,14 +43,15 @@
 }
 
 // next returns a time before the connection that was accepted last was established, or zero if
-// that is not known. now is a time shortly before.
-func (q *acceptQueue) next(now time.Duration) time.Duration {
+// that is not known.
+func (q *acceptQueue) next() time.Duration {
 	if q == nil {
 		return 0
 	}
 	establishedAfter := q.emptyAt
+	now := bootclock.Now()
 	if q.empty() {
-		q.emptyAt = max(q.emptyAt, now)
+		q.emptyAt = now
 	}
 	return establishedAfter
 }
--- a/callerconn/watcher.go
+++ b/callerconn/watcher.go
@@ -106,7 +106,7 @@
 		return ctx
 	}
 	_ = tcp.SetKeepAliveConfig(probes) // It fails only if the connection is closed already.
-	id, err := w.add(openConn{TCPConn: tcp, quietAt: acceptQueueOf(ctx).next(w.lastObservation())})
+	id, err := w.add(openConn{TCPConn: tcp, quietAt: acceptQueueOf(ctx).next()})
 	if err != nil {
 		_ = conn.Close() // Nobody would know when the caller leaves.
 		return ctx
@@ -148,7 +148,7 @@
 	case http.StateNew, http.StateActive:
 	case http.StateIdle:
 		if c, ok := w.open[w.ids[conn]]; ok {
-			c.quietAt = w.pauses.LastObservation()
+			c.quietAt = bootclock.Now()
 			w.open[w.ids[conn]] = c
 		}
 	case http.StateClosed, http.StateHijacked:
@@ -208,14 +208,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.pauses.Observe(now, bootclock.Suspended(now))
-}
-
-// lastObservation returns the time of the newest call of Observe.
-func (w *Watcher) lastObservation() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.pauses.LastObservation()
+	w.pauses.Observe(now, bootclock.Suspended())
 }
 
 // MaxRequestAge returns the longest time since which a request that was just read from a
--- a/pauselog/log.go
+++ b/pauselog/log.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	var log pauselog.Log
-//	log.Observe(now, bootclock.Suspended(now)) // Often, while the process works.
+//	log.Observe(now, bootclock.Suspended()) // Often, while the process works.
 //	age := log.MaxAge(now, sentAfter)
 package pauselog
 
@@ -51,7 +51,7 @@
 }
 
 // Observe records that the process works. The time since the last observation was a pause if it
-// is long. suspended is for how long the machine was suspended since the process started.
+// is long. suspended is for how long the machine was suspended since it booted.
 func (l *Log) Observe(now, suspended time.Duration) {
 	if l.lastObservation > 0 && now-l.lastObservation >= minPause {
 		l.pauses = slices.DeleteFunc(l.pauses, func(p pause) bool { return p.effectEnd() < now })
@@ -60,11 +60,6 @@
 	l.lastObservation, l.lastSuspended = max(l.lastObservation, now), max(l.lastSuspended, suspended)
 }
 
-// LastObservation returns the time of the newest call of Observe, or zero.
-func (l *Log) LastObservation() time.Duration {
-	return l.lastObservation
-}
-
 // MaxAge returns the longest time since which a request may have been under way that is read
 // now and was sent after the given time. It is zero unless the process stood still.
 func (l *Log) MaxAge(now, sentAfter time.Duration) time.Duration {
