--- /dev/null
+++ b/review/_probes2/late_order.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Times of the case late-order.
+const (
+	// lateDelay is how much later the orders without an answer are carried out.
+	lateDelay = 2900 * time.Millisecond
+	// cutTime is how long the runner is cut off. It crashes crashAfter after the cut begins and
+	// is down for downTime.
+	cutTime    = 4500 * time.Millisecond
+	crashAfter = 300 * time.Millisecond
+	downTime   = 300 * time.Millisecond
+)
+
+// lateOrder leaves the orders for a job at one runner without an answer. The runner is cut off, crashes
+// behind the cut and starts again under its id, and then carries out what it was sent. The
+// client sends the job again after 504 or no response.
+func lateOrder(rec *record, trouble bool) (string, bool, error) {
+	f, err := startFleet(rec, 3, 11)
+	defer f.stop()
+	if err != nil {
+		return "", false, err
+	}
+	j := &jobSpec{count: 4, cpu: 6200, id: "5c0e7a21d94b36f8", waits: 1500 * time.Millisecond, workMS: 900}
+	var victim *runner
+	for _, r := range f.runners {
+		r.mu.Lock()
+		r.onOrder = func(r *runner, o *order) time.Duration {
+			if !trouble || !strings.HasPrefix(o.Task, j.id) {
+				return 0
+			}
+			f.history.mu.Lock()
+			defer f.history.mu.Unlock()
+			if victim == nil {
+				victim = r
+				time.AfterFunc(5*time.Millisecond, func() { r.setCut(true) })
+				time.AfterFunc(crashAfter, func() { r.crash(downTime) })
+				time.AfterFunc(cutTime, func() { r.setCut(false) })
+			}
+			if victim == r && r.life == 1 {
+				return lateDelay
+			}
+			return 0
+		}
+		r.mu.Unlock()
+	}
+	status, body := f.submit(0, j, 4)
+	time.Sleep(2 * time.Second)
+	found := f.history.overlaps()
+	if len(found) == 0 {
+		return fmt.Sprintf("no two runs of a task at the same time; the last answer was %d %s", status, strings.TrimSpace(body)), false, nil
+	}
+	return describe(found), true, nil
+}
+
+// describe describes the longest overlap.
+func describe(found []overlap) string {
+	longest := found[0]
+	for _, o := range found {
+		if o.for_ > longest.for_ {
+			longest = o
+		}
+	}
+	a, b := longest.a, longest.b
+	return fmt.Sprintf("%d pairs of runs at the same time; %s run %d on %s (life %d) and run %d on %s (life %d) both went on for %v",
+		len(found), a.task, a.number, a.runner, a.life, b.number, b.runner, b.life, longest.for_.Round(time.Millisecond))
+}
