--- a/review/_probes2/fleet.go
+++ b/review/_probes2/fleet.go
@@ -92,17 +92,19 @@
 `
 )
 
-// configure writes the manifest. The timeout of its queue is longer than any request of the cases.
-func (f *fleet) configure() {
+// configure writes a version of the manifest, which has one queue with the given name. Its timeout is longer than
+// any request of the cases.
+func (f *fleet) configure(version int, queue string) {
 	manifest, _ := json.Marshal(map[string]any{
 		"limits": map[string]int{"max-body-bytes": 262144},
 		"routes": []map[string]any{{
 			"host": host, "max-attempts": 4, "name": queue, "path-prefix": prefix, "priority": 0, "service": service, "stretch": 1.6,
 			"target-latency-ms": 60, "timeout-ms": 9000,
 		}},
-		"services": []map[string]string{{"name": service}}, "version": 1,
+		"services": []map[string]string{{"name": service}}, "version": version,
 	})
 	f.store.Put("op", "config", base64.StdEncoding.EncodeToString(manifest))
+	f.rec.addf("operator: the store acknowledges version %d of the manifest, with the queue %s", version, queue)
 }
 
 // processes returns all processes.
@@ -138,7 +140,7 @@
 		return f, err
 	}
 	go func() { _ = (&http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
-	f.configure()
+	f.configure(1, queue)
 	for i := range entries {
 		p, err := f.newProcess("entry", i, fmt.Sprintf(entrySettings, i, zone(i), f.address(1, i, callersPort), f.address(1, i, readyPort),
 			f.address(1, i, linkPort), f.address(1, i, apiPort), f.address(0, 0, storePort)))
--- a/review/_probes2/main.go
+++ b/review/_probes2/main.go
@@ -23,9 +23,11 @@
 
 // cases are the cases by name. Each returns what was seen, and whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (seen string, isBroken bool, err error){
-	"late-order":   lateOrder,
-	"planned-stop": plannedStop,
-	"at-most-once": atMostOnce,
+	"late-order":       lateOrder,
+	"renamed-queue":    renamedQueue,
+	"planned-stop":     plannedStop,
+	"cancel-forgotten": cancelForgotten,
+	"at-most-once":     atMostOnce,
 }
 
 func main() {
