--- a/review/_probes2/at_most_once.go
+++ b/review/_probes2/at_most_once.go
@@ -9,16 +9,17 @@
 const (
 	// heldUp is how much later the order without an answer is carried out.
 	heldUp = 3 * time.Second
-	// cutAt is the time from that order to the cut, in which the runner crashes after crashAfter.
-	cutAt = time.Second
+	// freezeAt is the time from that order to the freeze of the machine beside the runner, in which the runner
+	// crashes after crashAfter.
+	freezeAt = time.Second
 	// onceWorkMS is the run time of the task, in milliseconds.
 	onceWorkMS = 200
 )
 
 // atMostOnce submits a job that may run at most once to the callers' API of the project. The first order to
 // its runner gets no answer and is held up. The task ends done, and the end is taken note
-// of. Then the runner is cut off, crashes behind the cut and starts again under its id, and carries out
-// what it was sent.
+// of. Then the machine beside the runner freezes; the runner crashes, starts again under its id and carries
+// out what it was sent.
 func atMostOnce(rec *record, trouble bool) (string, bool, error) {
 	f, err := startFleet(rec, 3, 11)
 	defer f.stop()
@@ -27,24 +28,16 @@
 	}
 	const task = "7a1e0c52d94b36f8.0.0.0"
 	orders := 0
-	for _, r := range f.runners {
-		r.mu.Lock()
-		r.onOrder = func(r *runner, o *order) time.Duration {
-			f.history.mu.Lock()
-			defer f.history.mu.Unlock()
-			if !trouble || o.Task != task {
-				return 0
-			}
-			if orders++; orders > 1 {
-				return 0
-			}
-			time.AfterFunc(cutAt, func() { r.setCut(true) })
-			time.AfterFunc(cutAt+crashAfter, func() { r.crash(downTime) })
-			time.AfterFunc(cutAt+cutTime, func() { r.setCut(false) })
-			return heldUp
+	f.onOrder(func(r *runner, o *order) time.Duration {
+		if !trouble || o.Task != task {
+			return 0
 		}
-		r.mu.Unlock()
-	}
+		if orders++; orders > 1 {
+			return 0
+		}
+		time.AfterFunc(freezeAt, func() { f.freeze(r, freezeTime, crashAfter, downTime) })
+		return heldUp
+	})
 	status, answer, err := f.postAPI(0, task[:16], onceWorkMS, 4*time.Second, false)
 	if err != nil {
 		return "", false, err
--- a/review/_probes2/late_order.go
+++ b/review/_probes2/late_order.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -10,16 +11,16 @@
 const (
 	// lateDelay is how much later the orders without an answer are carried out.
 	lateDelay = 2900 * time.Millisecond
-	// cutTime is how long the runner is cut off. It crashes crashAfter after the cut begins and
-	// is down for downTime.
-	cutTime    = 4500 * time.Millisecond
+	// freezeTime is how long the agent beside the runner stands still. The runner crashes crashAfter after that
+	// began, and is down for downTime.
+	freezeTime = 4 * time.Second
 	crashAfter = 300 * time.Millisecond
 	downTime   = 300 * time.Millisecond
 )
 
-// lateOrder leaves the orders for a job at one runner without an answer. The runner is cut off, crashes
-// behind the cut and starts again under its id, and then carries out what it was sent. The
-// client sends the job again after 504 or no response.
+// lateOrder leaves the orders for a job at one runner without an answer. The machine beside the runner
+// freezes. The runner crashes, starts again under its id, and then carries out what it was sent. The client sends
+// the job again after 504 or no response.
 func lateOrder(rec *record, trouble bool) (string, bool, error) {
 	f, err := startFleet(rec, 3, 11)
 	defer f.stop()
@@ -28,27 +29,19 @@
 	}
 	j := &jobSpec{count: 4, cpu: 6200, id: "5c0e7a21d94b36f8", waits: 1500 * time.Millisecond, workMS: 900}
 	var victim *runner
-	for _, r := range f.runners {
-		r.mu.Lock()
-		r.onOrder = func(r *runner, o *order) time.Duration {
-			if !trouble || !strings.HasPrefix(o.Task, j.id) {
-				return 0
-			}
-			f.history.mu.Lock()
-			defer f.history.mu.Unlock()
-			if victim == nil {
-				victim = r
-				time.AfterFunc(5*time.Millisecond, func() { r.setCut(true) })
-				time.AfterFunc(crashAfter, func() { r.crash(downTime) })
-				time.AfterFunc(cutTime, func() { r.setCut(false) })
-			}
-			if victim == r && r.life == 1 {
-				return lateDelay
-			}
+	f.onOrder(func(r *runner, o *order) time.Duration {
+		if !trouble || !strings.HasPrefix(o.Task, j.id) {
 			return 0
 		}
-		r.mu.Unlock()
-	}
+		if victim == nil {
+			victim = r
+			time.AfterFunc(5*time.Millisecond, func() { f.freeze(r, freezeTime, crashAfter, downTime) })
+		}
+		if victim == r && r.life == 1 {
+			return lateDelay
+		}
+		return 0
+	})
 	status, body := f.submit(0, j, 4)
 	time.Sleep(2 * time.Second)
 	found := f.history.overlaps()
@@ -58,6 +51,30 @@
 	return describe(found), true, nil
 }
 
+// onOrder sets what all runners do with a run-start. decide is called for one of them at a time. See runner.onOrder.
+func (f *fleet) onOrder(decide func(r *runner, o *order) time.Duration) {
+	for _, r := range f.runners {
+		r.mu.Lock()
+		r.onOrder = func(r *runner, o *order) time.Duration {
+			f.history.mu.Lock()
+			defer f.history.mu.Unlock()
+			return decide(r, o)
+		}
+		r.mu.Unlock()
+	}
+}
+
+// freeze freezes the machine beside a runner for a time. The runner crashes meanwhile.
+func (f *fleet) freeze(r *runner, duration, crashAfter, down time.Duration) {
+	for i := range f.runners {
+		if agent := f.agents[i]; f.runners[i] == r {
+			agent.signal(syscall.SIGSTOP)
+			time.AfterFunc(crashAfter, func() { r.crash(down) })
+			time.AfterFunc(duration, func() { agent.signal(syscall.SIGCONT) })
+		}
+	}
+}
+
 // describe describes the longest overlap.
 func describe(found []overlap) string {
 	longest := found[0]
--- a/review/_probes2/runner.go
+++ b/review/_probes2/runner.go
@@ -38,7 +38,6 @@
 	mu      sync.Mutex
 	born    int64
 	conns   map[net.Conn]bool
-	cut     bool // cut is whether nothing passes between the runner and its machine.
 	ends    [][]any
 	ended   chan struct{}
 	history *history
@@ -141,6 +140,9 @@
 		r.history.end(run.past, "lost with its runner")
 	}
 	r.runs = make(map[string]*taskRun)
+	for conn := range r.conns {
+		_ = conn.Close()
+	}
 	r.rec.addf("%s: life %d ends", r.id, r.life)
 	time.AfterFunc(down, func() {
 		r.mu.Lock()
@@ -149,24 +151,11 @@
 	})
 }
 
-// setCut cuts the runner off from its machine, or ends that. What is sent meanwhile is lost.
-func (r *runner) setCut(cut bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cut = cut
-	r.rec.addf("%s: cut off: %v", r.id, cut)
-	if !cut {
-		for conn := range r.conns {
-			_ = conn.Close() // Connections from before a cut don't work after it.
-		}
-	}
-}
-
-// reachable reports whether calls and pings pass.
-func (r *runner) reachable() bool {
+// isUp reports whether the runner is up.
+func (r *runner) isUp() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.up && !r.cut
+	return r.up
 }
 
 // ServeHTTP implements http.Handler.
@@ -176,9 +165,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if !r.reachable() {
-		<-req.Context().Done() // Nothing passes: the caller sees silence.
-		return
+	if !r.isUp() {
+		panic(http.ErrAbortHandler) // There is no process that could answer.
 	}
 	if id := req.Header.Get("X-Expect-Instance"); id != "" && id != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -355,12 +343,8 @@
 		case <-time.After(time.Duration(o.WaitMS) * time.Millisecond):
 		}
 	}
-	if !r.reachable() {
-		<-req.Context().Done()
-		return
-	}
 	r.mu.Lock()
-	if r.life != life {
+	if !r.up || r.life != life {
 		r.mu.Unlock()
 		panic(http.ErrAbortHandler) // The life that took the call has ended.
 	}
@@ -407,7 +391,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for ctx.Err() == nil {
 		delay := heartbeatInterval
-		if r.reachable() && !r.sendPing(ctx, client) {
+		if r.isUp() && !r.sendPing(ctx, client) {
 			delay = 100 * time.Millisecond
 		}
 		select {
