--- a/review/_probes2/fleet.go
+++ b/review/_probes2/fleet.go
@@ -63,6 +63,7 @@
 	name    string
 	program string
 	rec     *record
+	zone    string
 }
 
 // The settings of the processes, as the templates of the deploy file fill them in.
@@ -132,9 +133,13 @@
 	}
 	var listener net.Listener
 	for f.octet = 150; f.octet < 240; f.octet++ { // The listener of the store reserves the range.
-		if listener, err = net.Listen("tcp", f.address(0, 0, storePort)); err == nil {
+		if listener, err = net.Listen("tcp", f.address(0, 0, storePort)); err != nil {
+			continue
+		}
+		if err = f.checkFree(entries, agents); err == nil {
 			break
 		}
+		_ = listener.Close()
 	}
 	if err != nil {
 		return f, err
@@ -170,9 +175,28 @@
 	return f, f.awaitReady()
 }
 
+// checkFree returns an error if an address of the fleet is in use.
+func (f *fleet) checkFree(entries, agents int) error {
+	var addresses []string
+	for i := range entries {
+		addresses = append(addresses, f.address(1, i, callersPort), f.address(1, i, readyPort), f.address(1, i, linkPort), f.address(1, i, apiPort))
+	}
+	for i := range agents {
+		addresses = append(addresses, f.address(2, i, controlPort), f.address(2, i, apiPort), f.address(3, i, runnerPort))
+	}
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		_ = listener.Close()
+	}
+	return nil
+}
+
 // newProcess writes the settings of a process that is not started.
 func (f *fleet) newProcess(program string, i int, settings string) (*process, error) {
-	p := &process{name: fmt.Sprintf("%s-%d", program, i), program: program, rec: f.rec}
+	p := &process{name: fmt.Sprintf("%s-%d", program, i), program: program, rec: f.rec, zone: zone(i)}
 	p.file = filepath.Join(f.dir, p.name+".toml")
 	return p, os.WriteFile(p.file, []byte(settings), 0o600)
 }
--- a/review/_probes2/late_order.go
+++ b/review/_probes2/late_order.go
@@ -16,11 +16,13 @@
 	freezeTime = 4 * time.Second
 	crashAfter = 300 * time.Millisecond
 	downTime   = 300 * time.Millisecond
+	// zoneDark is how long a zone is without power. Its runners are back then, and its machines machinesAfter later.
+	zoneDark      = 2 * time.Second
+	machinesAfter = 1400 * time.Millisecond
 )
 
-// lateOrder leaves the orders for a job at one runner without an answer. The machine beside the runner
-// freezes. The runner crashes, starts again under its id, and then carries out what it was sent. The client sends
-// the job again after 504 or no response.
+// lateOrder leaves the orders for a job at one runner without an answer. The runner's zone loses power. The runner starts
+// again under its id, and then carries out what it was sent. The client sends the job again after no response.
 func lateOrder(rec *record, trouble bool) (string, bool, error) {
 	f, err := startFleet(rec, 3, 11)
 	defer f.stop()
@@ -35,7 +37,7 @@
 		}
 		if victim == nil {
 			victim = r
-			time.AfterFunc(5*time.Millisecond, func() { f.freeze(r, freezeTime, crashAfter, downTime) })
+			time.AfterFunc(5*time.Millisecond, func() { f.loseZone(r.zone) })
 		}
 		if victim == r && r.life == 1 {
 			return lateDelay
@@ -64,6 +66,29 @@
 	}
 }
 
+// loseZone cuts the power of a zone for zoneDark. Its processes don't answer any more, and start anew afterwards.
+func (f *fleet) loseZone(lost string) {
+	f.rec.addf("zone %s loses power", lost)
+	for _, r := range f.runners {
+		if r.zone == lost {
+			r.crash(zoneDark)
+		}
+	}
+	for _, p := range f.processes() {
+		if p.zone != lost {
+			continue
+		}
+		p.signal(syscall.SIGSTOP) // Without power nothing answers, and channels hang.
+		time.AfterFunc(zoneDark+machinesAfter, func() {
+			p.signal(syscall.SIGKILL)
+			<-p.done
+			if err := p.start(); err != nil {
+				f.rec.addf("%s: not started again: %v", p.name, err)
+			}
+		})
+	}
+}
+
 // freeze freezes the machine beside a runner for a time. The runner crashes meanwhile.
 func (f *fleet) freeze(r *runner, duration, crashAfter, down time.Duration) {
 	for i := range f.runners {
--- a/review/_probes2/runner.go
+++ b/review/_probes2/runner.go
@@ -130,7 +130,7 @@
 	r.rec.addf("%s: life %d begins", r.id, r.life)
 }
 
-// crash ends the current life. The next one begins after down.
+// crash ends the current life without a word. The next one begins after down.
 func (r *runner) crash(down time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -140,13 +140,13 @@
 		r.history.end(run.past, "lost with its runner")
 	}
 	r.runs = make(map[string]*taskRun)
-	for conn := range r.conns {
-		_ = conn.Close()
-	}
 	r.rec.addf("%s: life %d ends", r.id, r.life)
 	time.AfterFunc(down, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		for conn := range r.conns {
+			_ = conn.Close() // The new life knows no channel of the former one.
+		}
 		r.begin()
 	})
 }
@@ -166,7 +166,8 @@
 		return
 	}
 	if !r.isUp() {
-		panic(http.ErrAbortHandler) // There is no process that could answer.
+		<-req.Context().Done() // Without power nothing answers.
+		return
 	}
 	if id := req.Header.Get("X-Expect-Instance"); id != "" && id != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
