--- a/review/_probes2/at_most_once.go
+++ b/review/_probes2/at_most_once.go
@@ -9,17 +9,15 @@
 const (
 	// heldUp is how much later the order without an answer is carried out.
 	heldUp = 3 * time.Second
-	// freezeAt is the time from that order to the freeze of the machine beside the runner, in which the runner
-	// crashes after crashAfter.
-	freezeAt = time.Second
+	// powerLossAt is the time from that order to the loss of power of the runner's zone.
+	powerLossAt = 500 * time.Millisecond
 	// onceWorkMS is the run time of the task, in milliseconds.
 	onceWorkMS = 200
 )
 
 // atMostOnce submits a job that may run at most once to the callers' API of the project. The first order to
 // its runner gets no answer and is held up. The task ends done, and the end is taken note
-// of. Then the machine beside the runner freezes; the runner crashes, starts again under its id and carries
-// out what it was sent.
+// of. Then the runner's zone loses power; the runner starts again under its id and carries out what it was sent.
 func atMostOnce(rec *record, trouble bool) (string, bool, error) {
 	f, err := startFleet(rec, 3, 11)
 	defer f.stop()
@@ -35,7 +33,7 @@
 		if orders++; orders > 1 {
 			return 0
 		}
-		time.AfterFunc(freezeAt, func() { f.freeze(r, freezeTime, crashAfter, downTime) })
+		time.AfterFunc(powerLossAt, func() { f.loseZone(r.zone) })
 		return heldUp
 	})
 	status, answer, err := f.postAPI(0, task[:16], onceWorkMS, 4*time.Second, false)
--- a/review/_probes2/late_order.go
+++ b/review/_probes2/late_order.go
@@ -11,11 +11,6 @@
 const (
 	// lateDelay is how much later the orders without an answer are carried out.
 	lateDelay = 2900 * time.Millisecond
-	// freezeTime is how long the agent beside the runner stands still. The runner crashes crashAfter after that
-	// began, and is down for downTime.
-	freezeTime = 4 * time.Second
-	crashAfter = 300 * time.Millisecond
-	downTime   = 300 * time.Millisecond
 	// zoneDark is how long a zone is without power. Its runners are back then, and its machines machinesAfter later.
 	zoneDark      = 2 * time.Second
 	machinesAfter = 1400 * time.Millisecond
@@ -89,17 +84,6 @@
 	}
 }
 
-// freeze freezes the machine beside a runner for a time. The runner crashes meanwhile.
-func (f *fleet) freeze(r *runner, duration, crashAfter, down time.Duration) {
-	for i := range f.runners {
-		if agent := f.agents[i]; f.runners[i] == r {
-			agent.signal(syscall.SIGSTOP)
-			time.AfterFunc(crashAfter, func() { r.crash(down) })
-			time.AfterFunc(duration, func() { agent.signal(syscall.SIGCONT) })
-		}
-	}
-}
-
 // describe describes the longest overlap.
 func describe(found []overlap) string {
 	longest := found[0]
