--- a/review/_probes3/fleet.go
+++ b/review/_probes3/fleet.go
@@ -53,13 +53,15 @@
 // started are the processes that the case has started.
 var started struct {
 	mu        sync.Mutex
+	over      bool
 	processes []*os.Process
 }
 
-// killAll kills all processes that the case has started.
+// killAll kills all processes that the case has started, and prevents that more are started.
 func killAll() {
 	started.mu.Lock()
 	defer started.mu.Unlock()
+	started.over = true
 	for _, p := range started.processes {
 		_ = p.Kill() // It may have ended.
 	}
@@ -147,7 +149,7 @@
 
 // addAgent starts agent i and its runner.
 func (f *fleet) addAgent(ctx context.Context, i int) error {
-	r := &runner{address: f.address(3, i, portApp), capacity: 64000, control: f.address(2, i, portBeats), name: fmt.Sprintf("i-%d", i), record: f.record, service: service, zone: zoneOf(i)}
+	r := &runner{beatNow: make(chan struct{}, 1), address: f.address(3, i, portApp), capacity: 64000, control: f.address(2, i, portBeats), name: fmt.Sprintf("i-%d", i), record: f.record, service: service, zone: zoneOf(i)}
 	f.runners = append(f.runners, r)
 	if err := r.listen(); err != nil {
 		return err
@@ -193,15 +195,18 @@
 	cmd := exec.Command(p.command, "run") //nolint:gosec // One of the project's programs.
 	cmd.Env, cmd.Stdout, cmd.Stderr = p.env, log, log
 	done := make(chan struct{})
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	if started.over {
+		return errors.New("the case is over")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	started.processes = append(started.processes, cmd.Process)
 	p.mu.Lock()
 	p.running, p.done = cmd, done
 	p.mu.Unlock()
-	started.mu.Lock()
-	started.processes = append(started.processes, cmd.Process)
-	started.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
 		close(done)
@@ -269,6 +274,7 @@
 			p.wait(stopTimeout)
 		}
 	}
+	killAll() // A restart may have come after the signals.
 	f.cancel()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
--- a/review/_probes3/main.go
+++ b/review/_probes3/main.go
@@ -29,7 +29,9 @@
 
 // cases maps the names of the cases to their functions, which return what breaks the rule.
 var cases = map[string]func(r *record, trouble bool) ([]string, error){
-	"drain": drain,
+	"drain":   drain,
+	"tokens":  tokens,
+	"torture": torture,
 }
 
 func main() {
--- a/review/_probes3/runner.go
+++ b/review/_probes3/runner.go
@@ -29,6 +29,9 @@
 	record           *record
 	service          string
 
+	// beatNow makes the runner send a ping at once.
+	beatNow chan struct{}
+
 	mu      sync.Mutex
 	born    int64
 	cursor  uint64
@@ -38,6 +41,13 @@
 	highest map[string]int
 	lastEnd uint64
 	lease   time.Time
+	// clockRate is the speed of the steady clock, or zero for the true one.
+	clockRate float64
+	// draining is set while the runner says that it leaves, and drainAcked is when that was acknowledged.
+	draining   bool
+	drainAcked time.Duration
+	// late decides whether a call gets no answer and is carried out after the returned time.
+	late func(call string, o *order) time.Duration
 	// lose decides whether the answer to a call is lost after it was carried out.
 	lose    func(call string) bool
 	running map[string]*runnerTask
@@ -102,9 +112,12 @@
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		r.seq++
-		up := r.server != nil
+		up, state := r.server != nil, "ready"
+		if r.draining {
+			state = "draining"
+		}
 		body, _ := json.Marshal(map[string]any{
-			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
+			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0,
 			"capacity": map[string]int{"cpu": r.capacity, "mem-mb": 131072, "gpu": 0}, "labels": []string{"a", "r1-1"}, "clock-ms": r.clock(), "seq": r.seq, "born": r.born,
 		})
 		r.mu.Unlock()
@@ -116,14 +129,31 @@
 				wait = 200 * time.Millisecond
 			} else {
 				_ = response.Body.Close()
+				r.mu.Lock()
+				if state == "draining" && response.StatusCode == http.StatusOK && r.drainAcked == 0 {
+					r.drainAcked = r.record.now()
+					r.record.add("runner %s: draining is acknowledged", r.name)
+				}
+				r.mu.Unlock()
+			}
+		}
+		select {
+		case <-r.beatNow:
+		default:
+			select {
+			case <-r.beatNow:
+			case <-ctx.Done():
+			case <-time.After(wait):
 			}
 		}
-		sleep(ctx, wait)
 	}
 }
 
 // clock returns the runner's steady clock, which starts with its lifetime. The caller must hold mu.
 func (r *runner) clock() int64 {
+	if r.clockRate > 0 {
+		return int64(float64(time.Since(r.started).Microseconds())*r.clockRate/1000) + 1
+	}
 	return time.Since(r.started).Milliseconds() + 1
 }
 
@@ -151,7 +181,26 @@
 			return
 		}
 		r.mu.Lock()
+		if r.late != nil {
+			if delay := r.late(name, &o); delay > 0 {
+				r.record.add("runner %s: %s of %s run %d is not answered, and carried out %v later", r.name, name, o.Task, o.Run, delay)
+				r.mu.Unlock()
+				time.AfterFunc(delay, func() {
+					r.mu.Lock()
+					defer r.mu.Unlock()
+					if r.server != nil {
+						_, refused := carryOut(&o)
+						r.record.add("runner %s: %s of %s run %d with token %d is carried out late, fence %d: %q", r.name, name, o.Task, o.Run, o.Token, r.fence, refused)
+					}
+				})
+				panic(http.ErrAbortHandler)
+			}
+		}
+		before := r.fence
 		status, reason := carryOut(&o)
+		if r.fence > before+1000 || reason == "fence" {
+			r.record.add("runner %s: %s with token %d, fence before %d: %q", r.name, name, o.Token, before, reason)
+		}
 		lost := r.lose != nil && r.lose(name)
 		body := map[string]any{"clock-ms": r.clock(), "born": r.born}
 		r.mu.Unlock()
@@ -233,7 +282,11 @@
 
 // extend extends the lease. The caller must hold mu.
 func (r *runner) extend(deadline int64) {
-	until := r.started.Add(time.Duration(deadline) * time.Millisecond)
+	rate := r.clockRate
+	if rate == 0 {
+		rate = 1
+	}
+	until := r.started.Add(time.Duration(float64(deadline) / rate * float64(time.Millisecond)))
 	if latest := time.Now().Add(maxHold); until.After(latest) {
 		until = latest
 	}
@@ -269,6 +322,9 @@
 		return
 	}
 	r.mu.Lock()
+	if o.Token < r.fence || o.Token > r.fence+1000 {
+		r.record.add("runner %s: hold with token %d, fence before %d", r.name, o.Token, r.fence)
+	}
 	if o.Token < r.fence {
 		body := map[string]any{"clock-ms": r.clock(), "born": r.born, "reason": "fence"}
 		r.mu.Unlock()
