--- a/review/_probes3/client.go
+++ b/review/_probes3/client.go
@@ -35,16 +35,11 @@
 
 // send sends one request and waits for the answer until limit has passed.
 func send(client *http.Client, method, url, hostName string, limit time.Duration, body any, r *record) answer {
-	return sendFor(client, method, url, hostName, limit, limit, body, r)
-}
-
-// sendFor sends one request whose header gives a limit, and closes its channel after wait.
-func sendFor(client *http.Client, method, url, hostName string, limit, wait time.Duration, body any, r *record) answer {
 	text, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(text))
 	if err != nil {
--- a/review/_probes3/fleet.go
+++ b/review/_probes3/fleet.go
@@ -149,7 +149,7 @@
 
 // addAgent starts agent i and its runner.
 func (f *fleet) addAgent(ctx context.Context, i int) error {
-	r := &runner{beatNow: make(chan struct{}, 1), address: f.address(3, i, portApp), capacity: 64000, control: f.address(2, i, portBeats), name: fmt.Sprintf("i-%d", i), record: f.record, service: service, zone: zoneOf(i)}
+	r := &runner{beatNow: make(chan struct{}, 1), address: f.address(3, i, portApp), capacity: 64000, control: f.address(2, i, portBeats), name: fmt.Sprintf("i-%d", i), rack: fmt.Sprintf("r1-%d", i/3), record: f.record, service: service, zone: zoneOf(i)}
 	f.runners = append(f.runners, r)
 	if err := r.listen(); err != nil {
 		return err
--- a/review/_probes3/main.go
+++ b/review/_probes3/main.go
@@ -29,9 +29,9 @@
 
 // cases maps the names of the cases to their functions, which return what breaks the rule.
 var cases = map[string]func(r *record, trouble bool) ([]string, error){
-	"drain":   drain,
-	"tokens":  tokens,
-	"torture": torture,
+	"attempts": attempts,
+	"drain":    drain,
+	"tokens":   tokens,
 }
 
 func main() {
--- a/review/_probes3/runner.go
+++ b/review/_probes3/runner.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -41,15 +41,12 @@
 	highest map[string]int
 	lastEnd uint64
 	lease   time.Time
-	// clockRate is the speed of the steady clock, or zero for the true one.
-	clockRate float64
-	// draining is set while the runner says that it leaves, and drainAcked is when that was acknowledged.
-	draining   bool
-	drainAcked time.Duration
+	// failShare is the share of what it starts that fails, after a tenth of its work.
+	failShare float64
+	// rack is its rack.
+	rack string
 	// late decides whether a call gets no answer and is carried out after the returned time.
-	late func(call string, o *order) time.Duration
-	// lose decides whether the answer to a call is lost after it was carried out.
-	lose    func(call string) bool
+	late    func(call string, o *order) time.Duration
 	running map[string]*runnerTask
 	seq     uint64
 	server  *http.Server
@@ -112,13 +109,10 @@
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		r.seq++
-		up, state := r.server != nil, "ready"
-		if r.draining {
-			state = "draining"
-		}
+		up := r.server != nil
 		body, _ := json.Marshal(map[string]any{
-			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0,
-			"capacity": map[string]int{"cpu": r.capacity, "mem-mb": 131072, "gpu": 0}, "labels": []string{"a", "r1-1"}, "clock-ms": r.clock(), "seq": r.seq, "born": r.born,
+			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
+			"capacity": map[string]int{"cpu": r.capacity, "mem-mb": 131072, "gpu": 0}, "labels": []string{"a", r.rack}, "clock-ms": r.clock(), "seq": r.seq, "born": r.born,
 		})
 		r.mu.Unlock()
 		wait := beatInterval
@@ -129,31 +123,18 @@
 				wait = 200 * time.Millisecond
 			} else {
 				_ = response.Body.Close()
-				r.mu.Lock()
-				if state == "draining" && response.StatusCode == http.StatusOK && r.drainAcked == 0 {
-					r.drainAcked = r.record.now()
-					r.record.add("runner %s: draining is acknowledged", r.name)
-				}
-				r.mu.Unlock()
 			}
 		}
 		select {
 		case <-r.beatNow:
-		default:
-			select {
-			case <-r.beatNow:
-			case <-ctx.Done():
-			case <-time.After(wait):
-			}
+		case <-ctx.Done():
+		case <-time.After(wait):
 		}
 	}
 }
 
 // clock returns the runner's steady clock, which starts with its lifetime. The caller must hold mu.
 func (r *runner) clock() int64 {
-	if r.clockRate > 0 {
-		return int64(float64(time.Since(r.started).Microseconds())*r.clockRate/1000) + 1
-	}
 	return time.Since(r.started).Milliseconds() + 1
 }
 
@@ -201,12 +182,8 @@
 		if r.fence > before+1000 || reason == "fence" {
 			r.record.add("runner %s: %s with token %d, fence before %d: %q", r.name, name, o.Token, before, reason)
 		}
-		lost := r.lose != nil && r.lose(name)
 		body := map[string]any{"clock-ms": r.clock(), "born": r.born}
 		r.mu.Unlock()
-		if lost {
-			panic(http.ErrAbortHandler)
-		}
 		if reason != "" {
 			body["reason"] = reason
 		}
@@ -247,7 +224,11 @@
 	t := &runnerTask{cpu: s.CPU, run: o.Run, started: time.Now(), task: o.Task, work: time.Duration(s.WorkMS) * time.Millisecond}
 	r.running[o.Task] = t
 	r.record.startRun(r.name, o.Task, o.Run, o.Spec)
-	time.AfterFunc(t.work, func() { r.end(t, "done") })
+	how, work := "done", t.work
+	if rand.Float64() < r.failShare { //nolint:gosec // Not for secrets.
+		how, work = "failed", t.work/10
+	}
+	time.AfterFunc(work, func() { r.end(t, how) })
 	return http.StatusOK, ""
 }
 
@@ -282,11 +263,7 @@
 
 // extend extends the lease. The caller must hold mu.
 func (r *runner) extend(deadline int64) {
-	rate := r.clockRate
-	if rate == 0 {
-		rate = 1
-	}
-	until := r.started.Add(time.Duration(float64(deadline) / rate * float64(time.Millisecond)))
+	until := r.started.Add(time.Duration(deadline) * time.Millisecond)
 	if latest := time.Now().Add(maxHold); until.After(latest) {
 		until = latest
 	}
@@ -372,16 +349,3 @@
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, string(text))
 }
-
-// sleep waits until d has passed or ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
-// taskOf returns the name of a job's task.
-func taskOf(id string, index int) string {
-	return fmt.Sprintf("%s.0.0.%d", id, index)
-}
