--- a/review/_probes3/client.go
+++ b/review/_probes3/client.go
@@ -68,14 +68,6 @@
 	}
 }
 
-// ownJob returns the body of a job of the project's own API.
-func ownJob(id string, tasks, cpu int, work, limit time.Duration, mayRunAgain bool) map[string]any {
-	return map[string]any{
-		"id": id, "queue": queue, "tasks": tasks, "need": map[string]int{"cpu": cpu, "memory": 64}, "declared": work.String(),
-		"payload": specOf(cpu, work), "time-limit": limit.String(), "may-run-again": mayRunAgain,
-	}
-}
-
 // specOf returns the spec of a job's tasks.
 func specOf(cpu int, work time.Duration) string {
 	text, err := json.Marshal(spec{CPU: cpu, WorkMS: work.Milliseconds()})
--- a/review/_probes3/main.go
+++ b/review/_probes3/main.go
@@ -30,7 +30,6 @@
 // cases maps the names of the cases to their functions, which return what breaks the rule.
 var cases = map[string]func(r *record, trouble bool) ([]string, error){
 	"attempts": attempts,
-	"drain":    drain,
 	"tokens":   tokens,
 }
 
