Log and count the requests that a backend server fences

Cause: the log did not tell the token of a refused request from the agent's present one, so that a request overtaken by a newer one of the same process and one below another process's token look alike (hypotheses 1 and 3 of docs/incidents/2026-12-07-token-behind-predecessor.md).

Change: the executor returns each refusal with kind, token, present token and whether it raised the token; the agent logs "request fenced" and counts pollenfront_fenced_requests_total.

--- a/agent/internal/driver/conclusions.go
+++ b/agent/internal/driver/conclusions.go
@@ -1,6 +1,8 @@
 package driver
 
 import (
+	"strconv"
+
 	"go.uber.org/zap"
 
 	"github.com/pollenfront/pollenfront/executor"
@@ -19,6 +21,10 @@
 		d.logger.Error("conclusion contradicted by the backend server", zap.String("evidence", string(c.Conclusion)), zap.Float64("age", c.Age.Seconds()),
 			zap.Uint64("incarnation", c.Incarnation), zap.String("request", c.Run.Job), zap.Int("task", c.Run.Index), zap.Int("run", c.Run.Number), zap.String("entry", c.Entry))
 	}
+	for _, f := range effects.Fenced {
+		d.metrics.fencedRequests.WithLabelValues(string(f.Kind), strconv.FormatBool(f.Raised)).Inc()
+		d.logger.Info("request fenced", zap.String("kind", string(f.Kind)), zap.Uint64("token", f.Token), zap.Uint64("current", f.Current), zap.Bool("raised", f.Raised))
+	}
 	for _, run := range effects.UnknownRuns {
 		d.logger.Info("unknown run on the backend server", zap.String("request", run.Job), zap.Int("task", run.Index), zap.Int("run", run.Number))
 	}
--- a/agent/internal/driver/metrics.go
+++ b/agent/internal/driver/metrics.go
@@ -7,6 +7,7 @@
 	contradictions       *prometheus.CounterVec
 	crashedRuns          prometheus.Counter
 	effectiveCPURatio    prometheus.Gauge
+	fencedRequests       *prometheus.CounterVec
 	invalidAnnouncements prometheus.Counter
 	invalidDemands       prometheus.Counter
 	runEvidence          *prometheus.CounterVec
@@ -29,6 +30,10 @@
 		effectiveCPURatio: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pollenfront_server_effective_cpu_ratio", Help: "CPU that the backend server provides, as a fraction of what it announces.",
 		}),
+		fencedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollenfront_fenced_requests_total",
+			Help: "Requests that the backend server refused because it has seen a higher fencing token, by kind and by whether the agent raised its token since.",
+		}, []string{"kind", "raised"}),
 		invalidAnnouncements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pollenfront_announcements_ignored_total", Help: "Announcements that could not be used.",
 		}),
@@ -55,7 +60,7 @@
 		}),
 	}
 	registry.MustRegister(
-		m.contradictions, m.crashedRuns, m.effectiveCPURatio, m.runEvidence, m.runsEnded, m.invalidAnnouncements, m.invalidDemands,
+		m.contradictions, m.crashedRuns, m.effectiveCPURatio, m.fencedRequests, m.runEvidence, m.runsEnded, m.invalidAnnouncements, m.invalidDemands,
 		m.serverCrashes, m.startRequests, m.startsRejected, m.stopRequests,
 	)
 	return m
--- a/agent/internal/driver/renewals.go
+++ b/agent/internal/driver/renewals.go
@@ -87,9 +87,7 @@
 	case errors.Is(err, pollenfront.ErrReplaced):
 		d.server.SetInstance("") // The instance ID is unknown until the new incarnation announces itself.
 	case errors.Is(err, pollenfront.ErrFenced):
-		d.mu.Lock()
-		d.executor.HandleRenewalFenced()
-		d.mu.Unlock()
+		d.handleEvent(bootclock.Now(), func() executor.Effects { return d.executor.HandleRenewalFenced(request.Token) })
 	default:
 		now := bootclock.Now()
 		d.handleEvent(now, func() executor.Effects { return d.executor.HandleRenewalError(now, sent, err) })
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -19,6 +19,9 @@
 	Contradictions []Contradiction
 	// Ended lists the runs that ended, for the log.
 	Ended []EndedRun
+	// Fenced lists the requests that the server refused because it has seen a higher fencing
+	// token, for the log.
+	Fenced []FencedRequest
 	// IncarnationChanges lists the incarnations of the server that were detected, for the log.
 	IncarnationChanges []IncarnationChange
 	// InvalidDemands lists the invalid demands that entries have stated.
@@ -49,6 +52,28 @@
 	Reported bool
 }
 
+// A FencedRequest is a request that the server refused because it has seen a higher fencing
+// token.
+type FencedRequest struct {
+	// Current is the agent's fencing token when it received the refusal.
+	Current uint64
+	Kind    RequestKind
+	// Raised is whether the agent has raised its token since.
+	Raised bool
+	// Token is the fencing token of the request.
+	Token uint64
+}
+
+// A RequestKind is a kind of request to the server. Its value is part of logs and metrics.
+type RequestKind string
+
+// Kinds of requests.
+const (
+	RenewalRequestKind RequestKind = "renewal"
+	StartRequestKind   RequestKind = "start"
+	StopRequestKind    RequestKind = "stop"
+)
+
 // A Rerun is a start request for a task that may have been sent before: its run is not the
 // first one, or an earlier one may have started.
 type Rerun struct {
--- a/executor/run.go
+++ b/executor/run.go
@@ -253,20 +253,22 @@
 // HandleStopResponse handles the response to a stop request. clock is the server's
 // clock, or zero if it is not known. err is nil if the server confirmed the stop; on
 // any error, a later Tick repeats the stop.
-func (x *Executor) HandleStopResponse(now time.Duration, request StopRequest, clock time.Duration, err error) {
+func (x *Executor) HandleStopResponse(now time.Duration, request StopRequest, clock time.Duration, err error) Effects {
+	var effects Effects
 	if request.Incarnation != x.server.incarnation {
-		return // A stop is confirmed by the incarnation that may carry out the start.
+		return effects // A stop is confirmed by the incarnation that may carry out the start.
 	}
 	x.recordClock(now, clock)
 	x.recordResponse(now, err)
 	if errors.Is(err, pollenfront.ErrFenced) {
-		x.token += tokenIncrement
+		x.handleFenced(StopRequestKind, request.Token, &effects)
 	}
 	if err != nil {
-		return
+		return effects
 	}
 	id := request.Run
 	if r, ok := x.runsByTask[id.TaskID]; ok && r.id == id && r.state == stopping {
 		r.stopConfirmed = now
 	}
+	return effects
 }
--- a/executor/server.go
+++ b/executor/server.go
@@ -274,10 +274,12 @@
 	return effects
 }
 
-// HandleRenewalFenced handles a renewal that the server refused because it has seen a
-// higher fencing token.
-func (x *Executor) HandleRenewalFenced() {
-	x.token += tokenIncrement
+// HandleRenewalFenced handles a renewal with the given fencing token that the server refused
+// because it has seen a higher one.
+func (x *Executor) HandleRenewalFenced(token uint64) Effects {
+	var effects Effects
+	x.handleFenced(RenewalRequestKind, token, &effects)
+	return effects
 }
 
 // reconcile compares the runs that a response to a renewal lists with the known ones.
--- a/executor/start.go
+++ b/executor/start.go
@@ -88,6 +88,9 @@
 		r.openStarts--
 		r.startAnswered = now
 	}
+	if errors.Is(err, pollenfront.ErrFenced) && (r.startAttempts > 1 || r.state != stopping) {
+		x.handleFenced(StartRequestKind, request.Token, &effects)
+	}
 	switch {
 	case !isDefinite(err):
 		x.handleUnansweredStart(now, r, &effects)
@@ -147,9 +150,6 @@
 		r.started, r.lastProgress, r.state = true, now, running
 		return
 	}
-	if errors.Is(err, pollenfront.ErrFenced) {
-		x.token += tokenIncrement
-	}
 	if errors.Is(err, pollenfront.ErrNoCapacity) {
 		x.recordRejectedStart(now, r, effects)
 	}
@@ -205,7 +205,6 @@
 			return
 		}
 	case errors.Is(err, pollenfront.ErrFenced):
-		x.token += tokenIncrement
 		x.requeue(now, r)
 		return
 	case errors.Is(err, pollenfront.ErrUnhealthy):
@@ -218,10 +217,6 @@
 	x.endRun(now, r, ending, proof{asOf: now, kind: StartRefused}, err.Error(), effects)
 }
 
-// tokenIncrement is added to the fencing token when the server has seen a higher one.
-// This happens if an earlier incarnation of the agent used a clock that was ahead.
-const tokenIncrement = 1 << 16
-
 // requeue puts a run whose only start request was refused back into the queue.
 func (x *Executor) requeue(now time.Duration, r *run) {
 	x.interference.recordEnd(now, r, pollenfront.EndingNotStarted, 1)
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -106,7 +106,7 @@
 	}
 	for _, request := range effects.Stops {
 		a.callServer(Stops, executor.StopTimeout, func() error { return a.server.receiveStop(request.Run, request.Token) }, func(clock time.Duration, err error) {
-			a.executor.HandleStopResponse(a.fleet.now, request, clock, err)
+			a.applyEffects(a.executor.HandleStopResponse(a.fleet.now, request, clock, err))
 		})
 	}
 	for _, name := range effects.Notify {
--- a/replay/agent_server.go
+++ b/replay/agent_server.go
@@ -77,7 +77,7 @@
 		case err == nil:
 			a.applyEffects(a.executor.HandleRenewal(a.fleet.now, sent, response))
 		case errors.Is(err, pollenfront.ErrFenced):
-			a.executor.HandleRenewalFenced()
+			a.applyEffects(a.executor.HandleRenewalFenced(request.Token))
 		default:
 			a.applyEffects(a.executor.HandleRenewalError(a.fleet.now, sent, err))
 			scheduleNext(a.executor.RenewalRetryDelay(a.fleet.now, err))
