Report events that keep a process from answering

Change: program.Guard keeps which function locked it; program.HoldWatch logs "an event keeps all others waiting" after a second, while it lasts, and counts pollenfront_long_event_seconds_total by event. Entries and agents run one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -96,7 +96,7 @@
 	defer stopParts()
 	var group run.Group
 	go a.driver.RestoreAnnouncement(partsCtx)
-	for _, part := range []func(context.Context) error{a.driver.Run, a.entryDialer.run, a.watchEntries} {
+	for _, part := range []func(context.Context) error{a.driver.Run, a.driver.WatchEvents, a.entryDialer.run, a.watchEntries} {
 		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
 	}
 	announcements := platform.NewAnnouncementHandler(a.settings.Service, a.driver)
--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -58,6 +58,8 @@
 	config   *pollenfront.Config
 	executor *executor.Executor
 	faults   *observe.Faults
+	// holdWatch reports events that take long.
+	holdWatch *program.HoldWatch
 	// instance is the ID of the instance of the backend server that was announced last,
 	// or empty if none was.
 	instance string
@@ -89,7 +91,7 @@
 // New returns the driver of the agent that self describes. The fencing tokens
 // of its requests start at the agent's incarnation.
 func New(self tasklink.Hello, server Server, store pollenfront.Store, registry *prometheus.Registry, logger *zap.Logger) *Driver {
-	return &Driver{
+	d := &Driver{
 		executor: executor.New(self.Name, self.Service, self.Zone, self.Incarnation),
 		faults:   observe.NewFaults(registry),
 		links:    make(map[string]*entryLink),
@@ -101,6 +103,13 @@
 		started:  bootclock.Now(),
 		store:    store,
 	}
+	d.holdWatch = program.NewHoldWatch(&d.mu, registry, logger)
+	return d
+}
+
+// WatchEvents reports events that take long until ctx is done, and returns ctx.Err().
+func (d *Driver) WatchEvents(ctx context.Context) error {
+	return d.holdWatch.Run(ctx)
 }
 
 // Run renews the lease, passes ticks to the executor, sends regular updates to
@@ -285,7 +294,8 @@
 		d.logger.Info("stop not done", zap.String("request", request.Run.Job), zap.Int("task", request.Run.Index),
 			zap.Int("run", request.Run.Number), zap.Error(err))
 	}
-	d.executor.HandleStopResponse(bootclock.Now(), request, clock, err)
+	now := bootclock.Now()
+	d.applyEffects(now, d.executor.HandleStopResponse(now, request, clock, err))
 }
 
 // Drain returns the queued tasks to their entries and refuses new ones. It then
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,7 +115,7 @@
 	defer stopParts()
 	var group run.Group
 	group.Add(func() error { return e.jobs.Serve(listener) }, func(error) { _ = listener.Close() })
-	for _, part := range []func(context.Context) error{e.jobs.Run, e.watchOperatorState, e.watchEntries} {
+	for _, part := range []func(context.Context) error{e.jobs.Run, e.jobs.WatchEvents, e.watchOperatorState, e.watchEntries} {
 		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
 	}
 	callerServer := &http.Server{
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -46,6 +46,8 @@
 	// entries are the registered entries.
 	entries map[string]pollenfront.EntryRecord
 	faults  *observe.Faults
+	// holdWatch reports events that take long.
+	holdWatch *program.HoldWatch
 	// handling is the job that is being passed to the scheduler, or nil.
 	handling *pollenfront.Submission
 	// hellos maps the name of each agent to the record of its newest hello.
@@ -108,6 +110,7 @@
 		submissions:            make(map[string]*activeSubmission),
 		watched:                make(map[callerconn.ID]*waitingCaller),
 	}
+	j.holdWatch = program.NewHoldWatch(&j.mu, registry, logger)
 	j.mu.OnPanic = j.reportPanic
 	return j
 }
@@ -175,6 +178,11 @@
 	j.scheduler.SetEntries(slices.Collect(maps.Values(entries.Records)))
 }
 
+// WatchEvents reports events that take long until ctx is done, and returns ctx.Err().
+func (j *Jobs) WatchEvents(ctx context.Context) error {
+	return j.holdWatch.Run(ctx)
+}
+
 // Run ticks the scheduler every scheduler.TickInterval until ctx is done, and returns
 // ctx.Err().
 func (j *Jobs) Run(ctx context.Context) error {
--- a/program/guard.go
+++ b/program/guard.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 )
 
 // A Guard is a mutex over a state machine. A panic while the mutex is held may leave the
@@ -19,6 +21,27 @@
 
 	// crash replaces the end of the process in tests.
 	crash func(cause any)
+	// caller is the program counter at which the function that locked the mutex was called.
+	caller atomic.Uintptr
+	// event is the program counter at which the mutex was locked, or zero if it is not locked.
+	event atomic.Uintptr
+	// events is the number of times that the mutex was locked.
+	events atomic.Uint64
+}
+
+// Lock locks the mutex for the event that the calling function handles.
+func (g *Guard) Lock() {
+	g.Mutex.Lock()
+	var callers [2]uintptr
+	runtime.Callers(2, callers[:]) // Callers itself and Lock are left out.
+	g.events.Add(1)
+	g.caller.Store(callers[1])
+	g.event.Store(callers[0])
+}
+
+// hold returns the event that holds the mutex.
+func (g *Guard) hold() hold {
+	return hold{caller: g.caller.Load(), event: g.event.Load(), seqNum: g.events.Load()}
 }
 
 // Unlock unlocks the mutex. If it is called directly by a defer statement during a panic,
@@ -27,6 +50,7 @@
 	if cause := recover(); cause != nil {
 		g.end(cause)
 	}
+	g.event.Store(0)
 	g.Mutex.Unlock()
 }
 
