Raise the fencing token only if the newest request was refused

Cause: four places answered a refusal with "fence" by adding 65,536 to the token, whatever token the refused request had. A request that a newer one of the same process overtook is refused too, which says nothing about another process. After a suspension the lease has expired, which raises the token, while the stops of the same tick carry the one before: each is refused.

Change: package fencing judges a refusal by the token that its request carried, and raises the present one only if it was that.

--- a/executor/crash.go
+++ b/executor/crash.go
@@ -38,7 +38,7 @@
 	if !errors.Is(err, pollenfront.ErrUnreachable) || s.incarnation == 0 || sent <= s.seenAt || s.crashed {
 		return
 	}
-	x.token++ // The first request to the next incarnation must fence the delayed ones to this one.
+	x.tokens.Advance() // The first request to the next incarnation must fence the delayed ones to this one.
 	if s.announced {
 		x.recordCrash(now, effects)
 	}
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -38,7 +38,7 @@
 
 // Dump returns the current state of the executor.
 func (x *Executor) Dump(now time.Duration) Dump {
-	d := Dump{NoUnknownRuns: x.noUnknownRuns, Incarnation: x.server.incarnation, Report: x.Report(now), Shares: x.Shares(now), Token: x.token}
+	d := Dump{NoUnknownRuns: x.noUnknownRuns, Incarnation: x.server.incarnation, Report: x.Report(now), Shares: x.Shares(now), Token: x.tokens.Current()}
 	for _, r := range x.acceptedRuns {
 		d.Runs = append(d.Runs, RunDump{
 			Age: (now - r.lastStartSent).String(), Entry: r.entry.Name, Index: r.id.Index, Job: r.id.Job, Number: r.id.Number,
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -68,6 +68,7 @@
 	"github.com/pollenfront/pollenfront/cancellog"
 	"github.com/pollenfront/pollenfront/crashlog"
 	"github.com/pollenfront/pollenfront/demandshare"
+	"github.com/pollenfront/pollenfront/fencing"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -216,8 +217,8 @@
 	// shares are the shares of the entries, or nil if none are stated.
 	shares *demandshare.Ledger
 	stats  runStats
-	// token is the fencing token of the next request to the server.
-	token uint64
+	// tokens holds the fencing token of the next request to the server.
+	tokens *fencing.Sequence
 	// unknownListedAt is when the server last listed runs that the executor does not know.
 	unknownListedAt time.Duration
 	// withheldEnds lists the ends of runs that their entries are told later.
@@ -238,7 +239,7 @@
 		runsByTask:    make(map[pollenfront.TaskID]*run),
 		service:       service,
 		stats:         newRunStats(),
-		token:         token,
+		tokens:        fencing.NewSequence(token),
 	}
 }
 
@@ -321,7 +322,7 @@
 		}
 	}
 	if ended {
-		x.token++ // Start requests still on their way must have no effect.
+		x.tokens.Advance() // Start requests still on their way must have no effect.
 	}
 }
 
--- a/executor/fenced.go
+++ b/executor/fenced.go
@@ -1,14 +1,11 @@
 package executor
 
-// tokenIncrement is added to the fencing token when the server has seen a higher one.
-// This happens if an earlier incarnation of the agent used a clock that was ahead.
-const tokenIncrement = 1 << 16
-
 // handleFenced handles the refusal of a request with a fencing token, since the server has seen a
-// higher one.
+// higher one. The agent raises its token only if no newer request of its own has overtaken this
+// one: otherwise its token would run ahead of the time of day, at which the next incarnation of the
+// agent starts.
 func (x *Executor) handleFenced(kind RequestKind, token uint64, effects *Effects) {
-	refused := FencedRequest{Current: x.token, Kind: kind, Token: token}
-	x.token += tokenIncrement
-	refused.Raised = x.token != refused.Current
+	refused := FencedRequest{Current: x.tokens.Current(), Kind: kind, Token: token}
+	refused.Raised = x.tokens.HandleRefusal(token)
 	effects.Fenced = append(effects.Fenced, refused)
 }
--- a/executor/run.go
+++ b/executor/run.go
@@ -168,7 +168,7 @@
 
 // stopRequest returns a request to stop a run on the current incarnation of the server.
 func (x *Executor) stopRequest(id pollenfront.RunID) StopRequest {
-	return StopRequest{Incarnation: x.server.incarnation, Run: id, Token: x.token}
+	return StopRequest{Incarnation: x.server.incarnation, Run: id, Token: x.tokens.Current()}
 }
 
 // stopSlowRuns stops runs that make no progress, and first runs of tasks that are
--- a/executor/server.go
+++ b/executor/server.go
@@ -114,7 +114,7 @@
 func (x *Executor) HandleDeregistration(now time.Duration) Effects {
 	var effects Effects
 	x.returnQueued(now, "the server has left", &effects)
-	x.token++
+	x.tokens.Advance()
 	x.server.announced = false
 	x.notifyAll(&effects)
 	return effects
@@ -141,7 +141,7 @@
 		return
 	}
 	x.server.leaseExpiry = max(former.leaseExpiry, now+longestLease) // Requests to the former one have times on a higher clock.
-	x.token++
+	x.tokens.Advance()
 	x.stats = newRunStats()
 	x.returnQueued(now, "the server was restarted", effects)
 	for _, r := range slices.Clone(x.acceptedRuns) {
@@ -199,7 +199,7 @@
 // must not go on, it does not extend the lease.
 func (x *Executor) NextRenewal(now time.Duration) pollenfront.RenewalRequest {
 	request := pollenfront.RenewalRequest{
-		AcknowledgedSeqNum: x.server.lastSeqNum, Interval: RenewalWait + renewalTimeoutMargin, Timeout: RenewalWait + renewalTimeoutMargin, Token: x.token, Wait: RenewalWait,
+		AcknowledgedSeqNum: x.server.lastSeqNum, Interval: RenewalWait + renewalTimeoutMargin, Timeout: RenewalWait + renewalTimeoutMargin, Token: x.tokens.Current(), Wait: RenewalWait,
 	}
 	if now-x.server.lastRenewal > acknowledgeWindow {
 		request.AcknowledgedSeqNum = 0
--- a/executor/start.go
+++ b/executor/start.go
@@ -55,7 +55,7 @@
 		})
 	}
 	effects.Starts = append(effects.Starts, pollenfront.StartRequest{
-		Incarnation: x.server.incarnation, LeaseExpiry: leaseExpiry, Payload: r.payload, Run: r.id, Timeout: x.startTimeout(now), Token: x.token,
+		Incarnation: x.server.incarnation, LeaseExpiry: leaseExpiry, Payload: r.payload, Run: r.id, Timeout: x.startTimeout(now), Token: x.tokens.Current(),
 	})
 }
 
@@ -80,6 +80,9 @@
 	if !isDefinite(err) {
 		x.lastUnansweredStart = now
 	}
+	if errors.Is(err, pollenfront.ErrFenced) {
+		x.handleFenced(StartRequestKind, request.Token, &effects)
+	}
 	r, ok := x.runsByTask[request.Run.TaskID]
 	if !ok || r.id != request.Run || r.state == queued {
 		return effects
@@ -88,9 +91,6 @@
 		r.openStarts--
 		r.startAnswered = now
 	}
-	if errors.Is(err, pollenfront.ErrFenced) && (r.startAttempts > 1 || r.state != stopping) {
-		x.handleFenced(StartRequestKind, request.Token, &effects)
-	}
 	switch {
 	case !isDefinite(err):
 		x.handleUnansweredStart(now, r, &effects)
