Keep the fencing tokens of an agent's processes in order

Late requests of the former process are then accepted by a new incarnation of the server.

Cause: nothing that outlives an agent's process carried its highest token.

Change: agents tell their entries (hello, updates) and the store (table pollenfront-tokens, a conditional write) of a block of 256 tokens. An entry tells a new process of the former one's in its first commands, before any start; the process passes it in one step and renews at once. Protocol version 8. The replay's agents begin at the time of day of a clock that can be set, as real ones do, and have a store.

--- a/agent/internal/driver/conclusions.go
+++ b/agent/internal/driver/conclusions.go
@@ -25,6 +25,9 @@
 		d.metrics.fencedRequests.WithLabelValues(string(f.Kind), strconv.FormatBool(f.Raised)).Inc()
 		d.logger.Info("request fenced", zap.String("kind", string(f.Kind)), zap.Uint64("token", f.Token), zap.Uint64("current", f.Current), zap.Bool("raised", f.Raised))
 	}
+	if raise := effects.TokenRaise; raise != nil {
+		d.logger.Warn("fencing token of a former process", zap.Uint64("from", raise.From), zap.Uint64("to", raise.To), zap.String("entry", raise.Source))
+	}
 	for _, run := range effects.UnknownRuns {
 		d.logger.Info("unknown run on the backend server", zap.String("request", run.Job), zap.Int("task", run.Index), zap.Int("run", run.Number))
 	}
--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -71,6 +71,10 @@
 	logger  *zap.Logger
 	metrics *metrics
 	mu      program.Guard
+	// recordedToken is the highest fencing token that this process has recorded in the store.
+	recordedToken uint64
+	// recordingToken is whether a token is being recorded.
+	recordingToken bool
 	// renewalFailed is whether the newest renewal of the lease failed.
 	renewalFailed bool
 	// renewNow holds a value when the next renewal is to be sent without a delay.
@@ -89,7 +93,8 @@
 }
 
 // New returns the driver of the agent that self describes. The fencing tokens
-// of its requests start at the agent's incarnation.
+// of its requests start at the agent's incarnation, or above those of former processes once the
+// store or an entry has told of them.
 func New(self tasklink.Hello, server Server, store pollenfront.Store, registry *prometheus.Registry, logger *zap.Logger) *Driver {
 	d := &Driver{
 		executor: executor.New(self.Name, self.Service, self.Zone, self.Incarnation),
@@ -115,6 +120,7 @@
 // Run renews the lease, passes ticks to the executor, sends regular updates to
 // the entries and logs the state, until ctx is done. It returns ctx.Err().
 func (d *Driver) Run(ctx context.Context) error {
+	d.handleEvent(bootclock.Now(), func() executor.Effects { return executor.Effects{} }) // Records the fencing token.
 	go d.renewLease(ctx)
 	ticker := time.NewTicker(executor.TickInterval)
 	defer ticker.Stop()
@@ -160,6 +166,7 @@
 		d.recordCrash(crash)
 	}
 	d.recordConclusions(&effects)
+	d.recordToken()
 	d.recordInvalidDemands(effects.InvalidDemands)
 	for i := range effects.Ended {
 		d.recordRunEnd(&effects.Ended[i])
--- a/agent/internal/driver/driver_test.go
+++ b/agent/internal/driver/driver_test.go
@@ -54,7 +54,7 @@
 	return pollenfront.RenewalResponse{Clock: time.Second, Ended: f.endedRuns, Incarnation: 3}, nil
 }
 
-// A fakeStore is a store that holds one announcement. The tests call no other
+// A fakeStore is a store that holds one announcement and one token. The tests call no other
 // method of pollenfront.Store.
 type fakeStore struct {
 	pollenfront.Store
@@ -63,6 +63,16 @@
 	loading func()
 	mu      sync.Mutex
 	saved   pollenfront.Announcement
+	// token is the highest fencing token that was recorded.
+	token uint64
+}
+
+func (f *fakeStore) RecordToken(_ context.Context, _ string, token uint64) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	recorded := f.token
+	f.token = max(recorded, token)
+	return recorded, nil
 }
 
 func (f *fakeStore) SaveAnnouncement(_ context.Context, _ string, a pollenfront.Announcement) error {
--- a/agent/internal/driver/invalid_rows_test.go
+++ b/agent/internal/driver/invalid_rows_test.go
@@ -23,6 +23,8 @@
 	reads int
 }
 
+func (s *invalidStore) RecordToken(context.Context, string, uint64) (uint64, error) { return 0, nil }
+
 func (s *invalidStore) LoadAnnouncement(context.Context, string) (pollenfront.Announcement, bool, error) {
 	s.reads++
 	return pollenfront.Announcement{}, false, fmt.Errorf("%w: too deep", pollenfront.ErrInvalidRow)
--- a/agent/internal/driver/link.go
+++ b/agent/internal/driver/link.go
@@ -143,7 +143,7 @@
 	runs, effects := d.executor.LinkEntry(now, link.ref)
 	hello := d.self
 	d.lastLinkSeqNum++
-	hello.LinkSeqNum, hello.Runs = d.lastLinkSeqNum, runs
+	hello.LinkSeqNum, hello.Runs, hello.Token = d.lastLinkSeqNum, runs, d.executor.ReservedToken()
 	hello.Cancellations = d.executor.NextCancellations(now, link.ref.Name)
 	if err := link.Send(&hello); err != nil {
 		delete(d.links, link.ref.Name)
--- a/agent/internal/driver/renewals.go
+++ b/agent/internal/driver/renewals.go
@@ -13,8 +13,8 @@
 )
 
 // renewLease renews the lease of all runs on the backend server until ctx is done.
-// It sends the next renewal when the previous one is answered, or at the latest
-// after the renewal's interval.
+// It sends the next renewal when the previous one is answered, when one is requested, or at the
+// latest after the renewal's interval.
 func (d *Driver) renewLease(ctx context.Context) {
 	failedBefore := false
 	for ctx.Err() == nil {
@@ -30,6 +30,7 @@
 				d.awaitRenewalRetry(ctx, err)
 			}
 			failedBefore = err != nil
+		case <-d.renewNow:
 		case <-time.After(request.Interval):
 		}
 	}
@@ -48,7 +49,8 @@
 	}
 }
 
-// requestRenewal makes awaitRenewalRetry return.
+// requestRenewal makes renewLease send a renewal without waiting for the answer to the one before, or
+// for the delay after a failed one.
 func (d *Driver) requestRenewal() {
 	select {
 	case d.renewNow <- struct{}{}:
--- /dev/null
+++ b/agent/internal/driver/tokens_test.go
@@ -0,0 +1,67 @@
+package driver
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/tasklink"
+)
+
+// A tokenServer is a backend server that keeps the fencing token of the newest renewal.
+type tokenServer struct {
+	fakeServer
+
+	tokenMu sync.Mutex
+	token   uint64
+}
+
+func (s *tokenServer) Renew(ctx context.Context, request pollenfront.RenewalRequest) (pollenfront.RenewalResponse, error) {
+	s.tokenMu.Lock()
+	s.token = request.Token
+	s.tokenMu.Unlock()
+	return s.fakeServer.Renew(ctx, request)
+}
+
+// newest returns the token of the newest renewal.
+func (s *tokenServer) newest() uint64 {
+	s.tokenMu.Lock()
+	defer s.tokenMu.Unlock()
+	return s.token
+}
+
+// recorded returns the token that was recorded last.
+func (f *fakeStore) recorded() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.token
+}
+
+// TestTokenAboveFormerProcess guards against an agent's process whose requests have lower fencing
+// tokens than those of the process before, as the time of day was set back in between: late
+// requests of the former process would then be carried out by a new incarnation of the server.
+func TestTokenAboveFormerProcess(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	highest := uint64(0)
+	for _, startedAt := range []uint64{1_000_000, 900_000, 1_000_100} {
+		ctx, cancel := context.WithCancel(context.Background())
+		server := &tokenServer{}
+		hello := tasklink.Hello{Incarnation: startedAt, Name: "agent-1", Service: "service", Version: tasklink.Version, Zone: "west"}
+		d := New(hello, server, store, prometheus.NewRegistry(), zap.NewNop())
+		go func() { _ = d.Run(ctx) }()
+		for deadline := time.Now().Add(5 * time.Second); (server.newest() <= highest || store.recorded() < server.newest()) && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		c.Assert(server.newest() > highest, qt.IsTrue, qt.Commentf("%d after %d", server.newest(), highest))
+		c.Assert(store.recorded() >= server.newest(), qt.IsTrue)
+		highest = server.newest()
+		cancel()
+	}
+}
--- a/executor/commands.go
+++ b/executor/commands.go
@@ -22,6 +22,7 @@
 		e.lastEcho = echo
 		e.stoppedForSilence = e.stoppedForSilence && e.silent(now)
 	}
+	x.raiseToken(commands.TokenFloor, e.Name, &effects)
 	x.recordDisabledZones(commands.DisabledZones)
 	x.recordDemand(now, e, commands, &effects)
 	x.recordCancellations(now, e, commands, &effects)
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -38,6 +38,9 @@
 	Starts []pollenfront.StartRequest
 	// Stops lists the stop requests to send to the server.
 	Stops []StopRequest
+	// TokenRaise describes how the fencing token was raised above those of former incarnations
+	// of the agent, for the log. It is nil if it was not.
+	TokenRaise *TokenRaise
 	// UnknownRuns lists the runs on the server that the executor does not know, for the log.
 	UnknownRuns []pollenfront.RunID
 }
@@ -74,6 +77,13 @@
 	StopRequestKind    RequestKind = "stop"
 )
 
+// A TokenRaise is a rise of the fencing token above those of former incarnations of the agent.
+type TokenRaise struct {
+	From, To uint64
+	// Source is the entry that knows of the former tokens, or empty if the store does.
+	Source string
+}
+
 // A Rerun is a start request for a task that may have been sent before: its run is not the
 // first one, or an earlier one may have started.
 type Rerun struct {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -40,6 +40,8 @@
 	// recentEnds lists the ends of runs to report when the entry links again, the
 	// oldest first.
 	recentEnds []recentEnd
+	// toldToken is the highest fencing token of which the entry was told on its current link.
+	toldToken uint64
 	// stoppedForSilence is whether Tick has stopped the runs of the entry since it
 	// became silent.
 	stoppedForSilence bool
@@ -94,7 +96,7 @@
 	}
 	e.lastSeqNum, e.linked, e.released, e.stoppedForSilence, e.pendingEnds = 0, true, 0, false, nil
 	e.cancelCursor, e.cancellationSeqNum, e.crashCursor = 0, 0, 0
-	e.pendingWithheld = x.withheldRuns(e)
+	e.pendingWithheld, e.toldToken = x.withheldRuns(e), x.tokens.Reserved()
 	x.removeFromShares(e) // A new link starts without a statement.
 	x.addToShares(e)
 	x.interference.forget(ref.Name)
@@ -186,6 +188,9 @@
 	update.Report.Share, update.Report.Overloaded = x.grantShare(now, e), x.overloadedEntry(now, name)
 	e.pendingEnds = nil
 	update.Withheld, e.pendingWithheld = e.pendingWithheld, nil
+	if reserved := x.tokens.Reserved(); reserved != e.toldToken {
+		update.Token, e.toldToken = reserved, reserved
+	}
 	update.Cancellations, update.CancellationSeqNum = x.NextCancellations(now, name), e.cancellationSeqNum
 	update.Crashes, e.crashCursor = x.crashes.Since(now, e.crashCursor, name)
 	x.interference.fill(now, name, &update)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -37,6 +37,9 @@
 //   - The next incarnation of the server may carry out such a start before the agent can
 //     reject it. The entry of a run that did not complete is therefore told of its end only when
 //     this can't happen any more.
+//   - The requests of each incarnation of the agent have higher fencing tokens than those of all
+//     earlier ones. An incarnation begins with the time of day, and is told of higher tokens by the
+//     store and by the entries.
 //   - A server that leaves requests unanswered is first suspect, and requests are
 //     repeated sooner. If it does not respond for longer, it is unavailable and
 //     gets no tasks until it responds.
@@ -226,8 +229,8 @@
 }
 
 // New returns an Executor for the agent with the given name in a zone, whose backend
-// server belongs to a service. Its requests carry fencing tokens from token upwards, which must be
-// higher than those of earlier incarnations of the agent.
+// server belongs to a service. Its requests carry fencing tokens from token upwards. It is told of
+// the tokens of earlier incarnations of the agent by RaiseToken and by the commands of entries.
 func New(name, service, zone string, token uint64) *Executor {
 	return &Executor{
 		agentZone:     zone,
--- a/fencing/sequence.go
+++ b/fencing/sequence.go
@@ -21,10 +21,10 @@
 const MaxToken = 1 << 53
 
 const (
-	// blockSize is the number of tokens that are reserved at a time, so that others need not be
+	// BlockSize is the number of tokens that are reserved at a time, so that others need not be
 	// told of each one. A process that starts at the time of day in milliseconds is above the
 	// block of a predecessor that started a quarter of a second earlier.
-	blockSize = 256
+	BlockSize = 256
 	// minStep and maxStep limit by how much a refusal raises the token.
 	minStep = 1 << 10
 	maxStep = 1 << 20
@@ -91,6 +91,6 @@
 func (s *Sequence) set(token uint64) {
 	s.current = min(token, MaxToken)
 	if s.current > s.reserved {
-		s.reserved = min(s.current+blockSize-1, MaxToken)
+		s.reserved = min(s.current+BlockSize-1, MaxToken)
 	}
 }
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -18,22 +18,26 @@
 type agentNode struct {
 	node
 
-	agentCounts  map[int]int // agentCounts holds the newest AgentCount of each entry, by its index.
-	cell         *cell.Cell
-	dialing      map[int]bool                 // dialing holds the entries to which there is a link or that are being dialed, by index.
-	entryRefs    map[int]pollenfront.EntryRef // entryRefs identify the incarnations of the linked entries, by index of the entry.
-	executor     *executor.Executor
-	incarnation  uint64
-	index        int
-	lastReceived map[int]time.Duration // lastReceived is the time of the last message from an entry, by index of the entry.
-	linkEpochs   map[int]uint64        // linkEpochs are the epochs of the open links, by index of the entry. Epochs are never zero.
-	name         string
-	renewals     int // renewals is the number of renewals sent.
-	server       *serverNode
-	slowTicks    int // slowTicks counts the faults that make the timers of the executor run late.
-	startedAt    time.Duration
-	wanted       map[int]bool // wanted holds the entries to which there should be links, by index.
-	zone         string
+	agentCounts    map[int]int // agentCounts holds the newest AgentCount of each entry, by its index.
+	cell           *cell.Cell
+	dialing        map[int]bool                 // dialing holds the entries to which there is a link or that are being dialed, by index.
+	entryRefs      map[int]pollenfront.EntryRef // entryRefs identify the incarnations of the linked entries, by index of the entry.
+	executor       *executor.Executor
+	incarnation    uint64
+	index          int
+	lastReceived   map[int]time.Duration // lastReceived is the time of the last message from an entry, by index of the entry.
+	linkEpochs     map[int]uint64        // linkEpochs are the epochs of the open links, by index of the entry. Epochs are never zero.
+	name           string
+	renewals       int    // renewals is the number of renewals sent.
+	recordingToken bool   // recordingToken is set while the agent has a call to the store in progress.
+	recordedToken  uint64 // recordedToken is the highest fencing token that this incarnation has recorded in the store.
+	server         *serverNode
+	slowTicks      int // slowTicks counts the faults that make the timers of the executor run late.
+	startedAt      time.Duration
+	// timeOfDayStep is by how much the time of day of the agent's machine has been set ahead.
+	timeOfDayStep time.Duration
+	wanted        map[int]bool // wanted holds the entries to which there should be links, by index.
+	zone          string
 }
 
 // newAgentNode returns an agent with its server. The agent starts at once, except in a
@@ -54,12 +58,14 @@
 // start starts a new incarnation of the agent.
 func (a *agentNode) start() {
 	a.up, a.startedAt = true, a.fleet.now
-	a.incarnation = uint64(a.fleet.now / time.Millisecond) //nolint:gosec // Not negative.
+	a.incarnation = uint64((firstTimeOfDay + a.fleet.now + a.timeOfDayStep) / time.Millisecond) //nolint:gosec // Not negative.
 	a.executor = executor.New(a.name, service, a.zone, a.incarnation)
 	if a.fleet.settings.DemandShares {
 		a.executor.EnableDemandShares()
 	}
 	a.executor.SetInterference(a.fleet.settings.InterferenceMode)
+	a.recordedToken, a.recordingToken = 0, false
+	a.recordToken()
 	a.linkEpochs = make(map[int]uint64)
 	a.lastReceived = make(map[int]time.Duration)
 	a.entryRefs = make(map[int]pollenfront.EntryRef)
@@ -96,6 +102,7 @@
 
 // applyEffects carries out the effects that the executor returned.
 func (a *agentNode) applyEffects(effects executor.Effects) {
+	a.recordToken()
 	if effects.RenewNow {
 		a.renew()
 	}
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -92,6 +92,8 @@
 	random           *rand.Rand
 	result           Result
 	settings         Settings
+	storeOutages     int               // storeOutages counts the faults that make calls to the store fail.
+	tokens           map[string]uint64 // tokens are the fencing tokens that agents have recorded in the store, by name.
 }
 
 // A Result counts how a fleet answered its jobs. Jobs that always fail and jobs whose
@@ -240,7 +242,7 @@
 		activeRuns: make(map[pollenfront.TaskID]*serverRun), crashCounts: make(map[pollenfront.TaskID]*crashCount),
 		heldMessages: make(map[[2]int][]func()), jobs: make(map[string]*callerJob),
 		loadRandom: rand.New(rand.NewPCG(s.Seed, 2)), now: startTime, partitions: make(map[[2]int]int), //nolint:gosec // A seed makes runs reproducible.
-		random: rand.New(rand.NewPCG(s.Seed, 1)), result: newResult(), settings: s, //nolint:gosec // A seed makes runs reproducible.
+		random: rand.New(rand.NewPCG(s.Seed, 1)), result: newResult(), settings: s, tokens: make(map[string]uint64), //nolint:gosec // A seed makes runs reproducible.
 	}
 	if s.Clairvoyant {
 		f.centralQueue = newCentralQueue(f)
--- a/replay/server_faults.go
+++ b/replay/server_faults.go
@@ -181,6 +181,12 @@
 	f.scheduleAt(at, func() { f.agents[agent].server.timeOfDayStep += step })
 }
 
+// StepAgentTimeOfDay sets the time of day of an agent's machine ahead, or back if step is negative.
+// It shows when the agent starts.
+func (f *Fleet) StepAgentTimeOfDay(at time.Duration, agent int, step time.Duration) {
+	f.scheduleAt(at, func() { f.agents[agent].timeOfDayStep += step })
+}
+
 // maxAnswerDelay is the longest delay of a late response.
 const maxAnswerDelay = 200 * time.Millisecond
 
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/attempts"
+	"github.com/pollenfront/pollenfront/fencing"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -107,10 +108,20 @@
 		}
 	}
 	s.stopOrphans(a, hello, effects)
+	s.exchangeTokens(now, a, hello.Token, effects)
 	s.place(now, effects)
 	return effects
 }
 
+// exchangeTokens records the fencing tokens of an agent that has linked, and tells it of those of
+// its former incarnations unless all of its own are above them.
+func (s *Scheduler) exchangeTokens(now time.Duration, a *agent, token uint64, effects *Effects) {
+	s.tokens.Record(now, a.AgentRef, token)
+	if floor := s.tokens.Floor(a.AgentRef); floor > 0 && token < floor+fencing.BlockSize {
+		effects.commandsFor(s, a).TokenFloor = floor
+	}
+}
+
 // stopOrphans stops the runs in an agent's hello that the entry does not wait for any more,
 // since it counted them as lost. They would go on as long as the entry keeps the link alive.
 func (s *Scheduler) stopOrphans(a *agent, hello *tasklink.Hello, effects *Effects) {
@@ -169,6 +180,7 @@
 	}
 	unchanged := s.usable(now, a) && sameRoom(&a.report, &update.Report) && len(update.RunEnds) == 0
 	a.echo, a.lastUpdate = update.Clock, now
+	s.tokens.Record(now, a.AgentRef, update.Token)
 	a.recordReport(update.Report, effects)
 	s.recordShare(a, effects)
 	s.interference.recordUpdate(now, a, update, effects)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -85,6 +85,7 @@
 	"github.com/pollenfront/pollenfront/crashlog"
 	"github.com/pollenfront/pollenfront/placement"
 	"github.com/pollenfront/pollenfront/tasklink"
+	"github.com/pollenfront/pollenfront/tokenlog"
 )
 
 // Parameters of the scheduler.
@@ -167,6 +168,8 @@
 	runNumbers runNumbers
 	// sortedAgents are all agents, sorted by name.
 	sortedAgents []*agent
+	// tokens are the fencing tokens that agents have told of.
+	tokens *tokenlog.Log
 	// submitCount is the number of submissions, which numbers the jobs.
 	submitCount uint64
 	// trial is the ID of the job that runs again although it may have crashed a server,
@@ -201,7 +204,7 @@
 		agentCounts: make(map[string]int), agents: make(map[string]*agent), cancellations: cancellog.New(), chooser: placement.EarliestFinish{},
 		confinements: make(map[string]confinement), corrector: make(estimateCorrector),
 		crashes: crashlog.New(), evidence: make(map[string]*attempts.Evidence), jobs: make(map[string]*job), name: name, remoteFactor: 1,
-		retrySpreaders: make(map[string]*retrySpreader), runNumbers: make(runNumbers), warmUpStart: now, zone: zone,
+		retrySpreaders: make(map[string]*retrySpreader), runNumbers: make(runNumbers), tokens: tokenlog.New(), warmUpStart: now, zone: zone,
 	}
 	for _, option := range options {
 		option(s)
@@ -315,6 +318,7 @@
 	s.cancellations.Expire(now)
 	s.crashes.Expire(now)
 	s.runNumbers.expire(now)
+	s.tokens.Expire(now)
 	s.expireConfinements(now)
 	s.interference.tick(s, now, effects)
 	for _, a := range slices.Clone(s.sortedAgents) {
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -123,6 +123,32 @@
 	c.Assert(got, qt.DeepEquals, a)
 }
 
+// TestRecordToken checks that the store keeps the highest fencing token of each agent, and tells the
+// next process of it.
+func TestRecordToken(t *testing.T) {
+	c := qt.New(t)
+	s, client := newStore(t)
+	ctx := context.Background()
+	record := func(agent string, token, want uint64) {
+		t.Helper()
+		recorded, err := client.RecordToken(ctx, agent, token)
+		c.Assert(err, qt.IsNil)
+		c.Assert(recorded, qt.Equals, want)
+	}
+	record("agent-1", 500, 0)
+	record("agent-1", 700, 500)
+	record("agent-1", 600, 700)
+	record("agent-1", 700, 700)
+	record("agent-10", 400, 0)
+	record("agent-1", 701, 700)
+
+	s.SetFault(store.ResponseLost)
+	_, err := client.RecordToken(ctx, "agent-1", 900)
+	c.Assert(err, qt.ErrorMatches, ".*call the store: .*")
+	s.SetFault(store.None)
+	record("agent-1", 900, 900)
+}
+
 func TestClaim(t *testing.T) {
 	c := qt.New(t)
 	s, client := newStore(t)
--- a/store.go
+++ b/store.go
@@ -87,6 +87,10 @@
 	// the same name.
 	Register(ctx context.Context, record EntryRecord) error
 
+	// RecordToken records that an agent uses fencing tokens up to token, unless a higher one
+	// or the same is recorded for it. It returns the one that was recorded before, or zero.
+	RecordToken(ctx context.Context, agent string, token uint64) (recorded uint64, err error)
+
 	// SaveAnnouncement saves the latest announcement of the backend server
 	// beside an agent, so that the agent has it after a restart.
 	SaveAnnouncement(ctx context.Context, agent string, announcement Announcement) error
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -40,7 +40,7 @@
 
 // Version is the version of the protocol. Both sides close a link if the other
 // side uses a different version.
-const Version = 7
+const Version = 8
 
 // Hello is the first message on a link, in both directions.
 //
@@ -50,7 +50,8 @@
 	Version int
 	// Name is the name of the sending entry or agent.
 	Name string
-	// Incarnation is higher after every restart of the sending process.
+	// Incarnation differs after every restart of the sending process. It is a time of day, which
+	// may be set back, so that a later one may be lower.
 	Incarnation uint64
 	// LinkSeqNum numbers the links that an agent opens, so that the entry can
 	// ignore a Hello that arrives after that of a later link. Entries leave it
@@ -71,6 +72,9 @@
 	// Cancellations lists the cancellations of jobs that the agent knows of. They apply before
 	// Runs. Entries leave it empty.
 	Cancellations []pollenfront.Cancellation
+	// Token is the highest fencing token that the agent may use without telling the entry of a
+	// higher one. Entries leave it zero.
+	Token uint64
 }
 
 // A RunState is the state of a run on an agent.
@@ -121,6 +125,8 @@
 	// Withheld lists runs of the entry that have ended, but are not in RunEnds before a
 	// delayed start of them can't be carried out any more, seconds later.
 	Withheld []pollenfront.RunID
+	// Token is like that of Hello, or zero if it has not changed.
+	Token uint64
 }
 
 // A Report is the state of a backend server and its agent.
@@ -237,6 +243,10 @@
 	// CancellationSeqNum numbers the cancellations that the entry has told the agent of.
 	// The agent returns it, which shows that it has received them.
 	CancellationSeqNum uint64
+	// TokenFloor is the highest fencing token that former incarnations of the agent may have
+	// used, or zero if the entry knows of none that the agent could still use. It applies before
+	// Starts.
+	TokenFloor uint64
 }
 
 // A StartCommand tells an agent to start runs of tasks of one job.
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -16,8 +16,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendInt64(o, z.EchoedClock)
 	// array header, size 2
 	o = append(o, 0x92)
@@ -71,6 +71,7 @@
 		}
 	}
 	o = msgp.AppendUint64(o, z.CancellationSeqNum)
+	o = msgp.AppendUint64(o, z.TokenFloor)
 	return
 }
 
@@ -82,8 +83,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.EchoedClock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -252,6 +253,11 @@
 		err = msgp.WrapError(err, "CancellationSeqNum")
 		return
 	}
+	z.TokenFloor, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TokenFloor")
+		return
+	}
 	o = bts
 	return
 }
@@ -283,7 +289,7 @@
 	for za0005 := range z.Cancellations {
 		s += z.Cancellations[za0005].Msgsize()
 	}
-	s += msgp.Uint64Size
+	s += msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -383,8 +389,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendInt(o, z.Version)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendUint64(o, z.Incarnation)
@@ -408,6 +414,7 @@
 			return
 		}
 	}
+	o = msgp.AppendUint64(o, z.Token)
 	return
 }
 
@@ -419,8 +426,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Version, bts, err = msgp.ReadIntBytes(bts)
@@ -502,6 +509,11 @@
 			return
 		}
 	}
+	z.Token, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
 	o = bts
 	return
 }
@@ -516,6 +528,7 @@
 	for za0002 := range z.Cancellations {
 		s += z.Cancellations[za0002].Msgsize()
 	}
+	s += msgp.Uint64Size
 	return
 }
 
@@ -1105,8 +1118,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendInt64(o, z.Clock)
 	o = msgp.AppendUint64(o, z.LastSeqNum)
 	o, err = z.Report.MarshalMsg(o)
@@ -1173,6 +1186,7 @@
 			return
 		}
 	}
+	o = msgp.AppendUint64(o, z.Token)
 	return
 }
 
@@ -1184,8 +1198,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1350,6 +1364,11 @@
 			return
 		}
 	}
+	z.Token, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
 	o = bts
 	return
 }
@@ -1386,5 +1405,6 @@
 	for za0005 := range z.Withheld {
 		s += z.Withheld[za0005].Msgsize()
 	}
+	s += msgp.Uint64Size
 	return
 }
