Order the hellos of an agent's incarnations by their connections

Callers saw all servers stand idle for ten seconds after agents were restarted: entries refused their links with "stale hello" until the records of the former ones were dropped.

Cause: hellos were ordered by incarnation, a time of day. A process that starts after the clock was set back, or was ahead when the former one started, has a lower one.

Change: incarnations are compared for equality only. A hello of another incarnation is stale if its connection was accepted before that of the newest hello; within one incarnation the numbers of its links decide as before. The connections of a process are accepted after those of the former one.

--- a/entry/internal/jobs/cancel_fleet_test.go
+++ b/entry/internal/jobs/cancel_fleet_test.go
@@ -85,7 +85,7 @@
 	f.t.Helper()
 	c := qt.New(f.t)
 	entryConn, agentConn := net.Pipe()
-	go f.entries[i].serveLink(entryConn)
+	go f.entries[i].serveLink(f.entries[i].newLink(entryConn))
 	link := tasklink.NewLink(agentConn)
 	var hello tasklink.Hello
 	c.Assert(link.Receive(&hello), qt.IsNil)
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -36,6 +36,8 @@
 // Jobs drives the scheduler of an entry. It serializes all events for the scheduler
 // and carries out the effects that the scheduler returns.
 type Jobs struct {
+	// acceptedLinks is the number of links that were accepted from agents.
+	acceptedLinks atomic.Uint64
 	// cancelWaiters are the requests to cancel jobs that wait until the jobs are found.
 	cancelWaiters []*cancelWaiter
 	config        atomic.Pointer[pollenfront.Config]
--- a/entry/internal/jobs/jobs_test.go
+++ b/entry/internal/jobs/jobs_test.go
@@ -46,7 +46,7 @@
 	c := qt.New(t)
 	j := New(tasklink.Hello{Incarnation: 1, Name: "entry-1", Version: tasklink.Version, Zone: "west"}, store, prometheus.NewRegistry(), zap.NewNop())
 	entryConn, agentConn := net.Pipe()
-	go j.serveLink(entryConn)
+	go j.serveLink(j.newLink(entryConn))
 	a := &fakeAgent{Link: tasklink.NewLink(agentConn)}
 	t.Cleanup(a.Close)
 	var hello tasklink.Hello
@@ -196,7 +196,7 @@
 	entryConn, agentConn := net.Pipe()
 	served := make(chan struct{})
 	go func() {
-		j.serveLink(entryConn)
+		j.serveLink(j.newLink(entryConn))
 		close(served)
 	}()
 	stale := tasklink.NewLink(agentConn)
@@ -260,7 +260,7 @@
 	go func() { _, _ = io.Copy(io.Discard, agentConn) }()
 	served := make(chan struct{})
 	go func() {
-		j.serveLink(entryConn)
+		j.serveLink(j.newLink(entryConn))
 		close(served)
 	}()
 	select {
--- a/entry/internal/jobs/link.go
+++ b/entry/internal/jobs/link.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -17,6 +16,9 @@
 type agentLink struct {
 	*tasklink.Link
 
+	// accepted numbers the links in the order in which they were accepted.
+	accepted uint64
+	conn     net.Conn
 	// configVersion is the version of the configuration that was sent last on the link, or
 	// zero if none was.
 	configVersion uint64
@@ -42,6 +44,8 @@
 // delayed and arrives after a newer one, must be rejected: it does not list the runs
 // that were started since, so the scheduler would start them again.
 type helloRecord struct {
+	// accepted is the position of the hello's link among those that were accepted.
+	accepted    uint64
 	incarnation uint64
 	linkSeqNum  uint64
 	// lostAt is the time at which the agent's link was lost, or zero while it
@@ -50,8 +54,7 @@
 }
 
 // evictHellos removes the records of agents whose links were lost more than
-// helloRetention ago. After that, an agent whose clock was set back can link with a
-// lower incarnation.
+// helloRetention ago.
 func (j *Jobs) evictHellos(now time.Duration) {
 	for name, record := range j.hellos {
 		if record.lostAt > 0 && now-record.lostAt > helloRetention {
@@ -60,9 +63,14 @@
 	}
 }
 
-// olderThan reports whether the recorded hello was sent before hello.
-func (r helloRecord) olderThan(hello *tasklink.Hello) bool {
-	return cmp.Or(cmp.Compare(r.incarnation, hello.Incarnation), cmp.Compare(r.linkSeqNum, hello.LinkSeqNum)) < 0
+// makesStale reports whether the hello on a link is older than the recorded one. An incarnation of an
+// agent numbers its links. Incarnations are times of day, which may be set back, so that they have no
+// order. But the links of one incarnation are accepted after those of the former one.
+func (r helloRecord) makesStale(link *agentLink) bool {
+	if r.incarnation == link.hello.Incarnation {
+		return r.linkSeqNum >= link.hello.LinkSeqNum
+	}
+	return r.accepted > link.accepted
 }
 
 // Serve accepts links from agents until the listener is closed. It then returns
@@ -79,21 +87,25 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go j.serveLink(conn)
+		go j.serveLink(j.newLink(conn))
 	}
 }
 
+// newLink returns the link on a connection that was accepted.
+func (j *Jobs) newLink(conn net.Conn) *agentLink {
+	return &agentLink{Link: tasklink.NewLink(conn), accepted: j.acceptedLinks.Add(1), conn: conn}
+}
+
 // serveLink serves a link until it closes. If the handshake fails, it closes the link
 // at once.
-func (j *Jobs) serveLink(conn net.Conn) {
-	link := &agentLink{Link: tasklink.NewLink(conn)}
+func (j *Jobs) serveLink(link *agentLink) {
 	defer link.Close()
-	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
+	_ = link.conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	if err := j.handshake(link); err != nil {
-		j.logger.Info("link refused", zap.Stringer("from", conn.RemoteAddr()), zap.Error(err))
+		j.logger.Info("link refused", zap.Stringer("from", link.conn.RemoteAddr()), zap.Error(err))
 		return
 	}
-	_ = conn.SetReadDeadline(time.Time{}) // The scheduler closes the links of silent agents.
+	_ = link.conn.SetReadDeadline(time.Time{}) // The scheduler closes the links of silent agents.
 	err := j.receiveUpdates(link)
 	j.removeLink(link, err)
 }
@@ -116,11 +128,11 @@
 	defer j.mu.Unlock()
 	now := j.beginEvent() // Its commands must not go to the new link, as the hello does not account for them.
 	newest := j.hellos[link.hello.Name]
-	if !newest.olderThan(&link.hello) {
+	if newest.makesStale(link) {
 		return fmt.Errorf("stale hello: got link %d of incarnation %d, the newest is link %d of incarnation %d",
 			link.hello.LinkSeqNum, link.hello.Incarnation, newest.linkSeqNum, newest.incarnation)
 	}
-	j.hellos[link.hello.Name] = helloRecord{incarnation: link.hello.Incarnation, linkSeqNum: link.hello.LinkSeqNum}
+	j.hellos[link.hello.Name] = helloRecord{accepted: link.accepted, incarnation: link.hello.Incarnation, linkSeqNum: link.hello.LinkSeqNum}
 	if previous, ok := j.links[link.hello.Name]; ok {
 		previous.Close()
 	}
--- a/entry/internal/jobs/relink_test.go
+++ b/entry/internal/jobs/relink_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	c := qt.New(t)
 	entryConn, agentConn := net.Pipe()
-	go j.serveLink(entryConn)
+	go j.serveLink(j.newLink(entryConn))
 	a := &fakeAgent{Link: tasklink.NewLink(agentConn)}
 	t.Cleanup(a.Close)
 	var hello tasklink.Hello
