End the sum over the attempts that are left

Cause: retryValue added up one term for each attempt that is left, under the mutex of the entry's state.

Change: the sum ends when an answer has no value any more, or when fewer than one task in 10^9 gets that far; if more than 64 attempts fit into the time until then, they are added up in groups. Run times of 0 and a share of failures of 1 take one term and 64 terms. Sums of times no longer overflow. Numbers of attempts are neither refused nor lowered: no limit stays no limit.

--- a/attempts/value.go
+++ b/attempts/value.go
@@ -13,6 +13,11 @@
 	// value of one on time above it. A late answer is worth a fifth of one on time, and a
 	// failed job costs as much as an answer on time is worth: (0.2 + 1) / (1 + 1).
 	lateValue = 0.6
+	// maxRetryTerms is about the highest number of terms of the sum over the attempts that are left.
+	maxRetryTerms = 64
+	// negligibleShare is the probability below which it doesn't change a value that all attempts so
+	// far have failed.
+	negligibleShare = 1e-9
 	// smallFailShare is the probability of failure up to which the time that another attempt
 	// takes is left out, as it changes the value by less than a hundredth.
 	smallFailShare = 0.01
@@ -136,19 +141,50 @@
 }
 
 // retryValue returns the value of the attempts that are left after a failure on one server,
-// on another one. A run is assumed to fail after half of its time.
+// on another one. A run is assumed to fail after half of its time. The number of attempts may be
+// as large as a number can be, as operators state it for no limit. The sum therefore ends when no
+// answer is of value any more or hardly any task gets that far, and more than maxRetryTerms attempts until
+// then are added up in groups, each of which counts from its first one.
 func (t *Task) retryValue(failed, other *Option) float64 {
 	value, reached := 0.0, 1.0
-	elapsed := failed.Delay + failed.RunTime/2
-	for range t.Attempts - 1 {
+	latest := max(t.UntilDue, t.UntilExpiry, t.UntilDeadline)
+	failTime := other.RunTime / 2
+	elapsed := addSaturating(failed.Delay, failed.RunTime/2)
+	group := 0
+	for left := t.Attempts - 1; left > 0 && reached > negligibleShare; left -= group {
 		start := max(elapsed, other.Delay)
-		value += reached * (1 - other.failShare()) * t.valueAt(start, other.RunTime)
-		reached *= other.failShare()
-		elapsed = start + other.RunTime/2
+		if start >= latest {
+			break
+		}
+		if group == 0 {
+			group = groupSize(latest-start, failTime)
+		}
+		group = min(group, left)
+		allFail := math.Pow(other.failShare(), float64(group))
+		value += reached * (1 - allFail) * t.valueAt(start, other.RunTime)
+		reached *= allFail
+		elapsed = addSaturating(start, failTime*time.Duration(group))
 	}
 	return value
 }
 
+// groupSize returns how many attempts, each of which takes failTime to fail, are added up together
+// so that maxRetryTerms groups cover the given time.
+func groupSize(d, failTime time.Duration) int {
+	if failTime <= 0 {
+		return math.MaxInt
+	}
+	return 1 + int(d/failTime/maxRetryTerms)
+}
+
+// addSaturating returns the sum of two times, or the longest time if the sum is longer.
+func addSaturating(a, b time.Duration) time.Duration {
+	if sum := a + b; a <= 0 || b <= 0 || sum > 0 {
+		return sum
+	}
+	return math.MaxInt64
+}
+
 // valueAt returns the expected value of a run that starts after delay and succeeds.
 func (t *Task) valueAt(delay, runTime time.Duration) float64 {
 	return (1-lateValue)*endsWithin(t.UntilDue-delay, runTime) +
@@ -158,7 +194,7 @@
 // failedValue returns the value of the answer that a task fails everywhere. It falls with
 // the time until then.
 func (t *Task) failedValue(o *Option) float64 {
-	return max(0, 1-float64(o.Delay+o.RunTime)/float64(max(1, t.UntilDeadline)))
+	return max(0, 1-(float64(o.Delay)+float64(o.RunTime))/float64(max(1, t.UntilDeadline)))
 }
 
 // endsWithin returns the probability that a run with an expected run time ends within a
