--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -121,9 +121,13 @@
 	trace   pollenfront.Trace
 }
 
-// maxUntilDue bounds the time that a job may take and be on time. It is far above the longest
-// time limit, and sums with it do not overflow.
-const maxUntilDue = 24 * time.Hour
+// Limits on times that callers and operators state, so that sums with them do not overflow.
+const (
+	// maxTimeLimit bounds the time limit of a job. Callers may state the longest time, for no limit.
+	maxTimeLimit = 24 * time.Hour
+	// maxUntilDue bounds the time that a job may take and be on time.
+	maxUntilDue = 24 * time.Hour
+)
 
 // untilDue returns how long a job of a route may take and be on time. Operators may have
 // configured numbers that are out of the range of a duration.
@@ -139,7 +143,7 @@
 	j := &job{
 		Submission:      sub,
 		arrived:         now,
-		deadline:        now + sub.TimeLimit - answerMargin,
+		deadline:        now + min(sub.TimeLimit, maxTimeLimit) - answerMargin,
 		due:             now + untilDue,
 		expectedRunTime: expectedRunTime,
 		expiry:          now + expiryFactor*untilDue,
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"slices"
+	"time"
+
 	"github.com/pollenfront/pollenfront"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
@@ -10,6 +13,8 @@
 const (
 	// maxRunSeconds is the mean run time at which estimates are limited, in seconds.
 	maxRunSeconds = float64(maxEstimate) / 1e9
+	// maxWait is the longest time that a task may wait at a server, in milliseconds.
+	maxWait = int(maxEstimate / time.Millisecond)
 	// maxSlowness is far above the factor to which agents limit the ratio of a run time.
 	maxSlowness = 1000
 )
@@ -24,8 +29,8 @@
 }
 
 // validReport returns a report in which numbers that are not in the possible range count as
-// not stated: no failed runs, a slowness of 1, a run time of 0, no capacity, and the announced
-// capacity as the effective one. It also returns the names of the fields that it replaced.
+// not stated: no failed runs, a slowness of 1, a run time of 0, no capacity, the announced
+// capacity as the effective one, no free resources and no waits. It also returns the names of the fields that it replaced.
 func validReport(r tasklink.Report) (valid tasklink.Report, replaced []string) {
 	if !(r.FailRate >= 0 && r.FailRate <= 1) { // Also if it is not a number.
 		r.FailRate, replaced = 0, append(replaced, "FailRate")
@@ -42,6 +47,12 @@
 	if !r.Capacity.Covers(r.EffectiveCapacity) || !r.EffectiveCapacity.Covers(pollenfront.Resources{}) {
 		r.EffectiveCapacity, replaced = pollenfront.Resources{}, append(replaced, "EffectiveCapacity")
 	}
+	if !pollenfront.MaxCapacity.Covers(r.Free) || !r.Free.Add(pollenfront.MaxCapacity).Covers(pollenfront.Resources{}) {
+		r.Free, replaced = pollenfront.Resources{}, append(replaced, "Free")
+	}
+	if slices.ContainsFunc(r.Waits, func(ms int) bool { return ms < 0 || ms > maxWait }) {
+		r.Waits, replaced = nil, append(replaced, "Waits")
+	}
 	return r, replaced
 }
 
