Save cancellations in the store

Cause: cancellations lay in the memory of entries and agents only.

Change: each entry saves the cancellations that were requested there in the last 15 s in one row of the store, at most every 250 ms. A DELETE is answered when its cancellation is saved, or after 1 s while the store is down. An entry reads the rows before it takes jobs, or goes on trying for 15 s.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,7 +115,7 @@
 	defer stopParts()
 	var group run.Group
 	group.Add(func() error { return e.jobs.Serve(listener) }, func(error) { _ = listener.Close() })
-	for _, part := range []func(context.Context) error{e.jobs.Run, e.jobs.WatchEvents, e.watchOperatorState, e.watchEntries} {
+	for _, part := range []func(context.Context) error{e.jobs.Run, e.jobs.SaveCancellations, e.jobs.WatchEvents, e.watchOperatorState, e.watchEntries} {
 		group.Add(func() error { return part(partsCtx) }, func(error) { stopParts() })
 	}
 	callerServer := &http.Server{
@@ -158,8 +158,10 @@
 	})
 }
 
-// watchOperatorState applies changes to the operator state until ctx is done.
+// watchOperatorState applies changes to the operator state until ctx is done. The entry takes no jobs
+// before it has the first one, and so none that were canceled before it started.
 func (e *entry) watchOperatorState(ctx context.Context) error {
+	e.jobs.RestoreCancellations(ctx)
 	w := storewatch.Watcher[pollenfront.OperatorState]{
 		Apply:       e.jobs.SetOperatorState,
 		Logger:      e.logger,
--- a/entry/internal/jobs/cancellations.go
+++ b/entry/internal/jobs/cancellations.go
@@ -36,11 +36,17 @@
 
 // cancel implements Cancel.
 func (j *Jobs) cancel(ctx context.Context, job pollenfront.JobRef, timeLimit time.Duration) pollenfront.CancelOutcome {
-	start := bootclock.Now()
-	waiter, outcome := j.beginCancel(job, timeLimit)
-	if waiter == nil {
-		return outcome
+	waiter, saved, outcome := j.beginCancel(job, timeLimit)
+	if waiter != nil {
+		outcome = j.awaitOutcome(ctx, waiter, timeLimit)
 	}
+	awaitSaved(ctx, saved)
+	return outcome
+}
+
+// awaitOutcome waits until it is known whether a job that is to be canceled exists.
+func (j *Jobs) awaitOutcome(ctx context.Context, waiter *cancelWaiter, timeLimit time.Duration) pollenfront.CancelOutcome {
+	start := bootclock.Now()
 	defer j.removeCancelWaiter(waiter)
 	ticker := time.NewTicker(cancelCheckInterval)
 	defer ticker.Stop()
@@ -52,26 +58,28 @@
 			return pollenfront.CancelUnconfirmed
 		case <-ticker.C:
 		}
-		if outcome, ok := j.cancelOutcome(job, bootclock.Now()-start, timeLimit); ok {
+		if outcome, ok := j.cancelOutcome(waiter.job, bootclock.Now()-start, timeLimit); ok {
 			return outcome
 		}
 	}
 }
 
 // beginCancel cancels a job. It returns a waiter if it is not known yet whether the job exists,
-// and the outcome otherwise.
-func (j *Jobs) beginCancel(job pollenfront.JobRef, timeLimit time.Duration) (*cancelWaiter, pollenfront.CancelOutcome) {
+// and the outcome otherwise. It also returns the channel that is closed when the cancellation has been
+// saved, or nil.
+func (j *Jobs) beginCancel(job pollenfront.JobRef, timeLimit time.Duration) (*cancelWaiter, <-chan struct{}, pollenfront.CancelOutcome) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.beginEvent()
+	saved := j.saved.add(now, job)
 	j.applyEffects(now, j.scheduler.CancelJob(now, job))
 	outcome, ok := j.scheduler.CancelOutcome(now, job, 0, timeLimit)
 	if ok || len(j.cancelWaiters) >= maxCancelWaiters {
-		return nil, outcome
+		return nil, saved, outcome
 	}
 	waiter := &cancelWaiter{found: make(chan struct{}), job: job}
 	j.cancelWaiters = append(j.cancelWaiters, waiter)
-	return waiter, outcome
+	return waiter, saved, outcome
 }
 
 // cancelOutcome returns the outcome of a request that has waited for some time, and false if it
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -77,6 +77,7 @@
 	offeredAt time.Duration
 	// recent are the jobs that have ended shortly before.
 	recent recentJobs
+	saved  savedCancellations
 	// reportedFairShares is when the fair shares were reported last.
 	reportedFairShares time.Duration
 	scheduler          *scheduler.Scheduler
@@ -106,6 +107,7 @@
 		loggedInvalidEstimates: make(map[string]bool),
 		logger:                 logger,
 		metrics:                newMetrics(registry),
+		saved:                  savedCancellations{wake: make(chan struct{}, 1)},
 		scheduler:              scheduler.New(bootclock.Now(), self.Name, self.Zone),
 		self:                   self,
 		store:                  store,
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -149,6 +150,25 @@
 	record("agent-1", 900, 900)
 }
 
+// TestSaveCancellations checks that the store keeps the newest cancellations of each entry.
+func TestSaveCancellations(t *testing.T) {
+	c := qt.New(t)
+	s, client := newStore(t)
+	ctx := context.Background()
+	job := func(id, route string) pollenfront.JobRef { return pollenfront.JobRef{ID: id, Route: route} }
+	c.Assert(client.SaveCancellations(ctx, "entry-1", []pollenfront.JobRef{job("01", "a")}), qt.IsNil)
+	c.Assert(client.SaveCancellations(ctx, "entry-1", []pollenfront.JobRef{job("02", "a"), job("02", "b"), job("03", "a")}), qt.IsNil)
+	c.Assert(client.SaveCancellations(ctx, "entry-2", []pollenfront.JobRef{job("04", "a")}), qt.IsNil)
+	old := base64.StdEncoding.EncodeToString([]byte(`{"jobs":{"a":["05"]},"saved-at-ms":1796619238253}`))
+	s.Put("pollenfront-cancellations", "entry-3", old)
+	s.Put("pollenfront-cancellations", "other", "bm90IGpzb24=")
+	saved, invalid, err := client.SavedCancellations(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(invalid, qt.HasLen, 1)
+	slices.SortFunc(saved, func(a, b pollenfront.JobRef) int { return strings.Compare(a.ID+a.Route, b.ID+b.Route) })
+	c.Assert(saved, qt.DeepEquals, []pollenfront.JobRef{job("02", "a"), job("02", "b"), job("03", "a"), job("04", "a")})
+}
+
 func TestClaim(t *testing.T) {
 	c := qt.New(t)
 	s, client := newStore(t)
--- a/store.go
+++ b/store.go
@@ -87,6 +87,14 @@
 	// the same name.
 	Register(ctx context.Context, record EntryRecord) error
 
+	// SaveCancellations saves the jobs whose cancellation callers have requested at an entry
+	// lately, and replaces those that were saved for it before.
+	SaveCancellations(ctx context.Context, entry string, jobs []JobRef) error
+
+	// SavedCancellations returns the jobs that all entries have saved in the last minute, and the
+	// rows that can't be used.
+	SavedCancellations(ctx context.Context) ([]JobRef, []InvalidRow, error)
+
 	// RecordToken records that an agent uses fencing tokens up to token, unless a higher one
 	// or the same is recorded for it. It returns the one that was recorded before, or zero.
 	RecordToken(ctx context.Context, agent string, token uint64) (recorded uint64, err error)
