Find canceled jobs by the address of their route, not by its name

Cause: a cancellation named the job by its ID and the name of the route that matched at that moment; the owner and the agents compared that with the name at the time of the submission. A caller names a job by host, path and ID.

Change: pollenfront.JobRef and start commands carry the host and the path prefix of the route. A job that is submitted once more after a change of the name joins the first submission too, in place of a conflict (409).

--- a/cancellation.go
+++ b/cancellation.go
@@ -14,7 +14,8 @@
 //msgp:tuple JobRef
 type JobRef struct {
 	ID string
-	// Route is the name of the job's route.
+	// Route is the address of the job's route, which stays the same when operators give the
+	// route another name.
 	Route string
 }
 
--- a/config.go
+++ b/config.go
@@ -54,6 +54,11 @@
 	Timeout time.Duration
 }
 
+// Address returns the host and the path prefix of the route, by which callers name its jobs.
+func (r *Route) Address() string {
+	return r.Host + r.PathPrefix
+}
+
 // A Service is a pool of backend servers.
 //
 //msgp:tuple Service
--- a/entry/internal/jobs/submissions.go
+++ b/entry/internal/jobs/submissions.go
@@ -82,7 +82,7 @@
 	}
 	j.recordResubmission(now, sub.ID)
 	if active {
-		if job.submission.Payload != sub.Payload || job.submission.TaskCount != sub.TaskCount || job.submission.Route.Name != sub.Route.Name {
+		if job.submission.Payload != sub.Payload || job.submission.TaskCount != sub.TaskCount || job.submission.Route.Address() != sub.Route.Address() {
 			return false
 		}
 		job.callers = append(job.callers, caller)
--- a/executor/cancellations.go
+++ b/executor/cancellations.go
@@ -26,7 +26,7 @@
 // revokeJob stops all runs of a job, which lose the right to run.
 func (x *Executor) revokeJob(now time.Duration, job pollenfront.JobRef, effects *Effects) {
 	for _, r := range slices.Clone(x.acceptedRuns) {
-		if r.id.Job == job.ID && r.route == job.Route {
+		if r.id.Job == job.ID && r.routeAddress == job.Route {
 			r.revoke(now)
 			x.stopRun(now, r, jobCanceled, effects)
 		}
--- a/executor/cancellations_test.go
+++ b/executor/cancellations_test.go
@@ -98,3 +98,20 @@
 		c.Assert(update.Cancellations, qt.HasLen, 0)
 	}
 }
+
+// TestCancellationOnRenamedRoute guards against runs that go on after the cancellation of their job,
+// since operators have given its route another name after the start (review case 10).
+func TestCancellationOnRenamedRoute(t *testing.T) {
+	c := qt.New(t)
+	x := newCancelExecutor()
+	start := startCommands(at(5), 1)
+	start.Starts[0].Route, start.Starts[0].RouteAddress = "before", "desk.example/jobs/"
+	c.Assert(startedTasks(x.HandleCommands(at(6), testEntry, start)), qt.DeepEquals, []int{1})
+	job := pollenfront.JobRef{ID: "0a", Route: "desk.example/jobs/"}
+	effects := x.HandleCommands(at(10), otherEntry, cancelCommands(at(9), job))
+	c.Assert(effects.Stops, qt.HasLen, 1)
+	c.Assert(effects.Stops[0].Run, qt.Equals, runID(1))
+	again := startCommands(at(11), 2)
+	again.Starts[0].Route, again.Starts[0].RouteAddress = "after", "desk.example/jobs/"
+	c.Assert(startedTasks(x.HandleCommands(at(12), testEntry, again)), qt.HasLen, 0)
+}
--- a/executor/commands.go
+++ b/executor/commands.go
@@ -69,6 +69,7 @@
 		r := &run{
 			acceptedAt: now, atMostOnce: start.AtMostOnce, entry: e, expectedRunTime: time.Duration(start.ExpectedRunTime), id: id,
 			latestStart: now + time.Duration(start.Slack), need: start.Need, payload: start.Payload, priority: clampPriority(start), rerun: task.Rerun, route: start.Route,
+			routeAddress: start.RouteAddress,
 		}
 		x.endings.recordRestart(now, e, id, effects)
 		x.runsByTask[id.TaskID] = r
@@ -123,7 +124,7 @@
 		return "the order was delayed"
 	case start.Service != x.service:
 		return "the server belongs to another service"
-	case x.cancellations.Contains(pollenfront.JobRef{ID: start.Job, Route: start.Route}):
+	case x.cancellations.Contains(pollenfront.JobRef{ID: start.Job, Route: start.RouteAddress}):
 		return jobCanceled
 	case x.State() == tasklink.StateUnavailable:
 		return "the server has not announced itself"
--- a/executor/run.go
+++ b/executor/run.go
@@ -65,6 +65,8 @@
 	// reportedAt is when the server last listed the run, with percent.
 	reportedAt time.Duration
 	route      string
+	// routeAddress is the address of the job's route, as in pollenfront.JobRef.
+	routeAddress string
 	// revokedAt is when the run lost its right to run, since its job was canceled, or its entry
 	// was silent or restarted or has stopped it, and zero before.
 	revokedAt time.Duration
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -141,7 +141,7 @@
 		e.applyEffects(e.scheduler.Submit(e.fleet.now, pollenfront.Submission{
 			DataLabel: j.kind.DataRack, Estimate: j.estimate, ID: j.id, Need: j.need, TaskCount: j.taskCount, TimeLimit: j.timeLimit,
 			Route: pollenfront.Route{
-				LatencyTarget: j.kind.LatencyTarget, MaxAttempts: 3, Name: j.kind.Name, Priority: j.kind.Priority, Service: service, Stretch: stretch,
+				LatencyTarget: j.kind.LatencyTarget, MaxAttempts: 3, Name: j.kind.Name, PathPrefix: j.kind.Name, Priority: j.kind.Priority, Service: service, Stretch: stretch,
 			},
 		}))
 	})
--- a/scheduler/cancellations.go
+++ b/scheduler/cancellations.go
@@ -36,7 +36,7 @@
 // no effect, since its job could be started elsewhere while its runs are being stopped.
 func (s *Scheduler) recordCancellation(now time.Duration, c pollenfront.Cancellation, peer string, effects *Effects) {
 	j, ok := s.jobs[c.ID]
-	ok = ok && j.Route.Name == c.Route && !j.answered
+	ok = ok && j.Ref() == c.JobRef && !j.answered
 	if ok {
 		c.Found, peer = true, ""
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -307,7 +307,7 @@
 		},
 		start: tasklink.StartCommand{
 			AtMostOnce: j.AtMostOnce, ExpectedRunTime: int64(s.expectedRunTimeOn(j, a)), Job: j.ID, Need: j.Need, Payload: j.Payload, Priority: j.Route.Priority,
-			Route: j.Route.Name, Service: a.service, Slack: int64(j.latestStart - now), Step: j.Step,
+			Route: j.Route.Name, RouteAddress: j.Route.Address(), Service: a.service, Slack: int64(j.latestStart - now), Step: j.Step,
 		},
 	}
 }
--- a/submission.go
+++ b/submission.go
@@ -32,5 +32,5 @@
 
 // Ref returns the reference to the job.
 func (s *Submission) Ref() JobRef {
-	return JobRef{ID: s.ID, Route: s.Route.Name}
+	return JobRef{ID: s.ID, Route: s.Route.Address()}
 }
--- a/tasklink/message.go
+++ b/tasklink/message.go
@@ -271,6 +271,8 @@
 	Priority int
 	// Route is the name of the job's route.
 	Route string
+	// RouteAddress is the address of the job's route, as in pollenfront.JobRef.
+	RouteAddress string
 	// Slack is the time in nanoseconds until the job's latest start, after which
 	// it can't be on time.
 	Slack int64
--- a/tasklink/message_gen.go
+++ b/tasklink/message_gen.go
@@ -909,8 +909,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StartCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendString(o, z.Job)
 	o = msgp.AppendInt(o, z.Step)
 	o = msgp.AppendString(o, z.Payload)
@@ -923,6 +923,7 @@
 	o = msgp.AppendInt64(o, z.ExpectedRunTime)
 	o = msgp.AppendInt(o, z.Priority)
 	o = msgp.AppendString(o, z.Route)
+	o = msgp.AppendString(o, z.RouteAddress)
 	o = msgp.AppendInt64(o, z.Slack)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
@@ -944,8 +945,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.Job, bts, err = msgp.ReadStringBytes(bts)
@@ -988,6 +989,11 @@
 		err = msgp.WrapError(err, "Route")
 		return
 	}
+	z.RouteAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RouteAddress")
+		return
+	}
 	z.Slack, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Slack")
@@ -1026,7 +1032,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StartCommand) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Job) + msgp.IntSize + msgp.StringPrefixSize + len(z.Payload) + z.Need.Msgsize() + msgp.BoolSize + msgp.Int64Size + msgp.IntSize + msgp.StringPrefixSize + len(z.Route) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Job) + msgp.IntSize + msgp.StringPrefixSize + len(z.Payload) + z.Need.Msgsize() + msgp.BoolSize + msgp.Int64Size + msgp.IntSize + msgp.StringPrefixSize + len(z.Route) + msgp.StringPrefixSize + len(z.RouteAddress) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
 		s += z.Tasks[za0001].Msgsize()
 	}
