Answer the jobs of all interfaces before a planned stop

Cause: only the requests of the platform's callers were waited for.

Change: Jobs.Drain waits until no job is left, whichever interface it came by, within the stop limit, and refuses further ones with "stopping". An at-most-once job is refused before its ID is claimed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -216,7 +216,7 @@
 
 // drain stops the entry in a planned way. It makes the entry not ready, and keeps
 // taking jobs until the load balancer has noticed. It then closes the listener for
-// callers and waits until all jobs are answered. When only stopMargin remains of the
+// callers, refuses further jobs and waits until all are answered, whichever interface they came by. When only stopMargin remains of the
 // stop limit, it aborts the jobs that are left.
 func (e *entry) drain(ctx context.Context, callerServer *http.Server) {
 	e.stopping.Store(true)
@@ -224,8 +224,10 @@
 	limitCtx, cancel := context.WithTimeout(ctx, time.Duration(e.settings.StopLimit)-stopMargin)
 	defer cancel()
 	program.Sleep(limitCtx, balancerDelay)
+	drained := make(chan bool, 1)
+	go func() { drained <- e.jobs.Drain(limitCtx) }()
 	err := callerServer.Shutdown(limitCtx)
-	if err != nil {
+	if !<-drained || err != nil {
 		e.jobs.AbortAll()
 		program.Sleep(ctx, finalAnswerDelay)
 	}
--- a/entry/internal/jobs/jobs.go
+++ b/entry/internal/jobs/jobs.go
@@ -45,6 +45,8 @@
 	conns *callerconn.Watcher
 	// configured is closed once there is a configuration.
 	configured chan struct{}
+	// draining is set when the entry takes no more jobs.
+	draining bool
 	// entries are the registered entries.
 	entries map[string]pollenfront.EntryRecord
 	faults  *observe.Faults
@@ -221,14 +223,6 @@
 	}
 }
 
-// AbortAll aborts all jobs with pollenfront.ReasonStopping.
-func (j *Jobs) AbortAll() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	now := j.beginEvent()
-	j.applyEffects(now, j.scheduler.AbortAll(now, pollenfront.ReasonStopping))
-}
-
 // Ready reports whether there is a configuration and a usable agent, so that jobs
 // can be served.
 func (j *Jobs) Ready() bool {
--- a/entry/internal/jobs/submissions.go
+++ b/entry/internal/jobs/submissions.go
@@ -42,7 +42,7 @@
 func (j *Jobs) Submit(ctx context.Context, sub pollenfront.Submission) pollenfront.Result {
 	caller := &waitingCaller{conn: callerconn.FromContext(ctx), job: sub.ID, result: make(chan pollenfront.Result, 1)}
 	if sub.AtMostOnce {
-		if result, ok := j.refuseStaleClaim(&sub, caller); ok {
+		if result, ok := j.refuseUnclaimed(&sub, caller); ok {
 			return result
 		}
 		if reason := j.claim(ctx, sub.ID); reason != "" {
@@ -80,6 +80,10 @@
 		caller.result <- j.refuseStale(now, &sub, caller, active || sub.AtMostOnce) // Nobody else can claim the ID.
 		return true
 	}
+	if j.draining && !active {
+		caller.result <- j.refuseDraining(&sub)
+		return true
+	}
 	j.recordResubmission(now, sub.ID)
 	if active {
 		if job.submission.Payload != sub.Payload || job.submission.TaskCount != sub.TaskCount || job.submission.Route.Address() != sub.Route.Address() {
@@ -101,16 +105,20 @@
 	return true
 }
 
-// refuseStaleClaim refuses an at-most-once job whose request is stale. It reports whether it did.
-// The ID of the job is still free then, so that the caller can submit the job again.
-func (j *Jobs) refuseStaleClaim(sub *pollenfront.Submission, caller *waitingCaller) (pollenfront.Result, bool) {
+// refuseUnclaimed refuses an at-most-once job whose request is stale, or that arrives while the entry is
+// draining. It reports whether it did. The ID of the job is still free then, so that the caller can
+// submit the job again.
+func (j *Jobs) refuseUnclaimed(sub *pollenfront.Submission, caller *waitingCaller) (pollenfront.Result, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.beginEvent()
-	if !j.isStale(now, caller) {
-		return pollenfront.Result{}, false
+	switch {
+	case j.isStale(now, caller):
+		return j.refuseStale(now, sub, caller, false), true
+	case j.draining:
+		return pollenfront.Result{ID: sub.ID, Reason: pollenfront.ReasonStopping, Verdict: pollenfront.VerdictRefused}, true
 	}
-	return j.refuseStale(now, sub, caller, false), true
+	return pollenfront.Result{}, false
 }
 
 // claim claims the ID of an at-most-once job. It returns the reason why the job must
