--- a/executor/fenced.go
+++ b/executor/fenced.go
@@ -1,5 +1,13 @@
 package executor
 
+// HandleRenewalFenced handles a renewal with the given fencing token that the server refused
+// because it has seen a higher one.
+func (x *Executor) HandleRenewalFenced(token uint64) Effects {
+	var effects Effects
+	x.handleFenced(RenewalRequestKind, token, &effects)
+	return effects
+}
+
 // handleFenced handles the refusal of a request with a fencing token, since the server has seen a
 // higher one. The agent raises its token only if no newer request of its own has overtaken this
 // one: otherwise its token would run ahead of the time of day, at which the next incarnation of the
--- a/executor/server.go
+++ b/executor/server.go
@@ -274,14 +274,6 @@
 	return effects
 }
 
-// HandleRenewalFenced handles a renewal with the given fencing token that the server refused
-// because it has seen a higher one.
-func (x *Executor) HandleRenewalFenced(token uint64) Effects {
-	var effects Effects
-	x.handleFenced(RenewalRequestKind, token, &effects)
-	return effects
-}
-
 // reconcile compares the runs that a response to a renewal lists with the known ones.
 // It stops unknown runs, and ends runs that must be listed but are not.
 func (x *Executor) reconcile(now, sent time.Duration, listed []pollenfront.RunningRun, effects *Effects) {
--- a/program/hold_watch_test.go
+++ b/program/hold_watch_test.go
@@ -52,21 +52,30 @@
 	c.Assert(entry.ContextMap()["held"].(time.Duration) >= longHold, qt.IsTrue)
 }
 
+// A counter counts under a Guard.
+type counter struct {
+	mu Guard
+	n  int
+}
+
+// add adds one.
+func (c *counter) add() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+}
+
 // TestGuardAllocatesNothing guards against locks that cost more than a few instructions, as each
 // event takes one.
 func TestGuardAllocatesNothing(t *testing.T) {
-	var g Guard
-	qt.Assert(t, testing.AllocsPerRun(1000, func() {
-		g.Lock()
-		g.Unlock()
-	}), qt.Equals, 0.0)
+	var c counter
+	qt.Assert(t, testing.AllocsPerRun(1000, c.add), qt.Equals, 0.0)
 }
 
-// BenchmarkGuard measures an event that does nothing.
+// BenchmarkGuard measures an event that does hardly anything.
 func BenchmarkGuard(b *testing.B) {
-	var g Guard
+	var c counter
 	for b.Loop() {
-		g.Lock()
-		g.Unlock()
+		c.add()
 	}
 }
--- a/replay/agent_link.go
+++ b/replay/agent_link.go
@@ -58,7 +58,10 @@
 	a.entryRefs[e] = pollenfront.EntryRef{Incarnation: entry.incarnation, Name: entry.name}
 	runs, effects := a.executor.LinkEntry(a.fleet.now, a.entryRefs[e])
 	cancellations := a.executor.NextCancellations(a.fleet.now, entry.name)
-	hello := &tasklink.Hello{Cancellations: cancellations, Incarnation: a.incarnation, Name: a.name, Runs: runs, Service: service, Token: a.executor.ReservedToken(), Version: tasklink.Version, Zone: a.zone}
+	hello := &tasklink.Hello{
+		Cancellations: cancellations, Incarnation: a.incarnation, Name: a.name, Runs: runs, Service: service, Token: a.executor.ReservedToken(),
+		Version: tasklink.Version, Zone: a.zone,
+	}
 	generation := entry.generation
 	a.fleet.deliver(e, a, func() {
 		if entry.generation != generation || !entry.up {
