Send a raised fencing token at once, and nothing else

The time of a long event was counted without its first half second.

Change: only a raise of the token above those of former processes does not wait for the answer to the renewal under way. HoldWatch counts the whole time.

--- a/agent/internal/driver/driver.go
+++ b/agent/internal/driver/driver.go
@@ -77,7 +77,8 @@
 	recordingToken bool
 	// renewalFailed is whether the newest renewal of the lease failed.
 	renewalFailed bool
-	// renewNow holds a value when the next renewal is to be sent without a delay.
+	// renewNow holds a value when the next renewal is to be sent without the delay after a failed
+	// one.
 	renewNow chan struct{}
 	// savedAnnouncement is the announcement that the store last accepted.
 	savedAnnouncement pollenfront.Announcement
@@ -90,6 +91,9 @@
 	// started is the time of the boot clock at which New was called.
 	started time.Duration
 	store   pollenfront.Store
+	// tokenRaised holds a value when the next renewal is to be sent at once, as the fencing token
+	// was raised above those of former processes.
+	tokenRaised chan struct{}
 }
 
 // New returns the driver of the agent that self describes. The fencing tokens
@@ -107,6 +111,8 @@
 		server:   server,
 		started:  bootclock.Now(),
 		store:    store,
+
+		tokenRaised: make(chan struct{}, 1),
 	}
 	d.holdWatch = program.NewHoldWatch(&d.mu, registry, logger)
 	return d
@@ -160,7 +166,10 @@
 		d.adoptAnnouncement(announcement)
 	}
 	if effects.RenewNow {
-		d.requestRenewal()
+		notify(d.renewNow)
+	}
+	if effects.TokenRaise != nil {
+		notify(d.tokenRaised)
 	}
 	for _, crash := range effects.Crashes {
 		d.recordCrash(crash)
--- a/agent/internal/driver/renewals.go
+++ b/agent/internal/driver/renewals.go
@@ -13,8 +13,8 @@
 )
 
 // renewLease renews the lease of all runs on the backend server until ctx is done.
-// It sends the next renewal when the previous one is answered, when one is requested, or at the
-// latest after the renewal's interval.
+// It sends the next renewal when the previous one is answered, when the fencing token was raised, or at
+// the latest after the renewal's interval.
 func (d *Driver) renewLease(ctx context.Context) {
 	failedBefore := false
 	for ctx.Err() == nil {
@@ -30,14 +30,14 @@
 				d.awaitRenewalRetry(ctx, err)
 			}
 			failedBefore = err != nil
-		case <-d.renewNow:
+		case <-d.tokenRaised:
 		case <-time.After(request.Interval):
 		}
 	}
 }
 
 // awaitRenewalRetry waits for the delay after a renewal that failed with err, until a renewal is
-// requested or until ctx is done.
+// requested, the fencing token was raised, or ctx is done.
 func (d *Driver) awaitRenewalRetry(ctx context.Context, err error) {
 	d.mu.Lock()
 	delay := d.executor.RenewalRetryDelay(bootclock.Now(), err)
@@ -45,16 +45,16 @@
 	select {
 	case <-ctx.Done():
 	case <-d.renewNow:
+	case <-d.tokenRaised:
 	case <-time.After(delay):
 	}
 }
 
-// requestRenewal makes renewLease send a renewal without waiting for the answer to the one before, or
-// for the delay after a failed one.
-func (d *Driver) requestRenewal() {
+// notify sends a value on a channel with room for one, unless it holds one.
+func notify(channel chan<- struct{}) {
 	select {
-	case d.renewNow <- struct{}{}:
-	default: // It is requested already.
+	case channel <- struct{}{}:
+	default: // The receiver has not received the one before.
 	}
 }
 
--- a/agent/internal/driver/tokens_test.go
+++ b/agent/internal/driver/tokens_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"github.com/pollenfront/pollenfront"
+	"github.com/pollenfront/pollenfront/bootclock"
+	"github.com/pollenfront/pollenfront/executor"
 	"github.com/pollenfront/pollenfront/tasklink"
 )
 
@@ -36,6 +39,52 @@
 	return s.token
 }
 
+// A holdingServer is a tokenServer that holds each renewal for as long as it may.
+type holdingServer struct {
+	tokenServer
+}
+
+func (s *holdingServer) Renew(ctx context.Context, request pollenfront.RenewalRequest) (pollenfront.RenewalResponse, error) {
+	s.tokenMu.Lock()
+	s.token = request.Token
+	s.tokenMu.Unlock()
+	select {
+	case <-ctx.Done():
+		return pollenfront.RenewalResponse{}, ctx.Err()
+	case <-time.After(request.Wait):
+	}
+	return pollenfront.RenewalResponse{Clock: bootclock.Now(), Incarnation: 3}, nil
+}
+
+// TestRaisedTokenSentAtOnce guards against late requests of a former process that a new incarnation of the
+// server carries out although the agent knows their tokens: it waits for the answer to a renewal with
+// the token before.
+func TestRaisedTokenSentAtOnce(t *testing.T) {
+	c := qt.New(t)
+	server := &holdingServer{}
+	hello := tasklink.Hello{Incarnation: 9, Name: "agent-1", Service: "service", Version: tasklink.Version, Zone: "west"}
+	d := New(hello, server, &fakeStore{}, prometheus.NewRegistry(), zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = d.Run(ctx) }()
+	var delays []time.Duration
+	for floor := uint64(10_000); floor <= 110_000; floor += 10_000 {
+		for server.newest() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		now := bootclock.Now()
+		d.handleEvent(now, func() executor.Effects { return d.executor.RaiseToken(floor) })
+		for deadline := time.Now().Add(5 * time.Second); server.newest() <= floor && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		c.Assert(server.newest() > floor, qt.IsTrue)
+		delays = append(delays, bootclock.Now()-now)
+		time.Sleep(30 * time.Millisecond) // Without this the last renewal has always just begun.
+	}
+	slices.Sort(delays) // Other work on the machine may delay some.
+	c.Assert(delays[len(delays)/2] < executor.RenewalWait/3, qt.IsTrue, qt.Commentf("%v", delays))
+}
+
 // recorded returns the token that was recorded last.
 func (f *fakeStore) recorded() uint64 {
 	f.mu.Lock()
--- a/executor/effects.go
+++ b/executor/effects.go
@@ -39,7 +39,7 @@
 	// Stops lists the stop requests to send to the server.
 	Stops []StopRequest
 	// TokenRaise describes how the fencing token was raised above those of former incarnations
-	// of the agent, for the log. It is nil if it was not.
+	// of the agent. The next renewal is then to be sent at once. It is nil if it was not raised.
 	TokenRaise *TokenRaise
 	// UnknownRuns lists the runs on the server that the executor does not know, for the log.
 	UnknownRuns []pollenfront.RunID
--- a/executor/fenced.go
+++ b/executor/fenced.go
@@ -41,6 +41,5 @@
 		return
 	}
 	effects.TokenRaise = &TokenRaise{From: before, Source: source, To: x.tokens.Current()}
-	effects.RenewNow = true
 	x.notifyAll(effects)
 }
--- a/program/hold_watch.go
+++ b/program/hold_watch.go
@@ -41,7 +41,7 @@
 	ticker := time.NewTicker(holdCheckInterval)
 	defer ticker.Stop()
 	var seen hold
-	var since, logged time.Duration
+	var since, counted, logged time.Duration
 	started := time.Now()
 	for {
 		select {
@@ -52,14 +52,15 @@
 		now := time.Since(started)
 		current := w.guard.hold()
 		if current != seen || current.event == 0 {
-			seen, since, logged = current, now, 0
+			seen, since, counted, logged = current, now, 0, 0
 			continue
 		}
 		held := now - since
 		if held < longHold {
 			continue
 		}
-		w.seconds.WithLabelValues(functionName(current.event)).Add(min(held, holdCheckInterval).Seconds())
+		w.seconds.WithLabelValues(functionName(current.event)).Add((held - counted).Seconds())
+		counted = held
 		if logged == 0 || held >= 2*logged {
 			logged = held
 			w.logger.Error("an event keeps all others waiting", zap.String("event", functionName(current.event)),
--- a/replay/agent.go
+++ b/replay/agent.go
@@ -103,7 +103,7 @@
 // applyEffects carries out the effects that the executor returned.
 func (a *agentNode) applyEffects(effects executor.Effects) {
 	a.recordToken()
-	if effects.RenewNow {
+	if effects.RenewNow || effects.TokenRaise != nil {
 		a.renew()
 	}
 	for _, request := range effects.Starts {
