Search restarts of agents under any clock in the replay

Cause: TestLateStartsOfFormerAgent checks given cases; the whole class is restarts with clocks set ahead and back, lost entries, and the store down.

Change: TestLateStartsAfterAnyRestarts draws them.

--- a/replay/restarts_test.go
+++ b/replay/restarts_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/pollenfront/pollenfront/replay"
 )
 
@@ -65,3 +67,40 @@
 		}
 	}
 }
+
+// TestLateStartsAfterAnyRestarts searches what TestLateStartsOfFormerAgent checks: agents are restarted
+// several times while their clocks are set ahead and back, entries are lost and the store is down, but
+// not all entries and the store at the same time.
+func TestLateStartsAfterAnyRestarts(t *testing.T) {
+	const entries = 3
+	kind := longKind
+	kind.TimeLimit = 8 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		f := replay.NewFleet(replay.Settings{Agents: 3, Entries: entries, Seed: rapid.Uint64().Draw(t, "seed")})
+		now := 500 * time.Millisecond
+		for range rapid.IntRange(1, 4).Draw(t, "restarts") {
+			f.StepAgentTimeOfDay(now, 0, drawMilliseconds(t, -20_000, 20_000, "step"))
+			f.KillAgent(now+time.Millisecond, 0, drawMilliseconds(t, 20, 400, "agent-down"))
+			now += drawMilliseconds(t, 450, 2500, "up")
+		}
+		f.Load([]replay.Kind{kind}, now, now+600*time.Millisecond, 1)
+		crash, down := now+700*time.Millisecond, drawMilliseconds(t, 50, 1200, "down")
+		late := crash + max(2300*time.Millisecond, down+500*time.Millisecond)
+		for at := now; at < crash; at += 100 * time.Millisecond {
+			f.HoldRequests(at, 0, replay.Starts, 30*time.Millisecond, late)
+		}
+		f.CrashServer(crash, 0, down)
+		f.StepAgentTimeOfDay(crash, 0, drawMilliseconds(t, -20_000, 20_000, "last-step"))
+		f.KillAgent(crash, 0, down+drawMilliseconds(t, 1, 100, "after-server"))
+		lost := rapid.IntRange(0, entries).Draw(t, "lost-entries")
+		for e := range lost {
+			f.KillEntry(crash, e, down)
+		}
+		if lost < entries && rapid.Bool().Draw(t, "store-down") {
+			f.StopStore(drawMilliseconds(t, 0, 3000, "store-down-at"), time.Minute)
+		}
+		if result := f.Run(late + 10*time.Second); len(result.Violations) > 0 {
+			t.Fatalf("violations: %v", result.Violations)
+		}
+	})
+}
